--- /dev/null
+++ b/ingress/client.c
@@ -0,0 +1,182 @@
+#include "client.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include "os.h"
+
+#define READ_BYTES	 8192
+#define WRITE_TIMEOUT_US (5 * PD_USEC_PER_SEC) /* a caller that doesn't read is given up */
+/* Bytes of a body that is sent in time may take this much longer than the header. */
+#define BODY_TIMEOUT_US (10 * PD_USEC_PER_SEC)
+/* After the last answer, what the caller still sends is read for this long: unread bytes would
+ * reset the connection and could destroy the answer. */
+#define LINGER_US (300 * PD_USEC_PER_MSEC)
+
+void pd_client_init(struct pd_client *client, int fd)
+{
+	memset(client, 0, sizeof(*client));
+	client->fd = fd;
+	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+	pd_http_message_init(&client->msg, PD_HTTP_REQUEST, PD_LIMITS_DEFAULT.max_header_bytes,
+			     PD_LIMITS_DEFAULT.max_body_bytes);
+}
+
+/* Waits for events until @until_us; false on timeout. */
+static bool wait_events(int fd, short events, int64_t until_us)
+{
+	for (;;) {
+		struct pollfd p = {.fd = fd, .events = events};
+		int64_t left = until_us - pd_os_boot_us();
+
+		if (left <= 0)
+			return false;
+		if (poll(&p, 1, (int)(left / PD_USEC_PER_MSEC) + 1) > 0)
+			return true;
+	}
+}
+
+static void linger(int fd)
+{
+	int64_t until = pd_os_boot_us() + LINGER_US;
+	char bytes[512];
+
+	if (shutdown(fd, SHUT_WR))
+		return;
+	while (wait_events(fd, POLLIN, until)) {
+		if (recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT) <= 0)
+			return;
+	}
+}
+
+void pd_client_finish(struct pd_client *client)
+{
+	linger(client->fd);
+	pd_os_close(&client->fd);
+	pd_buf_finish(&client->in);
+	pd_http_message_finish(&client->msg);
+}
+
+bool pd_client_wait(struct pd_client *client, uint32_t idle_ms)
+{
+	bool ready = client->in.len > 0;
+
+	if (!ready)
+		ready = wait_events(client->fd, POLLIN,
+				    pd_os_boot_us() + idle_ms * PD_USEC_PER_MSEC);
+	client->arrived_us = pd_os_boot_us();
+	return ready;
+}
+
+/* Reads a message from the bytes that were received; keeps what follows it. */
+static enum pd_http_result read_buffered(struct pd_client *client)
+{
+	enum pd_http_result result;
+	size_t used;
+
+	result = pd_http_message_read(&client->msg, client->in.data, client->in.len, &used);
+	if (result == PD_HTTP_MORE || used == client->in.len) {
+		pd_buf_clear(&client->in);
+		return result;
+	}
+	memmove(client->in.data, client->in.data + used, client->in.len - used);
+	client->in.len -= used;
+	return result;
+}
+
+static enum pd_client_result to_client_result(enum pd_http_result result)
+{
+	switch (result) {
+	case PD_HTTP_COMPLETE:
+		return PD_CLIENT_REQUEST;
+	case PD_HTTP_HEAD_TOO_LARGE:
+		return PD_CLIENT_HEAD_TOO_LARGE;
+	case PD_HTTP_BODY_TOO_LARGE:
+		return PD_CLIENT_BODY_TOO_LARGE;
+	default:
+		return PD_CLIENT_MALFORMED;
+	}
+}
+
+static bool expects_continue(const struct pd_http_message *msg)
+{
+	struct pd_str value;
+
+	return msg->head_complete && pd_http_message_field(msg, "Expect", &value);
+}
+
+enum pd_client_result pd_client_read(struct pd_client *client, const struct pd_limits *limits)
+{
+	int64_t head_until = client->arrived_us + limits->header_timeout_ms * PD_USEC_PER_MSEC;
+	bool continued = false;
+	char bytes[READ_BYTES];
+
+	pd_http_message_reset(&client->msg);
+	client->msg.head_max = limits->max_header_bytes;
+	client->msg.body_max = limits->max_body_bytes;
+	for (;;) {
+		int64_t until =
+			client->msg.head_complete ? head_until + BODY_TIMEOUT_US : head_until;
+		ssize_t n;
+
+		if (client->in.len) {
+			enum pd_http_result result = read_buffered(client);
+
+			if (result != PD_HTTP_MORE)
+				return to_client_result(result);
+		}
+		if (!continued && expects_continue(&client->msg)) {
+			continued = true;
+			if (!pd_client_write(client, PD_STR("HTTP/1.1 100 Continue\r\n\r\n"),
+					     (struct pd_str){NULL, 0}))
+				return PD_CLIENT_ENDED;
+		}
+		if (!wait_events(client->fd, POLLIN, until))
+			return client->msg.head.len ? PD_CLIENT_SLOW : PD_CLIENT_ENDED;
+		n = recv(client->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			continue;
+		if (n <= 0)
+			return PD_CLIENT_ENDED;
+		if (!pd_buf_append(&client->in, bytes, (size_t)n))
+			return PD_CLIENT_ENDED;
+	}
+}
+
+bool pd_client_write(struct pd_client *client, struct pd_str head, struct pd_str body)
+{
+	int64_t until = pd_os_boot_us() + WRITE_TIMEOUT_US;
+	size_t done = 0, total = head.len + body.len;
+
+	while (done < total) {
+		struct iovec iov[2];
+		struct msghdr msg = {.msg_iov = iov};
+		ssize_t n;
+
+		if (done < head.len)
+			iov[msg.msg_iovlen++] =
+				(struct iovec){(char *)head.data + done, head.len - done};
+		if (body.len) {
+			size_t skip = done > head.len ? done - head.len : 0;
+
+			iov[msg.msg_iovlen++] =
+				(struct iovec){(char *)body.data + skip, body.len - skip};
+		}
+		n = sendmsg(client->fd, &msg, MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (n >= 0) {
+			done += (size_t)n;
+			continue;
+		}
+		if (errno == EINTR)
+			continue;
+		if (errno != EAGAIN && errno != EWOULDBLOCK)
+			return false;
+		if (!wait_events(client->fd, POLLOUT, until))
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/ingress/exchange.c
@@ -0,0 +1,287 @@
+#include "exchange.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include "counters.h"
+#include "headers.h"
+#include "log.h"
+#include "os.h"
+
+#define READ_BYTES     16384
+#define DRAIN_LIMIT_US 400000 /* work for nobody is ended at the upstream after this time */
+
+bool pd_exchange_is_live(const struct pd_exchange *exchange)
+{
+	switch (exchange->state) {
+	case PD_EXCHANGE_CONNECTING:
+	case PD_EXCHANGE_SENDING:
+	case PD_EXCHANGE_WAITING:
+		return true;
+	default:
+		return false;
+	}
+}
+
+bool pd_exchange_was_sent(const struct pd_exchange *exchange)
+{
+	return exchange->sent > 0;
+}
+
+short pd_exchange_events(const struct pd_exchange *exchange)
+{
+	switch (exchange->state) {
+	case PD_EXCHANGE_CONNECTING:
+		return POLLOUT;
+	case PD_EXCHANGE_SENDING:
+		return POLLIN | POLLOUT;
+	default:
+		return POLLIN;
+	}
+}
+
+static size_t request_size(const struct pd_exchange *exchange)
+{
+	return exchange->request->head.len + exchange->tail_len + exchange->request->body.len;
+}
+
+/* Fills @iov with what is left to send; returns the number of entries. */
+static int unsent(const struct pd_exchange *exchange, struct iovec *iov)
+{
+	struct pd_str parts[] = {
+		exchange->request->head,
+		{exchange->tail, exchange->tail_len},
+		exchange->request->body,
+	};
+	size_t skip = exchange->sent;
+	int count = 0;
+
+	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+		if (skip >= parts[i].len) {
+			skip -= parts[i].len;
+			continue;
+		}
+		iov[count].iov_base = (char *)parts[i].data + skip;
+		iov[count++].iov_len = parts[i].len - skip;
+		skip = 0;
+	}
+	return count;
+}
+
+static void break_off(struct pd_exchange *exchange)
+{
+	exchange->reusable = false;
+	exchange->stale = exchange->conn && exchange->conn->used && !exchange->received;
+	exchange->state = exchange->sent ? PD_EXCHANGE_BROKEN : PD_EXCHANGE_UNREACHED;
+}
+
+static void send_some(struct pd_exchange *exchange)
+{
+	struct iovec iov[3];
+	struct msghdr msg = {.msg_iov = iov};
+	ssize_t n;
+
+	msg.msg_iovlen = (size_t)unsent(exchange, iov);
+	n = sendmsg(exchange->conn->fd, &msg, MSG_NOSIGNAL | MSG_DONTWAIT);
+	if (n < 0) {
+		if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+			break_off(exchange);
+		return;
+	}
+	exchange->sent += (size_t)n;
+	if (exchange->sent == request_size(exchange))
+		exchange->state = PD_EXCHANGE_WAITING;
+}
+
+static void finish_connect(struct pd_exchange *exchange)
+{
+	socklen_t len = sizeof(int);
+	int error = 0;
+
+	getsockopt(exchange->conn->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+	if (error) {
+		exchange->state = PD_EXCHANGE_UNREACHED;
+		return;
+	}
+	exchange->state = PD_EXCHANGE_SENDING;
+	send_some(exchange);
+}
+
+/* Whether the answer belongs to this request: late second answers to earlier requests may arrive on
+ * a reused connection. A rejection need not name the request. */
+static bool is_own_answer(const struct pd_exchange *exchange, const struct pd_answer_fields *fields)
+{
+	if (fields->has_id)
+		return pd_str_equal(fields->request_id, exchange->request->request_id);
+	return !exchange->conn->used;
+}
+
+static void take_answer(struct pd_exchange *exchange, const struct pd_answer_fields *fields)
+{
+	struct pd_http_message *msg = &exchange->conn->msg;
+
+	pd_conn_learn_idle_limit(exchange->conn);
+	exchange->has_load = fields->has_load;
+	exchange->load = (double)fields->running + fields->waiting;
+	exchange->reusable = exchange->reusable && msg->keep_alive && msg->framed &&
+			     exchange->state == PD_EXCHANGE_WAITING;
+	switch (fields->run) {
+	case PD_ANSWER_RAN:
+		exchange->state = PD_EXCHANGE_ANSWERED;
+		break;
+	case PD_ANSWER_NOT_RUN:
+		exchange->state = PD_EXCHANGE_REJECTED;
+		break;
+	case PD_ANSWER_WRONG_INSTANCE:
+		exchange->state = PD_EXCHANGE_WRONG_INSTANCE;
+		break;
+	}
+}
+
+/* A message is complete: an answer to this request, an interim one, or one to another request. */
+static void take_message(struct pd_exchange *exchange)
+{
+	struct pd_http_message *msg = &exchange->conn->msg;
+	struct pd_answer_fields fields;
+
+	if (msg->parser.status_code < 200) {
+		pd_http_message_reset(msg);
+		msg->to_head_request = exchange->request->head_only;
+		return;
+	}
+	pd_platform_read_answer(msg, &fields);
+	if (is_own_answer(exchange, &fields)) {
+		take_answer(exchange, &fields);
+		return;
+	}
+	pd_count(PD_COUNT_replies_mismatched);
+	if (!fields.has_id || !msg->framed) {
+		break_off(exchange);
+		return;
+	}
+	pd_http_message_reset(msg);
+	msg->to_head_request = exchange->request->head_only;
+}
+
+static void take_bytes(struct pd_exchange *exchange, const char *bytes, size_t len)
+{
+	exchange->received = true;
+	while (len && pd_exchange_is_live(exchange)) {
+		size_t used;
+
+		switch (pd_http_message_read(&exchange->conn->msg, bytes, len, &used)) {
+		case PD_HTTP_MORE:
+			return;
+		case PD_HTTP_COMPLETE:
+			take_message(exchange);
+			break;
+		default:
+			break_off(exchange);
+			return;
+		}
+		bytes += used;
+		len -= used;
+	}
+	/* Bytes after the answer belong to no request. */
+	if (len)
+		exchange->reusable = false;
+}
+
+static void receive_some(struct pd_exchange *exchange)
+{
+	char bytes[READ_BYTES];
+	ssize_t n = recv(exchange->conn->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+	if (n > 0) {
+		take_bytes(exchange, bytes, (size_t)n);
+		return;
+	}
+	if (n < 0) {
+		if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+			break_off(exchange);
+		return;
+	}
+	exchange->reusable = false;
+	if (exchange->conn->msg.head_complete &&
+	    pd_http_message_end(&exchange->conn->msg) == PD_HTTP_COMPLETE)
+		take_message(exchange);
+	if (pd_exchange_is_live(exchange))
+		break_off(exchange);
+}
+
+void pd_exchange_step(struct pd_exchange *exchange)
+{
+	if (exchange->state == PD_EXCHANGE_CONNECTING)
+		finish_connect(exchange);
+	else if (exchange->state == PD_EXCHANGE_SENDING)
+		send_some(exchange);
+	if (exchange->state == PD_EXCHANGE_SENDING || exchange->state == PD_EXCHANGE_WAITING)
+		receive_some(exchange);
+}
+
+void pd_exchange_start(struct pd_exchange *exchange, struct pd_pool *pool,
+		       struct pd_upstream *upstream, const struct pd_exchange_request *request,
+		       int64_t deadline_us, int64_t max_idle_us, int64_t now_us)
+{
+	int64_t left_ms = (deadline_us - now_us) / PD_USEC_PER_MSEC;
+	struct pd_error err;
+
+	memset(exchange, 0, sizeof(*exchange));
+	exchange->upstream = upstream;
+	exchange->request = request;
+	exchange->started_us = now_us;
+	exchange->reusable = max_idle_us > 0;
+	exchange->tail_len = pd_platform_write_tail(exchange->tail, sizeof(exchange->tail),
+						    left_ms > 0 ? (uint64_t)left_ms : 0,
+						    pd_name_str(&upstream->id));
+	exchange->conn = max_idle_us ? pd_pool_take(pool, upstream, max_idle_us, now_us) : NULL;
+	if (exchange->conn) {
+		exchange->conn->msg.to_head_request = request->head_only;
+		exchange->state = PD_EXCHANGE_SENDING;
+		send_some(exchange);
+		return;
+	}
+	exchange->conn = pd_pool_connect(pool, upstream, &err);
+	if (!exchange->conn) {
+		pd_log_failure(PD_LOG_WARNING, "connect_failed", &err);
+		exchange->state = PD_EXCHANGE_UNREACHED;
+		return;
+	}
+	exchange->conn->msg.to_head_request = request->head_only;
+	exchange->state = PD_EXCHANGE_CONNECTING;
+}
+
+void pd_exchange_end(struct pd_exchange *exchange, struct pd_pool *pool,
+		     const struct pd_report *report, int64_t now_us)
+{
+	if (exchange->conn) {
+		bool whole = exchange->state == PD_EXCHANGE_ANSWERED ||
+			     exchange->state == PD_EXCHANGE_REJECTED ||
+			     exchange->state == PD_EXCHANGE_WRONG_INSTANCE;
+
+		if (whole && exchange->reusable && report->kind != PD_REPORT_WRONG_INSTANCE)
+			pd_pool_put(pool, exchange->conn, now_us);
+		else
+			pd_pool_close(pool, exchange->conn);
+		exchange->conn = NULL;
+	}
+	pd_registry_report(pool->registry, exchange->upstream, report, now_us);
+	exchange->state = PD_EXCHANGE_UNUSED;
+}
+
+void pd_exchange_abandon(struct pd_exchange *exchange, struct pd_pool *pool, bool close,
+			 enum pd_report_kind kind, int64_t now_us)
+{
+	struct pd_report report = {.kind = kind};
+
+	if (!close && exchange->state == PD_EXCHANGE_WAITING)
+		pd_pool_drain(pool, exchange->conn, now_us + DRAIN_LIMIT_US);
+	else
+		pd_pool_close(pool, exchange->conn);
+	exchange->conn = NULL;
+	pd_registry_report(pool->registry, exchange->upstream, &report, now_us);
+	exchange->state = PD_EXCHANGE_UNUSED;
+}
--- /dev/null
+++ b/ingress/http.c
@@ -0,0 +1,241 @@
+#include "http.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* Buffers up to this size stay allocated between messages. */
+#define KEPT_BUFFER_BYTES 2048
+
+static int on_target(http_parser *parser, const char *at, size_t len)
+{
+	struct pd_http_message *msg = parser->data;
+
+	if (msg->head.len + len > msg->head_max || !pd_buf_append(&msg->head, at, len)) {
+		msg->overflow = PD_HTTP_HEAD_TOO_LARGE;
+		return -1;
+	}
+	msg->target_len += (uint32_t)len;
+	return 0;
+}
+
+static int append_head(struct pd_http_message *msg, const char *at, size_t len)
+{
+	if (msg->head.len + len > msg->head_max || !pd_buf_append(&msg->head, at, len)) {
+		msg->overflow = PD_HTTP_HEAD_TOO_LARGE;
+		return -1;
+	}
+	return 0;
+}
+
+static int on_field(http_parser *parser, const char *at, size_t len)
+{
+	struct pd_http_message *msg = parser->data;
+	struct pd_http_field *field;
+
+	if (msg->head_complete)
+		return 0; /* trailers are dropped */
+	if (msg->in_value || !msg->field_count) {
+		if (msg->field_count == PD_HTTP_FIELDS_MAX) {
+			msg->overflow = PD_HTTP_HEAD_TOO_LARGE;
+			return -1;
+		}
+		field = &msg->fields[msg->field_count++];
+		*field = (struct pd_http_field){.name = (uint32_t)msg->head.len};
+		msg->in_value = false;
+	}
+	field = &msg->fields[msg->field_count - 1];
+	field->name_len += (uint32_t)len;
+	return append_head(msg, at, len);
+}
+
+static int on_value(http_parser *parser, const char *at, size_t len)
+{
+	struct pd_http_message *msg = parser->data;
+	struct pd_http_field *field;
+
+	if (msg->head_complete || !msg->field_count)
+		return 0;
+	field = &msg->fields[msg->field_count - 1];
+	if (!msg->in_value) {
+		field->value = (uint32_t)msg->head.len;
+		msg->in_value = true;
+	}
+	field->value_len += (uint32_t)len;
+	return append_head(msg, at, len);
+}
+
+static int on_headers_complete(http_parser *parser)
+{
+	struct pd_http_message *msg = parser->data;
+
+	msg->head_complete = true;
+	msg->framed = msg->kind == PD_HTTP_REQUEST || msg->to_head_request ||
+		      (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) ||
+		      parser->status_code < 200 || parser->status_code == HTTP_STATUS_NO_CONTENT ||
+		      parser->status_code == HTTP_STATUS_NOT_MODIFIED;
+	return msg->to_head_request ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct pd_http_message *msg = parser->data;
+
+	if (msg->body.len + len > msg->body_max || !pd_buf_append(&msg->body, at, len)) {
+		msg->overflow = PD_HTTP_BODY_TOO_LARGE;
+		return -1;
+	}
+	return 0;
+}
+
+static int on_message_complete(http_parser *parser)
+{
+	struct pd_http_message *msg = parser->data;
+
+	msg->complete = true;
+	msg->keep_alive = http_should_keep_alive(parser) != 0;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_url = on_target,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+void pd_http_message_init(struct pd_http_message *msg, enum pd_http_kind kind, size_t head_max,
+			  size_t body_max)
+{
+	memset(msg, 0, sizeof(*msg));
+	msg->kind = kind;
+	msg->head_max = head_max;
+	msg->body_max = body_max;
+	pd_http_message_reset(msg);
+}
+
+void pd_http_message_finish(struct pd_http_message *msg)
+{
+	pd_buf_finish(&msg->head);
+	pd_buf_finish(&msg->body);
+}
+
+static void clear_buffer(struct pd_buf *buf)
+{
+	if (buf->cap > KEPT_BUFFER_BYTES)
+		pd_buf_finish(buf);
+	else
+		pd_buf_clear(buf);
+}
+
+void pd_http_message_reset(struct pd_http_message *msg)
+{
+	http_parser_init(&msg->parser, msg->kind == PD_HTTP_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
+	msg->parser.data = msg;
+	clear_buffer(&msg->head);
+	clear_buffer(&msg->body);
+	msg->field_count = 0;
+	msg->target_len = 0;
+	msg->to_head_request = false;
+	msg->head_complete = false;
+	msg->complete = false;
+	msg->framed = false;
+	msg->keep_alive = false;
+	msg->in_value = false;
+	msg->overflow = PD_HTTP_MORE;
+}
+
+static enum pd_http_result read_result(const struct pd_http_message *msg)
+{
+	if (msg->complete)
+		return msg->parser.upgrade ? PD_HTTP_MALFORMED : PD_HTTP_COMPLETE;
+	if (msg->overflow != PD_HTTP_MORE)
+		return msg->overflow;
+	if (HTTP_PARSER_ERRNO(&msg->parser) == HPE_HEADER_OVERFLOW)
+		return PD_HTTP_HEAD_TOO_LARGE;
+	return HTTP_PARSER_ERRNO(&msg->parser) == HPE_OK ? PD_HTTP_MORE : PD_HTTP_MALFORMED;
+}
+
+enum pd_http_result pd_http_message_read(struct pd_http_message *msg, const char *data, size_t len,
+					 size_t *used)
+{
+	*used = 0;
+	if (len)
+		*used = http_parser_execute(&msg->parser, &parser_settings, data, len);
+	return read_result(msg);
+}
+
+enum pd_http_result pd_http_message_end(struct pd_http_message *msg)
+{
+	http_parser_execute(&msg->parser, &parser_settings, NULL, 0);
+	return msg->complete ? PD_HTTP_COMPLETE : PD_HTTP_MALFORMED;
+}
+
+struct pd_str pd_http_message_target(const struct pd_http_message *msg)
+{
+	return (struct pd_str){msg->head.data, msg->target_len};
+}
+
+struct pd_str pd_http_message_name(const struct pd_http_message *msg, uint32_t index)
+{
+	const struct pd_http_field *field = &msg->fields[index];
+
+	return (struct pd_str){msg->head.data + field->name, field->name_len};
+}
+
+struct pd_str pd_http_message_value(const struct pd_http_message *msg, uint32_t index)
+{
+	const struct pd_http_field *field = &msg->fields[index];
+
+	return (struct pd_str){msg->head.data + field->value, field->value_len};
+}
+
+static bool same_name(struct pd_str a, const char *b, size_t b_len)
+{
+	return a.len == b_len && !strncasecmp(a.data, b, b_len);
+}
+
+bool pd_http_message_field(const struct pd_http_message *msg, const char *name,
+			   struct pd_str *value)
+{
+	size_t len = strlen(name);
+
+	for (uint32_t i = 0; i < msg->field_count; i++) {
+		if (same_name(pd_http_message_name(msg, i), name, len)) {
+			*value = pd_http_message_value(msg, i);
+			return true;
+		}
+	}
+	*value = (struct pd_str){NULL, 0};
+	return false;
+}
+
+bool pd_http_is_hop_field(struct pd_str name)
+{
+	static const char *const names[] = {
+		"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+		"TE",	      "Trailer",    "Upgrade",		"Content-Length",
+		"Expect",
+	};
+
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		if (same_name(name, names[i], strlen(names[i])))
+			return true;
+	}
+	return false;
+}
+
+const char *pd_http_reason(int status)
+{
+	switch (status) {
+#define X(code, name, text)                                                                        \
+	case code:                                                                                 \
+		return #text;
+		HTTP_STATUS_MAP(X)
+#undef X
+	default:
+		return "Unknown";
+	}
+}
--- /dev/null
+++ b/ingress/ingress.c
@@ -0,0 +1,312 @@
+#include "ingress.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "counters.h"
+#include "ingress_private.h"
+#include "log.h"
+#include "os.h"
+
+/* Descriptors that aren't for connections to upstreams: files, listeners, the store, callers. */
+#define DESCRIPTORS_RESERVED 500
+#define DESCRIPTORS_MIN	     64
+#define CONNECTIONS_MAX	     256 /* callers' connections; one thread each */
+#define REMOVAL_HOLD_US	     (2200 * PD_USEC_PER_MSEC) /* lapsed entries are back in two seconds */
+/* Less than this share of the gathered services in reach: callers are served better elsewhere. */
+#define REACH_LEAST 0.7
+/* Answers of a stopping process leave this long before it would be killed. */
+#define STOP_MARGIN_US (300 * PD_USEC_PER_MSEC)
+/* Without requests for this long, a stopping process has no callers left. */
+#define STOP_QUIET_US (250 * PD_USEC_PER_MSEC)
+
+struct pd_ingress *pd_ingress_create(const struct pd_ingress_settings *settings,
+				     struct pd_error *err)
+{
+	struct pd_ingress *ingress = calloc(1, sizeof(*ingress));
+	struct pd_registry_options options = {
+		.zone = settings->zone,
+		.retry_ratio = settings->retry_ratio,
+		.retry_slack = settings->retry_slack,
+		.removal_hold_us = REMOVAL_HOLD_US,
+	};
+	const struct pd_address *addresses[PD_LISTENERS] = {&settings->front, &settings->ready,
+							    &settings->metrics};
+	uint32_t open_max = DESCRIPTORS_MIN;
+
+	if (!ingress) {
+		pd_error_set(err, PD_LAYER_STATE, PD_NO_MEMORY, "ingress");
+		return NULL;
+	}
+	ingress->settings = *settings;
+	if (settings->max_descriptors > DESCRIPTORS_RESERVED + DESCRIPTORS_MIN)
+		open_max = settings->max_descriptors - DESCRIPTORS_RESERVED;
+	pd_registry_init(&ingress->registry, &options);
+	pd_pool_init(&ingress->pool, &ingress->registry, open_max);
+	pd_sync_init(&ingress->sync, &ingress->registry, settings);
+	pthread_mutex_init(&ingress->lock, NULL);
+	for (size_t i = 0; i < PD_LISTENERS; i++) {
+		ingress->listeners[i] = (struct pd_listener){.ingress = ingress,
+							     .kind = (enum pd_listener_kind)i,
+							     .address = *addresses[i],
+							     .fd = -1};
+	}
+	return ingress;
+}
+
+/**
+ * struct connection - argument of a connection's thread
+ * @listener: where it came in
+ * @fd: socket
+ */
+struct connection {
+	struct pd_listener *listener;
+	int fd;
+};
+
+/* Counts a request that begins to be read; false when none may be read any more. */
+static bool begin_request(struct pd_ingress *ingress)
+{
+	bool open;
+
+	pthread_mutex_lock(&ingress->lock);
+	open = !ingress->closing;
+	if (open) {
+		ingress->requests++;
+		ingress->last_request_us = pd_os_boot_us();
+	}
+	pthread_mutex_unlock(&ingress->lock);
+	return open;
+}
+
+static void end_request(struct pd_ingress *ingress)
+{
+	pthread_mutex_lock(&ingress->lock);
+	ingress->requests--;
+	pthread_mutex_unlock(&ingress->lock);
+}
+
+static struct pd_limits current_limits(struct pd_ingress *ingress)
+{
+	struct pd_catalog *catalog = pd_registry_catalog(&ingress->registry);
+	struct pd_limits limits = catalog ? catalog->limits : PD_LIMITS_DEFAULT;
+
+	pd_catalog_release(catalog);
+	return limits;
+}
+
+/* Reads and answers one request; false when the connection ends. */
+static bool serve_one(struct pd_listener *listener, struct pd_client *client)
+{
+	struct pd_limits limits = current_limits(listener->ingress);
+	enum pd_client_result result;
+
+	if (!pd_client_wait(client, limits.idle_timeout_ms))
+		return false;
+	result = pd_client_read(client, &limits);
+	if (result != PD_CLIENT_REQUEST) {
+		pd_serve_unreadable(client, result);
+		return false;
+	}
+	if (listener->kind == PD_LISTENER_FRONT)
+		return pd_serve_request(listener->ingress, client);
+	return pd_serve_status(listener->ingress, client, listener->kind);
+}
+
+static bool serve_counted(struct pd_listener *listener, struct pd_client *client)
+{
+	struct pd_ingress *ingress = listener->ingress;
+	struct pd_limits limits = current_limits(ingress);
+	bool more;
+
+	if (listener->kind != PD_LISTENER_FRONT)
+		return serve_one(listener, client);
+	if (!pd_client_wait(client, limits.idle_timeout_ms) || !begin_request(ingress))
+		return false;
+	more = serve_one(listener, client);
+	end_request(ingress);
+	return more;
+}
+
+static void *serve_connection(void *arg)
+{
+	struct connection connection = *(struct connection *)arg;
+	struct pd_ingress *ingress = connection.listener->ingress;
+	struct pd_client client;
+
+	free(arg);
+	pd_client_init(&client, connection.fd);
+	while (serve_counted(connection.listener, &client))
+		;
+	pd_client_finish(&client);
+	pthread_mutex_lock(&ingress->lock);
+	ingress->connections--;
+	pthread_mutex_unlock(&ingress->lock);
+	return NULL;
+}
+
+static bool take_connection(struct pd_ingress *ingress)
+{
+	bool room;
+
+	pthread_mutex_lock(&ingress->lock);
+	room = ingress->connections < CONNECTIONS_MAX;
+	if (room)
+		ingress->connections++;
+	pthread_mutex_unlock(&ingress->lock);
+	return room;
+}
+
+static void start_connection(struct pd_listener *listener, int fd)
+{
+	struct connection *connection = malloc(sizeof(*connection));
+	struct pd_error err;
+	pthread_t thread;
+
+	if (connection && take_connection(listener->ingress)) {
+		*connection = (struct connection){.listener = listener, .fd = fd};
+		if (pd_os_thread_start(&thread, "connection", serve_connection, connection, &err) ==
+		    PD_OK) {
+			pthread_detach(thread);
+			return;
+		}
+		pd_log_failure(PD_LOG_ERROR, "connection_refused", &err);
+		pthread_mutex_lock(&listener->ingress->lock);
+		listener->ingress->connections--;
+		pthread_mutex_unlock(&listener->ingress->lock);
+	} else {
+		pd_log(PD_LOG_WARNING, "connection_refused", "reason=limit limit=%d",
+		       CONNECTIONS_MAX);
+	}
+	free(connection);
+	pd_os_close(&fd);
+}
+
+static void *run_listener(void *arg)
+{
+	struct pd_listener *listener = arg;
+	struct pd_error err;
+	int fd;
+
+	while (pd_os_accept(listener->fd, &fd, &err) == PD_OK)
+		start_connection(listener, fd);
+	pd_log_failure(PD_LOG_ERROR, "listener_ended", &err);
+	return NULL;
+}
+
+static enum pd_code start_listener(struct pd_listener *listener, struct pd_error *err)
+{
+	enum pd_code code = pd_os_listen(&listener->address, &listener->fd, err);
+
+	if (code != PD_OK)
+		return pd_error_wrap(err, PD_LAYER_TRANSPORT, code, "listener");
+	return pd_os_thread_start(&listener->thread, "listener", run_listener, listener, err);
+}
+
+enum pd_code pd_ingress_start(struct pd_ingress *ingress, struct pd_error *err)
+{
+	for (size_t i = 0; i < PD_LISTENERS; i++) {
+		enum pd_code code = start_listener(&ingress->listeners[i], err);
+
+		if (code != PD_OK)
+			return pd_error_wrap(err, PD_LAYER_STATE, code, "start");
+	}
+	return pd_sync_start(&ingress->sync, err);
+}
+
+void pd_ingress_reload(struct pd_ingress *ingress, const struct pd_ingress_settings *settings)
+{
+	pd_sync_set_address(&ingress->sync, &settings->store);
+}
+
+bool pd_ingress_is_stopping(struct pd_ingress *ingress)
+{
+	bool stopping;
+
+	pthread_mutex_lock(&ingress->lock);
+	stopping = ingress->stopping;
+	pthread_mutex_unlock(&ingress->lock);
+	return stopping;
+}
+
+bool pd_ingress_is_ready(struct pd_ingress *ingress)
+{
+	bool known, ready;
+
+	pthread_mutex_lock(&ingress->registry.lock);
+	known = ingress->registry.listed && ingress->registry.catalog;
+	pthread_mutex_unlock(&ingress->registry.lock);
+	pthread_mutex_lock(&ingress->lock);
+	ready = known && !ingress->stopping && !ingress->isolated;
+	pthread_mutex_unlock(&ingress->lock);
+	return ready;
+}
+
+static void judge_reach(struct pd_ingress *ingress, int64_t now_us)
+{
+	double reach = pd_registry_reach(&ingress->registry, now_us);
+	bool isolated = reach < REACH_LEAST, changed;
+
+	pthread_mutex_lock(&ingress->lock);
+	changed = ingress->isolated != isolated;
+	ingress->isolated = isolated;
+	pthread_mutex_unlock(&ingress->lock);
+	if (changed)
+		pd_log(PD_LOG_WARNING, isolated ? "isolated" : "not_isolated",
+		       "services_in_reach=%.2f needed=%.2f", reach, REACH_LEAST);
+}
+
+/* Connects to an upstream of a zone that was out of reach. */
+static void probe_zone(struct pd_ingress *ingress, int64_t now_us)
+{
+	struct pd_upstream *upstream = pd_registry_probe_target(&ingress->registry, now_us);
+	struct pd_address address;
+	struct pd_error err;
+	int fd;
+
+	if (!upstream)
+		return;
+	if (pd_address_parse(pd_str_from(upstream->address_text), &address, &err) == PD_OK &&
+	    pd_os_connect(&address, 60 * PD_USEC_PER_MSEC, &fd, &err) == PD_OK) {
+		pd_registry_heard(&ingress->registry, upstream, pd_os_boot_us());
+		pd_os_close(&fd);
+	}
+	pd_registry_drop(&ingress->registry, upstream);
+}
+
+void pd_ingress_tend(struct pd_ingress *ingress)
+{
+	int64_t now = pd_os_boot_us();
+
+	pd_pool_tend(&ingress->pool, now);
+	pd_registry_expire(&ingress->registry, now);
+	probe_zone(ingress, now);
+	judge_reach(ingress, now);
+	pd_log_flush();
+}
+
+void pd_ingress_begin_stop(struct pd_ingress *ingress)
+{
+	int64_t now = pd_os_boot_us();
+
+	pthread_mutex_lock(&ingress->lock);
+	ingress->stopping = true;
+	ingress->last_request_us = now;
+	ingress->stop_us = now + ingress->settings.grace_ms * PD_USEC_PER_MSEC - STOP_MARGIN_US;
+	pthread_mutex_unlock(&ingress->lock);
+}
+
+bool pd_ingress_may_exit(struct pd_ingress *ingress, bool close)
+{
+	int64_t now = pd_os_boot_us();
+	bool idle;
+
+	pthread_mutex_lock(&ingress->lock);
+	idle = !ingress->requests && now - ingress->last_request_us > STOP_QUIET_US;
+	if (close)
+		ingress->closing = true;
+	if (ingress->closing)
+		idle = !ingress->requests;
+	pthread_mutex_unlock(&ingress->lock);
+	return idle;
+}
--- /dev/null
+++ b/ingress/merge.c
@@ -0,0 +1,71 @@
+#include "merge.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A min-heap of pointers to the greatest records so far. */
+static void sift_down(const char **heap, size_t count, size_t at)
+{
+	for (;;) {
+		size_t child = 2 * at + 1;
+		const char *record;
+
+		if (child >= count)
+			return;
+		if (child + 1 < count && memcmp(heap[child + 1], heap[child], PD_RECORD_BYTES) < 0)
+			child++;
+		if (memcmp(heap[at], heap[child], PD_RECORD_BYTES) <= 0)
+			return;
+		record = heap[at];
+		heap[at] = heap[child];
+		heap[child] = record;
+		at = child;
+	}
+}
+
+static int compare_falling(const void *a, const void *b)
+{
+	return memcmp(*(const char *const *)b, *(const char *const *)a, PD_RECORD_BYTES);
+}
+
+static size_t collect(const struct pd_str *parts, size_t count, size_t top_k, const char **heap)
+{
+	size_t used = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		size_t records = parts[i].len / PD_RECORD_BYTES;
+
+		for (size_t r = 0; r < records; r++) {
+			const char *record = parts[i].data + r * PD_RECORD_BYTES;
+
+			if (used < top_k) {
+				heap[used++] = record;
+				if (used == top_k)
+					for (size_t at = used / 2; at-- > 0;)
+						sift_down(heap, used, at);
+			} else if (memcmp(record, heap[0], PD_RECORD_BYTES) > 0) {
+				heap[0] = record;
+				sift_down(heap, used, 0);
+			}
+		}
+	}
+	return used;
+}
+
+bool pd_merge_top(const struct pd_str *parts, size_t count, size_t top_k, struct pd_buf *out)
+{
+	const char **heap;
+	size_t used;
+
+	if (!top_k)
+		return true;
+	heap = malloc(top_k * sizeof(*heap));
+	if (!heap)
+		return false;
+	used = collect(parts, count, top_k, heap);
+	qsort(heap, used, sizeof(*heap), compare_falling);
+	for (size_t i = 0; i < used; i++)
+		pd_buf_append(out, heap[i], PD_RECORD_BYTES);
+	free(heap);
+	return !out->failed;
+}
--- /dev/null
+++ b/ingress/pick.c
@@ -0,0 +1,51 @@
+#include "pick.h"
+
+/* Cost of another zone, in units of an idle upstream's cost: the round trip between zones is about
+ * a tenth of a typical sub-request, and bytes between zones are paid for. */
+#define OTHER_ZONE_COST	  0.35
+#define COLD_COST	  100.0
+#define EJECTED_COST	  1000.0
+#define TIE_COST	  0.1 /* differences below this are decided at random */
+#define LOAD_HALF_LIFE_US 60000 /* a sub-request takes some tens of milliseconds */
+
+double pd_candidate_cost(const struct pd_candidate *candidate)
+{
+	double slots = candidate->slots ? candidate->slots : 1;
+	double pressure = (candidate->running + candidate->reported) / slots;
+	double cost = candidate->slowness * candidate->slowness * (1 + pressure * pressure);
+
+	if (!candidate->same_zone)
+		cost += OTHER_ZONE_COST;
+	if (candidate->cold)
+		cost += COLD_COST;
+	if (candidate->ejected)
+		cost += EJECTED_COST;
+	return cost;
+}
+
+long pd_pick(const struct pd_candidate *candidates, size_t count, uint64_t random)
+{
+	double best_cost = 0;
+	long best = -1;
+
+	for (size_t i = 0; i < count; i++) {
+		size_t index = (i + random) % count;
+		double cost;
+
+		if (!candidates[index].usable)
+			continue;
+		cost = pd_candidate_cost(&candidates[index]);
+		if (best < 0 || cost < best_cost - TIE_COST) {
+			best = (long)index;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+double pd_load_weight(int64_t age_us)
+{
+	if (age_us <= 0)
+		return 1;
+	return 1.0 / (1.0 + (double)age_us / LOAD_HALF_LIFE_US);
+}
--- /dev/null
+++ b/ingress/policy.c
@@ -0,0 +1,83 @@
+#include "policy.h"
+
+#include <math.h>
+
+#include "os.h"
+
+/* Bounds of the hedge delay, as shares of the latency objective. */
+#define HEDGE_MIN_SHARE		0.15
+#define HEDGE_GATHER_MAX_SHARE	0.35
+#define HEDGE_FORWARD_MAX_SHARE 0.5
+/* Used in place of the latency objective by routes that state none. */
+#define OBJECTIVE_DEFAULT_US 1000000
+/* Time to merge and to deliver an answer: a round trip to the caller, connection set-up included,
+ * and the merge on a small machine. */
+#define DELIVERY_MAX_US	   20000
+#define DELIVERY_MAX_SHARE 0.25
+/* Final answers leave this long before the caller's deadline passes. */
+#define DEADLINE_MARGIN_US  15000
+#define DEADLINE_DEFAULT_US (30 * PD_USEC_PER_SEC)
+
+static int64_t objective_us(const struct pd_route *route)
+{
+	if (!route->target_latency_ms)
+		return OBJECTIVE_DEFAULT_US;
+	return route->target_latency_ms * PD_USEC_PER_MSEC;
+}
+
+int64_t pd_policy_hedge_delay(const struct pd_route *route, double high_us)
+{
+	double objective = (double)objective_us(route);
+	double most = objective * (route->kind == PD_ROUTE_GATHER ? HEDGE_GATHER_MAX_SHARE
+								  : HEDGE_FORWARD_MAX_SHARE);
+	double least = objective * HEDGE_MIN_SHARE;
+
+	if (high_us <= 0 || high_us > most)
+		return (int64_t)most;
+	return (int64_t)(high_us < least ? least : high_us);
+}
+
+int64_t pd_policy_cutoff(const struct pd_route *route, int64_t arrived_us)
+{
+	int64_t objective = objective_us(route);
+	int64_t delivery = (int64_t)((double)objective * DELIVERY_MAX_SHARE);
+
+	return arrived_us + objective - (delivery < DELIVERY_MAX_US ? delivery : DELIVERY_MAX_US);
+}
+
+int64_t pd_policy_deadline(const struct pd_route *route, int64_t arrived_us,
+			   bool has_client_deadline, uint64_t client_ms)
+{
+	int64_t limit = DEADLINE_DEFAULT_US;
+
+	if (route->timeout_ms)
+		limit = route->timeout_ms * PD_USEC_PER_MSEC;
+	if (has_client_deadline && client_ms < (uint64_t)(limit / PD_USEC_PER_MSEC))
+		limit = (int64_t)client_ms * PD_USEC_PER_MSEC;
+	limit -= DEADLINE_MARGIN_US;
+	return arrived_us + (limit > 0 ? limit : 0);
+}
+
+size_t pd_policy_parts_needed(const struct pd_route *route)
+{
+	/* The margin keeps 0.9 of 10 from becoming 10 by rounding. */
+	double needed = ceil(route->min_shard_ratio * (double)route->target_count - 1e-9);
+
+	return needed < 1 ? 1 : (size_t)needed;
+}
+
+uint32_t pd_policy_retry_after_ms(enum pd_refusal refusal)
+{
+	switch (refusal) {
+	case PD_REFUSAL_OUT_OF_REACH:
+		return 0;
+	case PD_REFUSAL_BUSY:
+		return 20;
+	case PD_REFUSAL_FULL:
+		return 100;
+	case PD_REFUSAL_NOT_CONFIGURED:
+	case PD_REFUSAL_NO_UPSTREAM:
+		return 300;
+	}
+	return 100;
+}
--- /dev/null
+++ b/ingress/pool.c
@@ -0,0 +1,324 @@
+#include "pool.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "counters.h"
+#include "log.h"
+#include "os.h"
+#include "registry_private.h"
+
+/* An upstream may close an idle connection this long before the time that it states, since it
+ * states whole seconds and counts from its own clock. */
+#define IDLE_MARGIN_US	      700000
+#define IDLE_LIMIT_DEFAULT_US 4000000 /* for upstreams that state no time */
+#define IDLE_LIMIT_MAX_US     60000000
+#define READ_BYTES	      8192
+/* Unacknowledged data closes a connection after this time, so that a path which has gone silent
+ * isn't used again. */
+#define TCP_USER_TIMEOUT_MS 3000
+
+void pd_pool_init(struct pd_pool *pool, struct pd_registry *registry, uint32_t open_max)
+{
+	memset(pool, 0, sizeof(*pool));
+	pool->registry = registry;
+	pool->open_max = open_max;
+}
+
+/* Frees without touching the upstream's counts. */
+static void free_conn(struct pd_conn *conn)
+{
+	pd_os_close(&conn->fd);
+	pd_http_message_finish(&conn->msg);
+	free(conn);
+}
+
+static void close_locked(struct pd_pool *pool, struct pd_conn *conn)
+{
+	struct pd_upstream *upstream = conn->upstream;
+
+	free_conn(conn);
+	upstream->connections--;
+	pool->registry->connections--;
+	pd_registry_drop_locked(upstream);
+}
+
+void pd_pool_close(struct pd_pool *pool, struct pd_conn *conn)
+{
+	pthread_mutex_lock(&pool->registry->lock);
+	close_locked(pool, conn);
+	pthread_mutex_unlock(&pool->registry->lock);
+}
+
+/* Idle connections hold no reference, so that their upstream can be freed. */
+void pd_pool_close_idle_locked(struct pd_upstream *upstream)
+{
+	while (upstream->idle) {
+		struct pd_conn *conn = upstream->idle;
+
+		upstream->idle = conn->next;
+		upstream->connections--;
+		upstream->service->registry->connections--;
+		free_conn(conn);
+	}
+}
+
+void pd_pool_finish(struct pd_pool *pool)
+{
+	pthread_mutex_lock(&pool->registry->lock);
+	while (pool->draining) {
+		struct pd_conn *conn = pool->draining;
+
+		pool->draining = conn->next;
+		close_locked(pool, conn);
+	}
+	pthread_mutex_unlock(&pool->registry->lock);
+}
+
+static bool still_open(int fd)
+{
+	char byte;
+	ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	/* Bytes on an idle connection belong to no request. */
+	return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+struct pd_conn *pd_pool_take(struct pd_pool *pool, struct pd_upstream *upstream,
+			     int64_t max_idle_us, int64_t now_us)
+{
+	struct pd_conn *conn;
+
+	pthread_mutex_lock(&pool->registry->lock);
+	while ((conn = upstream->idle)) {
+		int64_t idle = now_us - conn->idle_us;
+
+		upstream->idle = conn->next;
+		conn->next = NULL;
+		upstream->references++;
+		if (idle < conn->idle_limit_us && idle < max_idle_us && still_open(conn->fd))
+			break;
+		close_locked(pool, conn);
+	}
+	pthread_mutex_unlock(&pool->registry->lock);
+	return conn;
+}
+
+static struct pd_conn *new_conn(int fd, struct pd_upstream *upstream)
+{
+	struct pd_conn *conn = calloc(1, sizeof(*conn));
+
+	if (!conn)
+		return NULL;
+	conn->fd = fd;
+	conn->upstream = upstream;
+	conn->idle_limit_us = IDLE_LIMIT_DEFAULT_US;
+	pd_http_message_init(&conn->msg, PD_HTTP_RESPONSE, PD_ANSWER_HEAD_MAX, PD_ANSWER_BODY_MAX);
+	return conn;
+}
+
+static int start_connect(const struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	unsigned int timeout_ms = TCP_USER_TIMEOUT_MS;
+	int on = 1;
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) &&
+	    errno != EINPROGRESS) {
+		int error = errno;
+
+		close(fd);
+		errno = error;
+		return -1;
+	}
+	return fd;
+}
+
+struct pd_conn *pd_pool_connect(struct pd_pool *pool, struct pd_upstream *upstream,
+				struct pd_error *err)
+{
+	struct pd_conn *conn = NULL;
+	bool full;
+	int fd;
+
+	pthread_mutex_lock(&pool->registry->lock);
+	full = pool->registry->connections >= pool->open_max;
+	pthread_mutex_unlock(&pool->registry->lock);
+	if (full) {
+		pd_error_set(err, PD_LAYER_TRANSPORT, PD_UNAVAILABLE,
+			     "no descriptors left for %s: limit of %u connections",
+			     upstream->address_text, pool->open_max);
+		return NULL;
+	}
+	fd = start_connect(&upstream->address);
+	if (fd < 0) {
+		pd_error_set(err, PD_LAYER_TRANSPORT, PD_UNREACHABLE, "can't connect to %s: %s",
+			     upstream->address_text, strerror(errno));
+		return NULL;
+	}
+	conn = new_conn(fd, upstream);
+	if (!conn) {
+		close(fd);
+		pd_error_set(err, PD_LAYER_TRANSPORT, PD_NO_MEMORY, "connection to %s",
+			     upstream->address_text);
+		return NULL;
+	}
+	pthread_mutex_lock(&pool->registry->lock);
+	upstream->references++;
+	upstream->connections++;
+	pool->registry->connections++;
+	pthread_mutex_unlock(&pool->registry->lock);
+	pd_count(PD_COUNT_upstream_connects);
+	return conn;
+}
+
+/* The time after which the upstream closes an idle connection, from "timeout=N". */
+static int64_t idle_limit(const struct pd_http_message *msg)
+{
+	struct pd_str value;
+	int64_t seconds = 0;
+	const char *at;
+
+	if (!pd_http_message_field(msg, "Keep-Alive", &value))
+		return IDLE_LIMIT_DEFAULT_US;
+	at = memmem(value.data, value.len, "timeout=", 8);
+	if (!at)
+		return IDLE_LIMIT_DEFAULT_US;
+	for (at += 8; at < value.data + value.len && *at >= '0' && *at <= '9'; at++) {
+		seconds = seconds * 10 + (*at - '0');
+		if (seconds * PD_USEC_PER_SEC > IDLE_LIMIT_MAX_US)
+			return IDLE_LIMIT_MAX_US;
+	}
+	return seconds * PD_USEC_PER_SEC - IDLE_MARGIN_US;
+}
+
+void pd_conn_learn_idle_limit(struct pd_conn *conn)
+{
+	conn->idle_limit_us = idle_limit(&conn->msg);
+}
+
+static void put_locked(struct pd_pool *pool, struct pd_conn *conn, int64_t now_us)
+{
+	struct pd_upstream *upstream = conn->upstream;
+
+	if (upstream->removed || upstream->draining || conn->idle_limit_us <= 0) {
+		close_locked(pool, conn);
+		return;
+	}
+	pd_http_message_reset(&conn->msg);
+	conn->used = true;
+	conn->idle_us = now_us;
+	conn->next = upstream->idle;
+	upstream->idle = conn;
+	pd_registry_drop_locked(upstream);
+}
+
+void pd_pool_put(struct pd_pool *pool, struct pd_conn *conn, int64_t now_us)
+{
+	pthread_mutex_lock(&pool->registry->lock);
+	put_locked(pool, conn, now_us);
+	pthread_mutex_unlock(&pool->registry->lock);
+}
+
+void pd_pool_drain(struct pd_pool *pool, struct pd_conn *conn, int64_t until_us)
+{
+	conn->drain_until_us = until_us;
+	pthread_mutex_lock(&pool->registry->lock);
+	conn->next = pool->draining;
+	pool->draining = conn;
+	pthread_mutex_unlock(&pool->registry->lock);
+}
+
+enum drain_result {
+	DRAIN_MORE,
+	DRAIN_DONE,
+	DRAIN_BROKEN,
+};
+
+static enum drain_result drain_some(struct pd_conn *conn)
+{
+	char bytes[READ_BYTES];
+	ssize_t n = recv(conn->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+	size_t used;
+
+	if (n < 0)
+		return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? DRAIN_MORE
+										 : DRAIN_BROKEN;
+	if (n == 0)
+		return DRAIN_BROKEN;
+	switch (pd_http_message_read(&conn->msg, bytes, (size_t)n, &used)) {
+	case PD_HTTP_MORE:
+		return DRAIN_MORE;
+	case PD_HTTP_COMPLETE:
+		if (conn->msg.parser.status_code < 200) {
+			pd_http_message_reset(&conn->msg);
+			return used == (size_t)n ? DRAIN_MORE : DRAIN_BROKEN;
+		}
+		pd_conn_learn_idle_limit(conn);
+		return used == (size_t)n && conn->msg.keep_alive ? DRAIN_DONE : DRAIN_BROKEN;
+	default:
+		return DRAIN_BROKEN;
+	}
+}
+
+static void tend_draining(struct pd_pool *pool, int64_t now_us)
+{
+	struct pd_conn **link = &pool->draining;
+
+	while (*link) {
+		struct pd_conn *conn = *link;
+		enum drain_result result = drain_some(conn);
+
+		if (result == DRAIN_MORE && now_us < conn->drain_until_us) {
+			link = &conn->next;
+			continue;
+		}
+		*link = conn->next;
+		conn->next = NULL;
+		if (result == DRAIN_DONE)
+			put_locked(pool, conn, now_us);
+		else
+			close_locked(pool, conn);
+	}
+}
+
+/* Closes idle connections that the upstream has closed or that are idle for too long. */
+static void tend_idle(struct pd_pool *pool, struct pd_upstream *upstream, int64_t now_us)
+{
+	struct pd_conn **link = &upstream->idle;
+
+	while (*link) {
+		struct pd_conn *conn = *link;
+
+		if (now_us - conn->idle_us < conn->idle_limit_us) {
+			link = &conn->next;
+			continue;
+		}
+		*link = conn->next;
+		upstream->references++;
+		close_locked(pool, conn);
+	}
+}
+
+void pd_pool_tend(struct pd_pool *pool, int64_t now_us)
+{
+	struct pd_registry *registry = pool->registry;
+	struct pd_upstream *upstream, *next;
+
+	pthread_mutex_lock(&registry->lock);
+	tend_draining(pool, now_us);
+	HASH_ITER(hh, registry->upstreams, upstream, next)
+	{
+		tend_idle(pool, upstream, now_us);
+	}
+	pthread_mutex_unlock(&registry->lock);
+}
--- /dev/null
+++ b/ingress/registry.c
@@ -0,0 +1,445 @@
+#include "registry.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "counters.h"
+#include "log.h"
+#include "os.h"
+#include "pool.h"
+#include "registry_private.h"
+
+/* Share of the fleet's retry budget that is used; the rest covers instances that count a request in
+ * a later window than its arrivals. */
+#define RETRY_RATIO_USED 0.85
+#define RETRY_SLACK_USED 0.7
+/* Instances assumed until the platform's list of them was read: the largest fleet expected. */
+#define INSTANCES_ASSUMED 64
+#define RETRY_BUCKET_MIN  1.0
+
+void pd_registry_init(struct pd_registry *registry, const struct pd_registry_options *options)
+{
+	memset(registry, 0, sizeof(*registry));
+	pthread_mutex_init(&registry->lock, NULL);
+	registry->options = *options;
+	registry->instances = INSTANCES_ASSUMED;
+	registry->random = pd_os_random_seed();
+}
+
+static void free_upstream(struct pd_upstream *upstream)
+{
+	pd_pool_close_idle_locked(upstream);
+	free(upstream);
+}
+
+void pd_registry_finish(struct pd_registry *registry)
+{
+	struct pd_upstream *upstream, *next_upstream;
+	struct pd_service *service, *next_service;
+	struct pd_zone *zone, *next_zone;
+	struct pd_route_stats *stats, *next_stats;
+
+	HASH_ITER(hh, registry->upstreams, upstream, next_upstream)
+	{
+		HASH_DEL(registry->upstreams, upstream);
+		free_upstream(upstream);
+	}
+	HASH_ITER(hh, registry->services, service, next_service)
+	{
+		HASH_DEL(registry->services, service);
+		free(service);
+	}
+	HASH_ITER(hh, registry->zones, zone, next_zone)
+	{
+		HASH_DEL(registry->zones, zone);
+		free(zone);
+	}
+	HASH_ITER(hh, registry->routes, stats, next_stats)
+	{
+		HASH_DEL(registry->routes, stats);
+		free(stats);
+	}
+	pd_catalog_release(registry->catalog);
+	registry->catalog = NULL;
+	pthread_mutex_destroy(&registry->lock);
+}
+
+void pd_registry_drop_locked(struct pd_upstream *upstream)
+{
+	if (--upstream->references == 0 && upstream->removed)
+		free_upstream(upstream);
+}
+
+void pd_registry_drop(struct pd_registry *registry, struct pd_upstream *upstream)
+{
+	pthread_mutex_lock(&registry->lock);
+	pd_registry_drop_locked(upstream);
+	pthread_mutex_unlock(&registry->lock);
+}
+
+static struct pd_zone *zone_of(struct pd_registry *registry, const struct pd_name *name)
+{
+	struct pd_zone *zone;
+
+	HASH_FIND(hh, registry->zones, name->text, name->len, zone);
+	if (zone)
+		return zone;
+	zone = calloc(1, sizeof(*zone));
+	if (!zone)
+		return NULL;
+	zone->name = *name;
+	zone->heard_us = pd_os_boot_us();
+	HASH_ADD_KEYPTR(hh, registry->zones, zone->name.text, zone->name.len, zone);
+	return zone;
+}
+
+static double retry_bucket_size(const struct pd_registry *registry)
+{
+	double size = registry->options.retry_slack * RETRY_SLACK_USED / registry->instances;
+
+	return size < RETRY_BUCKET_MIN ? RETRY_BUCKET_MIN : size;
+}
+
+static struct pd_service *service_of(struct pd_registry *registry, struct pd_str name)
+{
+	struct pd_service *service;
+
+	HASH_FIND(hh, registry->services, name.data, name.len, service);
+	if (service)
+		return service;
+	service = calloc(1, sizeof(*service));
+	if (!service)
+		return NULL;
+	if (!pd_name_set(&service->name, name)) {
+		free(service);
+		return NULL;
+	}
+	service->registry = registry;
+	pd_budget_init(&service->budget, registry->options.retry_ratio * RETRY_RATIO_USED,
+		       retry_bucket_size(registry));
+	HASH_ADD_KEYPTR(hh, registry->services, service->name.text, service->name.len, service);
+	return service;
+}
+
+void pd_registry_set_instances(struct pd_registry *registry, uint32_t instances)
+{
+	struct pd_service *service, *next;
+
+	if (!instances)
+		return;
+	pthread_mutex_lock(&registry->lock);
+	if (instances != registry->instances) {
+		pd_log(PD_LOG_INFO, "instances_known", "before=%" PRIu32 " now=%" PRIu32,
+		       registry->instances, instances);
+		registry->instances = instances;
+		HASH_ITER(hh, registry->services, service, next)
+		{
+			pd_budget_resize(&service->budget,
+					 registry->options.retry_ratio * RETRY_RATIO_USED,
+					 retry_bucket_size(registry));
+		}
+	}
+	pthread_mutex_unlock(&registry->lock);
+}
+
+static void unlink_from_service(struct pd_upstream *upstream)
+{
+	struct pd_upstream **link = &upstream->service->upstreams;
+
+	while (*link && *link != upstream)
+		link = &(*link)->next;
+	if (*link) {
+		*link = upstream->next;
+		upstream->service->count--;
+	}
+}
+
+static void remove_locked(struct pd_registry *registry, struct pd_upstream *upstream,
+			  const char *reason)
+{
+	pd_log(PD_LOG_INFO, "upstream_removed", "upstream=%s service=%s address=%s reason=%s",
+	       upstream->id.text, upstream->service->name.text, upstream->address_text, reason);
+	HASH_DEL(registry->upstreams, upstream);
+	unlink_from_service(upstream);
+	upstream->removed = true;
+	pd_pool_close_idle_locked(upstream);
+	if (!upstream->references)
+		free_upstream(upstream);
+}
+
+static void request_removal_locked(struct pd_registry *registry, struct pd_upstream *upstream,
+				   const char *reason)
+{
+	int64_t now = pd_os_boot_us();
+
+	if (now < registry->hold_removals_until_us) {
+		upstream->remove_at_us = registry->hold_removals_until_us;
+		pd_log(PD_LOG_INFO, "upstream_removal_held", "upstream=%s reason=%s hold_ms=%lld",
+		       upstream->id.text, reason, (long long)(upstream->remove_at_us - now) / 1000);
+		return;
+	}
+	remove_locked(registry, upstream, reason);
+}
+
+static struct pd_upstream *add_upstream(struct pd_registry *registry,
+					const struct pd_upstream_entry *entry)
+{
+	struct pd_service *service = service_of(registry, pd_name_str(&entry->service));
+	struct pd_zone *zone = zone_of(registry, &entry->zone);
+	struct pd_upstream *upstream = calloc(1, sizeof(*upstream));
+
+	if (!service || !zone || !upstream) {
+		free(upstream);
+		return NULL;
+	}
+	upstream->id = entry->id;
+	upstream->service = service;
+	upstream->zone = zone;
+	upstream->address = entry->address.in;
+	memcpy(upstream->address_text, entry->address.text, sizeof(upstream->address_text));
+	upstream->born_ms = entry->born_ms;
+	upstream->slowness = 1;
+	upstream->next = service->upstreams;
+	service->upstreams = upstream;
+	service->count++;
+	HASH_ADD_KEYPTR(hh, registry->upstreams, upstream->id.text, upstream->id.len, upstream);
+	pd_log(PD_LOG_INFO, "upstream_added",
+	       "upstream=%s service=%s zone=%s address=%s slots=%" PRIu32 " cold_ms=%" PRId64
+	       " draining=%d",
+	       upstream->id.text, service->name.text, zone->name.text, upstream->address_text,
+	       entry->slots, entry->cold_ms, entry->draining);
+	return upstream;
+}
+
+static bool same_incarnation(const struct pd_upstream *upstream,
+			     const struct pd_upstream_entry *entry)
+{
+	return upstream->born_ms == entry->born_ms &&
+	       upstream->address.sin_addr.s_addr == entry->address.in.sin_addr.s_addr &&
+	       upstream->address.sin_port == entry->address.in.sin_port &&
+	       pd_name_equal(&upstream->service->name, &entry->service) &&
+	       pd_name_equal(&upstream->zone->name, &entry->zone);
+}
+
+void pd_registry_put(struct pd_registry *registry, const struct pd_upstream_entry *entry)
+{
+	struct pd_upstream *upstream;
+
+	pthread_mutex_lock(&registry->lock);
+	HASH_FIND(hh, registry->upstreams, entry->id.text, entry->id.len, upstream);
+	if (upstream && !same_incarnation(upstream, entry)) {
+		remove_locked(registry, upstream, "new_incarnation");
+		upstream = NULL;
+	}
+	if (!upstream)
+		upstream = add_upstream(registry, entry);
+	if (upstream) {
+		if (upstream->draining != entry->draining)
+			pd_log(PD_LOG_INFO, "upstream_state", "upstream=%s service=%s draining=%d",
+			       upstream->id.text, upstream->service->name.text, entry->draining);
+		upstream->draining = entry->draining;
+		upstream->slots = entry->slots;
+		upstream->listed = true;
+		upstream->remove_at_us = 0;
+		upstream->cold_until_us =
+			entry->cold_ms > 0 ? pd_os_boot_us() + entry->cold_ms * PD_USEC_PER_MSEC
+					   : 0;
+	}
+	pthread_mutex_unlock(&registry->lock);
+}
+
+void pd_registry_remove(struct pd_registry *registry, struct pd_str id, const char *reason)
+{
+	struct pd_upstream *upstream;
+
+	pthread_mutex_lock(&registry->lock);
+	HASH_FIND(hh, registry->upstreams, id.data, id.len, upstream);
+	if (upstream)
+		request_removal_locked(registry, upstream, reason);
+	pthread_mutex_unlock(&registry->lock);
+}
+
+void pd_registry_list_begin(struct pd_registry *registry)
+{
+	struct pd_upstream *upstream, *next;
+
+	pthread_mutex_lock(&registry->lock);
+	HASH_ITER(hh, registry->upstreams, upstream, next)
+	{
+		upstream->listed = false;
+	}
+	pthread_mutex_unlock(&registry->lock);
+}
+
+void pd_registry_list_end(struct pd_registry *registry)
+{
+	struct pd_upstream *upstream, *next;
+
+	pthread_mutex_lock(&registry->lock);
+	HASH_ITER(hh, registry->upstreams, upstream, next)
+	{
+		if (!upstream->listed && !upstream->remove_at_us)
+			request_removal_locked(registry, upstream, "not_listed");
+	}
+	registry->listed = true;
+	pthread_mutex_unlock(&registry->lock);
+}
+
+void pd_registry_hold_removals(struct pd_registry *registry)
+{
+	pthread_mutex_lock(&registry->lock);
+	registry->hold_removals_until_us = pd_os_boot_us() + registry->options.removal_hold_us;
+	pthread_mutex_unlock(&registry->lock);
+}
+
+void pd_registry_expire(struct pd_registry *registry, int64_t now_us)
+{
+	struct pd_upstream *upstream, *next;
+
+	pthread_mutex_lock(&registry->lock);
+	HASH_ITER(hh, registry->upstreams, upstream, next)
+	{
+		if (upstream->remove_at_us && now_us >= upstream->remove_at_us)
+			remove_locked(registry, upstream, "not_back_after_outage");
+	}
+	pthread_mutex_unlock(&registry->lock);
+}
+
+static bool names_zone(const struct pd_name *zones, size_t count, const struct pd_name *zone)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (pd_name_equal(&zones[i], zone))
+			return true;
+	}
+	return false;
+}
+
+void pd_registry_set_evacuated(struct pd_registry *registry, const struct pd_name *zones,
+			       size_t count)
+{
+	struct pd_zone *zone, *next;
+
+	pthread_mutex_lock(&registry->lock);
+	for (size_t i = 0; i < count; i++)
+		zone_of(registry, &zones[i]);
+	HASH_ITER(hh, registry->zones, zone, next)
+	{
+		bool evacuated = names_zone(zones, count, &zone->name);
+
+		if (zone->evacuated != evacuated)
+			pd_log(PD_LOG_INFO, "zone_evacuation", "zone=%s evacuated=%d",
+			       zone->name.text, evacuated);
+		zone->evacuated = evacuated;
+	}
+	pthread_mutex_unlock(&registry->lock);
+}
+
+struct pd_route_stats *pd_registry_route_stats(struct pd_registry *registry, struct pd_str name)
+{
+	struct pd_route_stats *stats;
+	struct pd_name key;
+
+	if (!pd_name_set(&key, name))
+		return NULL;
+	pthread_mutex_lock(&registry->lock);
+	HASH_FIND(hh, registry->routes, key.text, key.len, stats);
+	if (!stats) {
+		stats = calloc(1, sizeof(*stats));
+		if (stats) {
+			stats->name = key;
+			HASH_ADD_KEYPTR(hh, registry->routes, stats->name.text, stats->name.len,
+					stats);
+		}
+	}
+	pthread_mutex_unlock(&registry->lock);
+	return stats;
+}
+
+static double next_random(struct pd_registry *registry)
+{
+	return (double)(pd_registry_random_locked(registry) >> 11) / (double)(1ULL << 53);
+}
+
+uint64_t pd_registry_random_locked(struct pd_registry *registry)
+{
+	/* SplitMix64 */
+	uint64_t z = (registry->random += 0x9e3779b97f4a7c15ULL);
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+	return z ^ (z >> 31);
+}
+
+/* Starts each weighted route at a random position, so that instances with few requests each don't
+ * all begin with the same service. */
+static void spread_targets(struct pd_registry *registry, struct pd_route *route)
+{
+	for (size_t i = 0; i < route->target_count; i++)
+		route->targets[i].credit = next_random(registry) * route->targets[i].weight;
+}
+
+void pd_registry_install(struct pd_registry *registry, struct pd_catalog *catalog)
+{
+	struct pd_catalog *old;
+
+	pthread_mutex_lock(&registry->lock);
+	old = registry->catalog;
+	if (old && old->version >= catalog->version) {
+		if (old->version > catalog->version)
+			pd_log(PD_LOG_WARNING, "config_ignored",
+			       "version=%" PRIu64 " in_force=%" PRIu64 " reason=older",
+			       catalog->version, old->version);
+		pthread_mutex_unlock(&registry->lock);
+		pd_catalog_release(catalog);
+		return;
+	}
+	for (size_t i = 0; i < catalog->service_count; i++) {
+		struct pd_catalog_service *entry = &catalog->services[i];
+
+		entry->runtime = service_of(registry, entry->name);
+		if (entry->runtime) {
+			entry->runtime->max_connections = entry->max_connections;
+			entry->runtime->cold_per_s = entry->cold_per_s;
+		}
+	}
+	for (size_t i = 0; i < catalog->route_count; i++)
+		spread_targets(registry, &catalog->routes[i]);
+	registry->catalog = catalog;
+	pthread_mutex_unlock(&registry->lock);
+	pd_log(PD_LOG_INFO, "config_in_force",
+	       "version=%" PRIu64 " before=%" PRIu64 " routes=%zu services=%zu", catalog->version,
+	       old ? old->version : 0, catalog->route_count, catalog->service_count);
+	pd_count_set(PD_COUNT_config_version, catalog->version);
+	pd_catalog_release(old);
+}
+
+struct pd_catalog *pd_registry_catalog(struct pd_registry *registry)
+{
+	struct pd_catalog *catalog;
+
+	pthread_mutex_lock(&registry->lock);
+	catalog = pd_catalog_hold(registry->catalog);
+	pthread_mutex_unlock(&registry->lock);
+	return catalog;
+}
+
+uint32_t pd_registry_next_target(struct pd_registry *registry, struct pd_route *route)
+{
+	double total = 0;
+	size_t best = 0;
+
+	if (route->target_count < 2)
+		return 0;
+	pthread_mutex_lock(&registry->lock);
+	for (size_t i = 0; i < route->target_count; i++) {
+		route->targets[i].credit += route->targets[i].weight;
+		total += route->targets[i].weight;
+		if (route->targets[i].credit > route->targets[best].credit)
+			best = i;
+	}
+	route->targets[best].credit -= total;
+	pthread_mutex_unlock(&registry->lock);
+	return (uint32_t)best;
+}
--- /dev/null
+++ b/ingress/registry.h
@@ -0,0 +1,285 @@
+/**
+ * DOC: Registry of services, zones and upstreams
+ *
+ * What this process believes of the upstreams: the platform's entries, and the evidence of its own
+ * requests (latency, load, errors, silence). One mutex guards all of it; every function takes it
+ * unless its name ends in _locked. Times are microseconds of pd_os_boot_us().
+ */
+#ifndef PD_REGISTRY_H
+#define PD_REGISTRY_H
+
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uthash.h>
+
+#include "budget.h"
+#include "catalog.h"
+#include "error.h"
+#include "str.h"
+
+struct pd_conn;
+
+/**
+ * struct pd_zone - an availability zone
+ * @name: key
+ * @evacuated: operators want nothing sent to its upstreams
+ * @unreachable: nothing was heard from any of its upstreams although several were asked
+ * @heard_us: when anything was last received from an upstream there
+ * @overdue: upstreams that were overdue since @heard_us
+ * @overdue_us: when the first of them was
+ * @round: distinguishes the overdue marks of one period of silence from the next
+ * @probe_us: when the next connection to test an unreachable zone may be made
+ */
+struct pd_zone {
+	struct pd_name name;
+	bool evacuated;
+	bool unreachable;
+	int64_t heard_us;
+	uint32_t overdue;
+	int64_t overdue_us;
+	uint32_t round;
+	int64_t probe_us;
+	UT_hash_handle hh;
+};
+
+/**
+ * struct pd_route_stats - latency of the sub-requests of one route, over all upstreams
+ * @name: key, the route's name
+ * @mean_us: exponentially weighted mean; 0 until the first sample
+ * @high_us: estimate of the 92nd percentile; 0 until the first sample
+ */
+struct pd_route_stats {
+	struct pd_name name;
+	double mean_us;
+	double high_us;
+	UT_hash_handle hh;
+};
+
+/**
+ * struct pd_upstream - one incarnation of an upstream
+ * @id: key, the platform's name of it
+ * @service: the service that it belongs to
+ * @zone: where it is
+ * @address: where it listens
+ * @address_text: the same as IP:PORT
+ * @born_ms: Unix time of its start as it says; 0 when unknown
+ * @slots: requests that it runs at once
+ * @draining: it reported that it leaves
+ * @listed: the platform's last list names it
+ * @removed: taken out of its service; freed with the last reference
+ * @remove_at_us: a removal seen just after the platform came back takes effect then; 0 for none
+ * @cold_until_us: end of its cold start
+ * @references: users besides the registry
+ * @slowness: latency relative to its route's mean
+ * @slowness_us: when @slowness was last changed
+ * @failure_rate: share of recent requests that it failed, 0 to 1
+ * @failures: consecutive failures or silences
+ * @ejected_until_us: left alone until then
+ * @running: requests of this process there
+ * @reported: requests running and waiting, as it last said
+ * @reported_us: when it said that
+ * @overdue_round: its zone's round in which it was last counted as overdue
+ * @connections: open connections of this process, idle or not
+ * @idle: idle connections, most recently used first
+ * @next: next one of the same service
+ */
+struct pd_upstream {
+	struct pd_name id;
+	struct pd_service *service;
+	struct pd_zone *zone;
+	struct sockaddr_in address;
+	char address_text[24];
+	int64_t born_ms;
+	uint32_t slots;
+	bool draining;
+	bool listed;
+	bool removed;
+	int64_t remove_at_us;
+	int64_t cold_until_us;
+	int references;
+	double slowness;
+	int64_t slowness_us;
+	double failure_rate;
+	uint32_t failures;
+	int64_t ejected_until_us;
+	uint32_t running;
+	double reported;
+	int64_t reported_us;
+	uint32_t overdue_round;
+	uint32_t connections;
+	struct pd_conn *idle;
+	struct pd_upstream *next;
+	UT_hash_handle hh;
+};
+
+/**
+ * struct pd_service - a service
+ * @name: key
+ * @registry: registry that holds it
+ * @upstreams: its upstreams
+ * @count: number of them
+ * @budget: retry budget of this process for the service
+ * @max_connections: connections that one upstream accepts; 0 when unknown
+ * @cold_per_s: requests per second that one cold upstream tolerates; 0 when not stated
+ */
+struct pd_service {
+	struct pd_name name;
+	struct pd_registry *registry;
+	struct pd_upstream *upstreams;
+	size_t count;
+	struct pd_budget budget;
+	uint32_t max_connections;
+	double cold_per_s;
+	UT_hash_handle hh;
+};
+
+/**
+ * struct pd_registry_options - what the registry decides with
+ * @zone: zone of this process
+ * @retry_ratio: further arrivals allowed for each request, over all instances
+ * @retry_slack: further arrivals allowed besides in each window, over all instances
+ * @removal_hold_us: how long removals are held back after the platform was out of reach
+ */
+struct pd_registry_options {
+	struct pd_name zone;
+	double retry_ratio;
+	double retry_slack;
+	int64_t removal_hold_us;
+};
+
+struct pd_registry {
+	pthread_mutex_t lock;
+	struct pd_registry_options options;
+	uint32_t instances; /* entry instances that share the budgets, as far as known */
+	struct pd_zone *zones;
+	struct pd_service *services;
+	struct pd_upstream *upstreams;
+	struct pd_route_stats *routes;
+	struct pd_catalog *catalog;
+	int64_t hold_removals_until_us;
+	bool listed; /* a complete list of upstreams was read */
+	uint32_t connections; /* open connections to all upstreams */
+	uint64_t random;
+};
+
+void pd_registry_init(struct pd_registry *registry, const struct pd_registry_options *options);
+void pd_registry_finish(struct pd_registry *registry);
+
+/**
+ * struct pd_upstream_entry - what the platform lists of an upstream
+ * @id: name of the entry
+ * @service: service
+ * @zone: zone
+ * @address: IP:PORT
+ * @draining: it leaves
+ * @slots: requests that it runs at once
+ * @cold_ms: how much longer it is cold
+ * @born_ms: Unix time of its start; 0 when it doesn't say
+ */
+struct pd_upstream_entry {
+	struct pd_name id;
+	struct pd_name service;
+	struct pd_name zone;
+	struct pd_address_view {
+		struct sockaddr_in in;
+		char text[24];
+	} address;
+	bool draining;
+	uint32_t slots;
+	int64_t cold_ms;
+	int64_t born_ms;
+};
+
+/* Takes in one entry, new or changed. */
+void pd_registry_put(struct pd_registry *registry, const struct pd_upstream_entry *entry);
+/* The entry is gone, or names no upstream that can be used. */
+void pd_registry_remove(struct pd_registry *registry, struct pd_str id, const char *reason);
+/* A complete list follows: entries not put between the two calls are removed. */
+void pd_registry_list_begin(struct pd_registry *registry);
+void pd_registry_list_end(struct pd_registry *registry);
+/* The platform is back after an outage: entries that lapsed meanwhile may return. */
+void pd_registry_hold_removals(struct pd_registry *registry);
+/* Replaces the set of evacuated zones. */
+void pd_registry_set_evacuated(struct pd_registry *registry, const struct pd_name *zones,
+			       size_t count);
+void pd_registry_set_instances(struct pd_registry *registry, uint32_t instances);
+/* Puts a version in force; takes over the caller's reference. Older versions are ignored. */
+void pd_registry_install(struct pd_registry *registry, struct pd_catalog *catalog);
+/* The version in force with a reference of its own, or NULL. */
+struct pd_catalog *pd_registry_catalog(struct pd_registry *registry);
+/* Statistics of a route; they live as long as the registry. */
+struct pd_route_stats *pd_registry_route_stats(struct pd_registry *registry, struct pd_str name);
+/* Next target of a route that distributes its requests by weight. */
+uint32_t pd_registry_next_target(struct pd_registry *registry, struct pd_route *route);
+
+/**
+ * pd_registry_pick() - chooses an upstream for a sub-request
+ * @registry: registry
+ * @service: service
+ * @tried: upstreams that already had it
+ * @tried_count: number of @tried
+ * @now_us: time
+ *
+ * The upstream is referenced and counts one more running request until pd_registry_report().
+ *
+ * Return: the upstream, or NULL when none is usable.
+ */
+struct pd_upstream *pd_registry_pick(struct pd_registry *registry, struct pd_service *service,
+				     struct pd_upstream *const *tried, size_t tried_count,
+				     int64_t now_us);
+/* Whether an upstream of the service outside @tried could be picked now. */
+bool pd_registry_available(struct pd_registry *registry, struct pd_service *service,
+			   struct pd_upstream *const *tried, size_t tried_count, int64_t now_us);
+/* Takes a token of the service's retry budget. */
+bool pd_registry_take_retry(struct pd_registry *registry, struct pd_service *service);
+/* Counts a request's first arrival at the service. */
+void pd_registry_count_request(struct pd_registry *registry, struct pd_service *service);
+
+/** enum pd_report_kind - how a sub-request ended. */
+enum pd_report_kind {
+	PD_REPORT_ANSWER, /* a whole answer */
+	PD_REPORT_FAILURE, /* ran and failed, or the connection broke */
+	PD_REPORT_REJECTED, /* the upstream says that it didn't run it */
+	PD_REPORT_WRONG_INSTANCE, /* another instance has the address */
+	PD_REPORT_UNREACHED, /* no connection */
+	PD_REPORT_SILENT, /* given up without an answer when it was long overdue */
+	PD_REPORT_ABANDONED, /* not needed any more; says nothing */
+};
+
+/**
+ * struct pd_report - evidence of one sub-request
+ * @kind: how it ended
+ * @latency_us: time until the answer
+ * @stats: route that it belongs to, or NULL
+ * @has_load: @load is given
+ * @load: requests running and waiting at the upstream
+ */
+struct pd_report {
+	enum pd_report_kind kind;
+	int64_t latency_us;
+	struct pd_route_stats *stats;
+	bool has_load;
+	double load;
+};
+
+/* Ends a sub-request: takes in the evidence and drops the reference of pd_registry_pick(). */
+void pd_registry_report(struct pd_registry *registry, struct pd_upstream *upstream,
+			const struct pd_report *report, int64_t now_us);
+/* The sub-request is late but still open; the upstream may be paused or its zone cut off. */
+void pd_registry_overdue(struct pd_registry *registry, struct pd_upstream *upstream,
+			 struct pd_route_stats *stats, int64_t waited_us, int64_t now_us);
+/* Something was received from the upstream. */
+void pd_registry_heard(struct pd_registry *registry, struct pd_upstream *upstream, int64_t now_us);
+
+/* Share of the gather targets of the catalog that some upstream in reach could serve, 0 to 1. */
+double pd_registry_reach(struct pd_registry *registry, int64_t now_us);
+/* Carries out removals that are due. */
+void pd_registry_expire(struct pd_registry *registry, int64_t now_us);
+/* An upstream of an unreachable zone whose test is due, referenced; or NULL. */
+struct pd_upstream *pd_registry_probe_target(struct pd_registry *registry, int64_t now_us);
+void pd_registry_drop(struct pd_registry *registry, struct pd_upstream *upstream);
+
+#endif
--- /dev/null
+++ b/ingress/registry_private.h
@@ -0,0 +1,12 @@
+/**
+ * DOC: Internals of the registry, for its own files
+ */
+#ifndef PD_REGISTRY_PRIVATE_H
+#define PD_REGISTRY_PRIVATE_H
+
+#include "registry.h"
+
+void pd_registry_drop_locked(struct pd_upstream *upstream);
+uint64_t pd_registry_random_locked(struct pd_registry *registry);
+
+#endif
--- /dev/null
+++ b/ingress/serve.c
@@ -0,0 +1,382 @@
+/**
+ * DOC: From a caller's request to its answer
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "counters.h"
+#include "fanout.h"
+#include "headers.h"
+#include "ingress_private.h"
+#include "log.h"
+#include "merge.h"
+#include "os.h"
+#include "policy.h"
+
+/* Requests that are served at a time; each holds a thread and a connection for each service. */
+#define REQUESTS_MAX 200
+
+/**
+ * struct request - one request while it is served
+ * @ingress: ingress
+ * @client: its connection
+ * @fields: what its header says
+ * @catalog: configuration that it is served by
+ * @route: its route
+ * @close: the connection ends after the answer
+ * @status: status of the answer
+ * @reason: for the log
+ */
+struct request {
+	struct pd_ingress *ingress;
+	struct pd_client *client;
+	struct pd_request_fields fields;
+	struct pd_catalog *catalog;
+	struct pd_route *route;
+	bool close;
+	int status;
+	const char *reason;
+};
+
+static bool is_head(const struct request *request)
+{
+	return request->client->msg.parser.method == HTTP_HEAD;
+}
+
+static void begin_answer(struct pd_buf *head, int status)
+{
+	pd_buf_printf(head, "HTTP/1.1 %d %s\r\n", status, pd_http_reason(status));
+}
+
+/* Ends the header and writes the answer. */
+static bool write_answer(struct request *request, struct pd_buf *head, struct pd_str body)
+{
+	bool written;
+
+	pd_buf_printf(head, "Content-Length: %zu\r\n%s\r\n", body.len,
+		      request->close ? "Connection: close\r\n" : "");
+	if (is_head(request))
+		body.len = 0;
+	written = !head->failed && pd_client_write(request->client, pd_buf_str(head), body);
+	pd_buf_finish(head);
+	return written;
+}
+
+static bool answer_plain(struct request *request, int status, const char *reason)
+{
+	struct pd_buf head = {0};
+
+	request->status = status;
+	request->reason = reason;
+	begin_answer(&head, status);
+	pd_buf_append_str(&head, PD_STR("Content-Type: text/plain\r\n"));
+	return write_answer(request, &head, pd_str_from(reason));
+}
+
+/* Refuses a request that hasn't run and never will. */
+static bool refuse(struct request *request, enum pd_refusal refusal, const char *reason)
+{
+	uint32_t retry_ms = pd_policy_retry_after_ms(refusal);
+	struct pd_buf head = {0};
+
+	request->status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+	request->reason = reason;
+	/* Another instance may serve it: the next request shall come over a new connection. */
+	request->close = request->close || refusal == PD_REFUSAL_OUT_OF_REACH;
+	begin_answer(&head, request->status);
+	pd_buf_printf(&head, "Retry-After: %u.%03u\r\n", retry_ms / 1000, retry_ms % 1000);
+	return write_answer(request, &head, pd_str_from(reason));
+}
+
+void pd_serve_unreadable(struct pd_client *client, enum pd_client_result result)
+{
+	struct request request = {.client = client, .close = true};
+
+	switch (result) {
+	case PD_CLIENT_MALFORMED:
+		answer_plain(&request, HTTP_STATUS_BAD_REQUEST, "malformed request");
+		break;
+	case PD_CLIENT_HEAD_TOO_LARGE:
+		answer_plain(&request, HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE,
+			     "header too large");
+		break;
+	case PD_CLIENT_BODY_TOO_LARGE:
+		answer_plain(&request, HTTP_STATUS_PAYLOAD_TOO_LARGE, "body too large");
+		break;
+	case PD_CLIENT_SLOW:
+		answer_plain(&request, HTTP_STATUS_REQUEST_TIMEOUT, "request not sent in time");
+		break;
+	default:
+		return;
+	}
+	pd_log(PD_LOG_INFO, "request_unreadable", "status=%d reason=\"%s\"", request.status,
+	       request.reason);
+}
+
+/* Passes an upstream's answer on as it is. */
+static bool pass_on(struct request *request, struct pd_leg *leg)
+{
+	struct pd_buf head = {0};
+
+	request->status = leg->status;
+	begin_answer(&head, leg->status);
+	for (uint32_t i = 0; i < leg->answer.field_count; i++) {
+		struct pd_str name = pd_http_message_name(&leg->answer, i);
+
+		if (pd_http_is_hop_field(name))
+			continue;
+		pd_buf_append_str(&head, name);
+		pd_buf_append_str(&head, PD_STR(": "));
+		pd_buf_append_str(&head, pd_http_message_value(&leg->answer, i));
+		pd_buf_append_str(&head, PD_STR("\r\n"));
+	}
+	return write_answer(request, &head, pd_buf_str(&leg->answer.body));
+}
+
+/* Merges the parts that are in. */
+static bool answer_merged(struct request *request, struct pd_fanout *fanout)
+{
+	struct pd_str *stamps = calloc(fanout->leg_count, sizeof(*stamps));
+	struct pd_str *bodies = calloc(fanout->leg_count, sizeof(*bodies));
+	struct pd_buf head = {0}, body = {0};
+	size_t count = 0;
+	bool written = false;
+
+	for (size_t i = 0; stamps && bodies && i < fanout->leg_count; i++) {
+		if (fanout->legs[i].state != PD_LEG_ANSWERED)
+			continue;
+		stamps[count] = fanout->legs[i].stamp;
+		bodies[count++] = pd_buf_str(&fanout->legs[i].answer.body);
+	}
+	if (count && pd_merge_top(bodies, count, request->route->top_k, &body)) {
+		request->status = HTTP_STATUS_OK;
+		request->reason = pd_fanout_end_name(fanout->end);
+		begin_answer(&head, request->status);
+		pd_platform_write_parts(&head, stamps, count, fanout->leg_count - count);
+		written = write_answer(request, &head, pd_buf_str(&body));
+	} else {
+		pd_log(PD_LOG_ERROR, "merge_failed", "id=%.*s reason=memory",
+		       PD_STR_ARG(request->fields.request_id));
+		written = answer_plain(request, HTTP_STATUS_BAD_GATEWAY, "merge failed");
+	}
+	pd_buf_finish(&body);
+	free(stamps);
+	free(bodies);
+	return written;
+}
+
+/* The answer to a request that no upstream answered. */
+static bool answer_failed(struct request *request, const struct pd_fanout *fanout)
+{
+	if (pd_fanout_not_run(fanout))
+		return refuse(request, PD_REFUSAL_FULL, "no upstream took the request");
+	if (fanout->end == PD_FANOUT_DEADLINE)
+		return answer_plain(request, HTTP_STATUS_GATEWAY_TIMEOUT, "deadline");
+	return answer_plain(request, HTTP_STATUS_BAD_GATEWAY, "upstreams failed");
+}
+
+static bool answer_fanout(struct request *request, struct pd_fanout *fanout)
+{
+	struct pd_leg *leg = &fanout->legs[0];
+
+	if (fanout->end == PD_FANOUT_CLIENT_GONE) {
+		request->reason = "client_gone";
+		return false;
+	}
+	if (request->route->kind == PD_ROUTE_GATHER) {
+		if (fanout->answered >= fanout->needed)
+			return answer_merged(request, fanout);
+		return answer_failed(request, fanout);
+	}
+	if (leg->status) {
+		request->reason = leg->state == PD_LEG_ANSWERED ? "complete" : "upstream_status";
+		return pass_on(request, leg);
+	}
+	return answer_failed(request, fanout);
+}
+
+static size_t count_in_reach(struct request *request, const struct pd_fanout *fanout, int64_t now)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < fanout->leg_count; i++)
+		count += pd_registry_available(&request->ingress->registry, fanout->legs[i].service,
+					       NULL, 0, now);
+	return count;
+}
+
+static void choose_services(struct request *request, struct pd_fanout *fanout)
+{
+	struct pd_route *route = request->route;
+	size_t first = 0;
+
+	if (route->kind == PD_ROUTE_FORWARD)
+		first = pd_registry_next_target(&request->ingress->registry, route);
+	for (size_t i = 0; i < fanout->leg_count; i++) {
+		uint32_t service = route->targets[first + i].service;
+
+		fanout->legs[i].service = request->catalog->services[service].runtime;
+	}
+}
+
+static int64_t stop_limit(struct pd_ingress *ingress, int64_t deadline_us)
+{
+	int64_t stop;
+
+	pthread_mutex_lock(&ingress->lock);
+	stop = ingress->stop_us;
+	pthread_mutex_unlock(&ingress->lock);
+	return stop && stop < deadline_us ? stop : deadline_us;
+}
+
+static void describe_fanout(struct request *request, struct pd_fanout *fanout,
+			    const struct pd_buf *head)
+{
+	const struct pd_client *client = request->client;
+
+	fanout->pool = &request->ingress->pool;
+	fanout->route = request->route;
+	fanout->stats = pd_registry_route_stats(&request->ingress->registry, request->route->name);
+	fanout->request = (struct pd_exchange_request){
+		.head = pd_buf_str(head),
+		.body = pd_buf_str(&client->msg.body),
+		.request_id = request->fields.request_id,
+		.head_only = is_head(request),
+	};
+	/* A request that may run once goes on when its caller leaves: its work can't be undone. */
+	fanout->client_fd = request->route->idempotent ? client->fd : -1;
+	fanout->arrived_us = client->arrived_us;
+	fanout->deadline_us =
+		stop_limit(request->ingress, pd_policy_deadline(request->route, client->arrived_us,
+								request->fields.has_deadline,
+								request->fields.deadline_ms));
+	fanout->cutoff_us = pd_policy_cutoff(request->route, client->arrived_us);
+	fanout->needed = pd_policy_parts_needed(request->route);
+}
+
+static void log_outcome(const struct request *request, const struct pd_fanout *fanout)
+{
+	int64_t elapsed = pd_os_boot_us() - request->client->arrived_us;
+
+	pd_histogram_add(&request->ingress->latency, elapsed);
+	pd_log(PD_LOG_INFO, "request_done",
+	       "id=%.*s route=%.*s config=%" PRIu64
+	       " status=%d reason=\"%s\" parts=%zu of=%zu hedges=%u retries=%u ms=%" PRId64
+	       " deadline_ms=%" PRIu64,
+	       PD_STR_ARG(request->fields.request_id), PD_STR_ARG(request->route->name),
+	       request->catalog->version, request->status, request->reason ? request->reason : "",
+	       fanout->answered, fanout->leg_count, fanout->hedges, fanout->retries, elapsed / 1000,
+	       request->fields.deadline_ms);
+}
+
+static bool refuse_unreachable(struct request *request)
+{
+	bool isolated;
+
+	pthread_mutex_lock(&request->ingress->lock);
+	isolated = request->ingress->isolated;
+	pthread_mutex_unlock(&request->ingress->lock);
+	return refuse(request, isolated ? PD_REFUSAL_OUT_OF_REACH : PD_REFUSAL_NO_UPSTREAM,
+		      isolated ? "out of reach" : "too few services have an upstream");
+}
+
+static bool serve_routed(struct request *request)
+{
+	struct pd_route *route = request->route;
+	size_t legs = route->kind == PD_ROUTE_GATHER ? route->target_count : 1;
+	struct pd_buf head = {0};
+	struct pd_fanout fanout;
+	bool written;
+
+	if (!pd_fanout_init(&fanout, legs))
+		return refuse(request, PD_REFUSAL_BUSY, "memory");
+	pd_platform_write_head(&request->client->msg, &head);
+	choose_services(request, &fanout);
+	describe_fanout(request, &fanout, &head);
+	if (head.failed) {
+		written = refuse(request, PD_REFUSAL_BUSY, "memory");
+	} else if (count_in_reach(request, &fanout, pd_os_boot_us()) < fanout.needed) {
+		written = refuse_unreachable(request);
+	} else {
+		pd_fanout_run(&fanout);
+		written = answer_fanout(request, &fanout);
+	}
+	log_outcome(request, &fanout);
+	pd_fanout_finish(&fanout);
+	pd_buf_finish(&head);
+	return written;
+}
+
+static struct pd_str path_of(struct pd_str target)
+{
+	const char *query = target.len ? memchr(target.data, '?', target.len) : NULL;
+
+	return query ? (struct pd_str){target.data, (size_t)(query - target.data)} : target;
+}
+
+static void log_refusal(const struct request *request)
+{
+	pd_log(PD_LOG_INFO, "request_refused", "id=%.*s status=%d reason=\"%s\" config=%" PRIu64,
+	       PD_STR_ARG(request->fields.request_id), request->status, request->reason,
+	       request->catalog ? request->catalog->version : 0);
+}
+
+static bool serve_known(struct request *request)
+{
+	struct pd_str target = pd_http_message_target(&request->client->msg);
+	bool written;
+
+	if (!target.len || target.data[0] != '/' || !request->fields.request_id.len)
+		written = answer_plain(request, HTTP_STATUS_BAD_REQUEST,
+				       "a path and a request id are needed");
+	else if (!request->catalog)
+		written = refuse(request, PD_REFUSAL_NOT_CONFIGURED, "no configuration is known");
+	else if (request->ingress->requests > REQUESTS_MAX)
+		written = refuse(request, PD_REFUSAL_BUSY, "too many requests");
+	else if (!(request->route = pd_catalog_match(request->catalog, request->fields.host,
+						     path_of(target))))
+		written = answer_plain(request, HTTP_STATUS_NOT_FOUND, "no route");
+	else
+		return serve_routed(request);
+	log_refusal(request);
+	return written;
+}
+
+bool pd_serve_request(struct pd_ingress *ingress, struct pd_client *client)
+{
+	struct request request = {.ingress = ingress, .client = client};
+	bool written;
+
+	pd_platform_read_request(&client->msg, &request.fields);
+	request.catalog = pd_registry_catalog(&ingress->registry);
+	request.close = !client->msg.keep_alive || pd_ingress_is_stopping(ingress);
+	written = serve_known(&request);
+	pd_catalog_release(request.catalog);
+	return written && !request.close;
+}
+
+bool pd_serve_status(struct pd_ingress *ingress, struct pd_client *client,
+		     enum pd_listener_kind kind)
+{
+	struct request request = {.ingress = ingress, .client = client};
+	struct pd_buf head = {0}, body = {0};
+	bool written;
+
+	request.close = !client->msg.keep_alive;
+	if (kind == PD_LISTENER_READY) {
+		bool ready = pd_ingress_is_ready(ingress) &&
+			     pd_platform_is_readiness(pd_http_message_target(&client->msg));
+
+		begin_answer(&head, ready ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE);
+		return write_answer(&request, &head,
+				    ready ? PD_STR("ready\n") : PD_STR("not ready\n"));
+	}
+	pd_counters_print(&body);
+	pd_histogram_print(&ingress->latency, "request_latency", &body);
+	begin_answer(&head, HTTP_STATUS_OK);
+	pd_buf_append_str(&head, PD_STR("Content-Type: text/plain\r\n"));
+	written = write_answer(&request, &head, pd_buf_str(&body));
+	pd_buf_finish(&body);
+	return written && !request.close;
+}
--- /dev/null
+++ b/ingress/sync.c
@@ -0,0 +1,353 @@
+#include "sync.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "log.h"
+#include "os.h"
+
+/* A watch that waits longer saves calls; a silent connection is noticed by its keep-alive. */
+#define WATCH_WAIT_MS 25000
+/* Changes that come in quick succession are fetched together after this pause. */
+#define PAUSE_MIN_US (120 * PD_USEC_PER_MSEC)
+#define PAUSE_MAX_US (700 * PD_USEC_PER_MSEC)
+/* Watches that return earlier than this count as quick succession. */
+#define QUICK_US (1500 * PD_USEC_PER_MSEC)
+/* Pauses after failed calls: every call is paid for, and service must follow within seconds of the
+ * store's return. */
+#define BACKOFF_MIN_US (200 * PD_USEC_PER_MSEC)
+#define BACKOFF_MAX_US (1200 * PD_USEC_PER_MSEC)
+/* Entries lapse after some seconds without contact; shorter failures need no hold. */
+#define HOLD_AFTER_US (1500 * PD_USEC_PER_MSEC)
+/* How often instances are counted, and how long after the start, when all have registered. */
+#define COUNT_FIRST_US	  (3 * PD_USEC_PER_SEC)
+#define COUNT_INTERVAL_US (12 * PD_USEC_PER_SEC)
+
+void pd_sync_init(struct pd_sync *sync, struct pd_registry *registry,
+		  const struct pd_ingress_settings *settings)
+{
+	static const enum pd_object_kind kinds[PD_SYNC_TASKS] = {
+		PD_OBJECT_CONFIG, PD_OBJECT_UPSTREAMS, PD_OBJECT_EVACUATIONS, PD_OBJECT_INSTANCES};
+
+	memset(sync, 0, sizeof(*sync));
+	sync->registry = registry;
+	sync->node = settings->node;
+	sync->zone = settings->zone;
+	sync->address = settings->store;
+	pthread_mutex_init(&sync->lock, NULL);
+	for (size_t i = 0; i < PD_SYNC_TASKS; i++) {
+		sync->tasks[i].sync = sync;
+		sync->tasks[i].kind = kinds[i];
+		pd_store_init(&sync->tasks[i].store, &settings->store);
+	}
+}
+
+void pd_sync_set_address(struct pd_sync *sync, const struct sockaddr_in *address)
+{
+	pthread_mutex_lock(&sync->lock);
+	sync->address = *address;
+	pthread_mutex_unlock(&sync->lock);
+}
+
+static void put_config(struct pd_sync *sync, const struct pd_object *object)
+{
+	struct pd_catalog *catalog;
+	struct pd_error err;
+
+	if (object->removed || !pd_object_is_config(object->name))
+		return;
+	catalog = pd_object_read_config(object->spec, &err);
+	if (!catalog) {
+		pd_log_failure(PD_LOG_ERROR, "config_unreadable", &err);
+		return;
+	}
+	pd_registry_install(sync->registry, catalog);
+}
+
+static void put_upstream(struct pd_sync *sync, const struct pd_object *object)
+{
+	struct pd_upstream_entry entry;
+	struct pd_error err;
+
+	if (object->removed) {
+		pd_registry_remove(sync->registry, object->name, "entry_removed");
+		return;
+	}
+	if (pd_object_read_upstream(object, &entry, &err) != PD_OK) {
+		pd_log_failure(PD_LOG_WARNING, "upstream_entry_unreadable", &err);
+		pd_registry_remove(sync->registry, object->name, "entry_unreadable");
+		return;
+	}
+	pd_registry_put(sync->registry, &entry);
+}
+
+static void drop_zone(struct pd_sync *sync, const struct pd_name *zone)
+{
+	for (size_t i = 0; i < sync->evacuated_count; i++) {
+		if (pd_name_equal(&sync->evacuated[i], zone)) {
+			sync->evacuated[i] = sync->evacuated[--sync->evacuated_count];
+			return;
+		}
+	}
+}
+
+static void put_evacuation(struct pd_sync *sync, const struct pd_object *object)
+{
+	struct pd_name zone;
+
+	if (!pd_name_set(&zone, object->name))
+		return;
+	drop_zone(sync, &zone);
+	if (!object->removed && sync->evacuated_count < PD_SYNC_ZONES_MAX)
+		sync->evacuated[sync->evacuated_count++] = zone;
+}
+
+static void put_page(struct pd_sync_task *task, const struct pd_object_page *page)
+{
+	struct pd_object object;
+
+	for (size_t i = 0; i < pd_object_page_count(page); i++) {
+		if (!pd_object_page_get(page, i, &object))
+			continue;
+		switch (task->kind) {
+		case PD_OBJECT_CONFIG:
+			put_config(task->sync, &object);
+			break;
+		case PD_OBJECT_UPSTREAMS:
+			put_upstream(task->sync, &object);
+			break;
+		case PD_OBJECT_EVACUATIONS:
+			put_evacuation(task->sync, &object);
+			break;
+		case PD_OBJECT_INSTANCES:
+		case PD_OBJECT_SUSPECTS:
+			break;
+		}
+	}
+	if (task->kind == PD_OBJECT_EVACUATIONS)
+		pd_registry_set_evacuated(task->sync->registry, task->sync->evacuated,
+					  task->sync->evacuated_count);
+}
+
+static void note_success(struct pd_sync_task *task)
+{
+	int64_t now = pd_os_boot_us();
+
+	task->failures = 0;
+	if (!task->lost_us)
+		return;
+	pd_log(PD_LOG_INFO, "store_regained", "kind=%s lost_ms=%" PRId64,
+	       pd_object_kind_name(task->kind), (now - task->lost_us) / 1000);
+	if (task->kind == PD_OBJECT_UPSTREAMS && now - task->lost_us > HOLD_AFTER_US)
+		pd_registry_hold_removals(task->sync->registry);
+	task->lost_us = 0;
+}
+
+static void note_failure(struct pd_sync_task *task, const struct pd_error *err)
+{
+	int64_t pause = BACKOFF_MIN_US;
+
+	if (!task->lost_us) {
+		task->lost_us = pd_os_boot_us();
+		pd_log(PD_LOG_WARNING, "store_lost", "kind=%s revision=%" PRIu64 " code=%s",
+		       pd_object_kind_name(task->kind), task->revision, pd_strerror(err->code));
+		pd_log_failure(PD_LOG_WARNING, "store_failure", err);
+	}
+	for (uint32_t i = 0; i < task->failures && pause < BACKOFF_MAX_US; i++)
+		pause *= 2;
+	task->failures++;
+	if (pause > BACKOFF_MAX_US)
+		pause = BACKOFF_MAX_US;
+	pause += (int64_t)(pd_os_random_seed() % (uint64_t)(pause / 2));
+	pd_os_sleep_us(pause);
+}
+
+/* Copies a page's last name, which views into it don't outlive. */
+static bool last_name(const struct pd_object_page *page, struct pd_buf *name)
+{
+	struct pd_object object;
+	size_t count = pd_object_page_count(page);
+
+	pd_buf_clear(name);
+	return count && pd_object_page_get(page, count - 1, &object) &&
+	       pd_buf_append_str(name, object.name);
+}
+
+/* Reads all pages. Changes made meanwhile are seen again by watching from the first page's
+ * revision.
+ */
+static enum pd_code list_all(struct pd_sync_task *task, struct pd_error *err)
+{
+	struct pd_registry *registry = task->sync->registry;
+	struct pd_buf after = {0};
+	uint64_t revision = 0;
+	bool first = true, more = true;
+	enum pd_code code = PD_OK;
+
+	if (task->kind == PD_OBJECT_EVACUATIONS)
+		task->sync->evacuated_count = 0;
+	while (more) {
+		struct pd_object_page page;
+
+		code = pd_store_list(&task->store, task->kind, pd_buf_str(&after), false, &page,
+				     err);
+		if (code != PD_OK)
+			break;
+		if (first) {
+			note_success(task);
+			revision = page.revision;
+			if (task->kind == PD_OBJECT_UPSTREAMS)
+				pd_registry_list_begin(registry);
+		}
+		first = false;
+		put_page(task, &page);
+		more = page.more && last_name(&page, &after);
+		pd_object_page_finish(&page);
+	}
+	pd_buf_finish(&after);
+	if (code != PD_OK)
+		return code;
+	if (task->kind == PD_OBJECT_UPSTREAMS)
+		pd_registry_list_end(registry);
+	task->listed = true;
+	task->revision = revision;
+	pd_log(PD_LOG_INFO, "store_listed", "kind=%s revision=%" PRIu64,
+	       pd_object_kind_name(task->kind), revision);
+	return PD_OK;
+}
+
+/* After a change, waits a little so that further ones come with the next answer. */
+static void pause_after(struct pd_sync_task *task, int64_t waited_us)
+{
+	int64_t pause = PAUSE_MIN_US;
+
+	task->quick = waited_us < QUICK_US ? task->quick + 1 : 0;
+	for (uint32_t i = 0; i < task->quick && pause < PAUSE_MAX_US; i++)
+		pause *= 2;
+	pd_os_sleep_us(pause < PAUSE_MAX_US ? pause : PAUSE_MAX_US);
+}
+
+static enum pd_code watch_once(struct pd_sync_task *task, struct pd_error *err)
+{
+	int64_t start = pd_os_boot_us();
+	struct pd_object_page page;
+	enum pd_code code;
+	size_t count;
+
+	code = pd_store_watch(&task->store, task->kind, task->revision, WATCH_WAIT_MS, &page, err);
+	if (code == PD_NOT_FOUND) {
+		pd_log(PD_LOG_INFO, "store_history_gone", "kind=%s revision=%" PRIu64,
+		       pd_object_kind_name(task->kind), task->revision);
+		task->listed = false;
+		return PD_OK;
+	}
+	if (code != PD_OK)
+		return code;
+	note_success(task);
+	put_page(task, &page);
+	count = pd_object_page_count(&page);
+	if (page.revision > task->revision)
+		task->revision = page.revision;
+	pd_object_page_finish(&page);
+	if (count)
+		pause_after(task, pd_os_boot_us() - start);
+	return PD_OK;
+}
+
+static void take_address(struct pd_sync_task *task)
+{
+	struct sockaddr_in address;
+
+	pthread_mutex_lock(&task->sync->lock);
+	address = task->sync->address;
+	pthread_mutex_unlock(&task->sync->lock);
+	pd_store_set_address(&task->store, &address);
+}
+
+static void *run_task(void *arg)
+{
+	struct pd_sync_task *task = arg;
+	struct pd_error err;
+
+	for (;;) {
+		enum pd_code code;
+
+		take_address(task);
+		code = task->listed ? watch_once(task, &err) : list_all(task, &err);
+		if (code != PD_OK)
+			note_failure(task, &err);
+	}
+	return NULL;
+}
+
+static enum pd_code count_instances(struct pd_sync_task *task, struct pd_error *err)
+{
+	struct pd_buf after = {0};
+	uint32_t count = 0;
+	bool more = true;
+	enum pd_code code = PD_OK;
+
+	while (more && code == PD_OK) {
+		struct pd_object_page page;
+
+		code = pd_store_list(&task->store, task->kind, pd_buf_str(&after), true, &page,
+				     err);
+		if (code != PD_OK)
+			break;
+		count += (uint32_t)pd_object_page_count(&page);
+		more = page.more && last_name(&page, &after);
+		pd_object_page_finish(&page);
+	}
+	pd_buf_finish(&after);
+	if (code == PD_OK) {
+		note_success(task);
+		pd_registry_set_instances(task->sync->registry, count);
+	}
+	return code;
+}
+
+static enum pd_code register_instance(struct pd_sync_task *task, struct pd_error *err)
+{
+	enum pd_code code =
+		pd_store_create(&task->store, task->kind, pd_name_str(&task->sync->node),
+				json_pack("{s:s}", "zone", task->sync->zone.text), err);
+
+	return code == PD_CONFLICT ? PD_OK : code;
+}
+
+/* Registers this instance and counts all of them: budgets are shared between them. */
+static void *run_instances(void *arg)
+{
+	struct pd_sync_task *task = arg;
+	bool registered = false;
+	struct pd_error err;
+
+	for (;;) {
+		enum pd_code code;
+
+		take_address(task);
+		code = registered ? count_instances(task, &err) : register_instance(task, &err);
+		if (code != PD_OK) {
+			note_failure(task, &err);
+			continue;
+		}
+		pd_os_sleep_us(registered ? COUNT_INTERVAL_US : COUNT_FIRST_US);
+		registered = true;
+	}
+	return NULL;
+}
+
+enum pd_code pd_sync_start(struct pd_sync *sync, struct pd_error *err)
+{
+	for (size_t i = 0; i < PD_SYNC_TASKS; i++) {
+		struct pd_sync_task *task = &sync->tasks[i];
+		void *(*run)(void *) = task->kind == PD_OBJECT_INSTANCES ? run_instances : run_task;
+		enum pd_code code = pd_os_thread_start(
+			&task->thread, pd_object_kind_name(task->kind), run, task, err);
+
+		if (code != PD_OK)
+			return pd_error_wrap(err, PD_LAYER_COORDINATION, code, "sync");
+		task->running = true;
+	}
+	return PD_OK;
+}
--- a/src/log.c
+++ b/src/log.c
@@ -1,6 +1,10 @@
 #include "log.h"
 
+#include <fcntl.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -13,6 +17,94 @@
 	enum pd_log_level level;
 } log_state = {"peridot", PD_LOG_INFO};
 
+#define COLLECT_BYTES 8192
+
+/* Lines for standard output. @lock guards the rest. */
+static struct {
+	bool active;
+	pthread_mutex_t lock;
+	unsigned int lines_per_s;
+	unsigned int lines; /* in the current second */
+	time_t second;
+	unsigned long dropped;
+	char bytes[COLLECT_BYTES];
+	size_t len;
+} collected = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+void pd_log_to_stdout(unsigned int lines_per_s)
+{
+	collected.lines_per_s = lines_per_s;
+	collected.active = true;
+}
+
+/* Writes as much as the reader takes without waiting; the rest is dropped. */
+static void write_collected_locked(void)
+{
+	struct pollfd p = {.fd = STDOUT_FILENO, .events = POLLOUT};
+	size_t done = 0;
+
+	while (done < collected.len && poll(&p, 1, 0) == 1 && (p.revents & POLLOUT)) {
+		/* A pipe that is writable takes this much without blocking. */
+		size_t part = collected.len - done < 4096 ? collected.len - done : 4096;
+		ssize_t n = write(STDOUT_FILENO, collected.bytes + done, part);
+
+		if (n <= 0)
+			break;
+		done += (size_t)n;
+	}
+	for (size_t i = done; i < collected.len; i++)
+		collected.dropped += collected.bytes[i] == '\n';
+	collected.len = 0;
+}
+
+void pd_log_flush(void)
+{
+	if (!collected.active)
+		return;
+	pthread_mutex_lock(&collected.lock);
+	write_collected_locked();
+	pthread_mutex_unlock(&collected.lock);
+}
+
+static void append_locked(const char *line, size_t len)
+{
+	if (collected.len + len > COLLECT_BYTES)
+		write_collected_locked();
+	memcpy(collected.bytes + collected.len, line, len);
+	collected.len += len;
+}
+
+static void report_dropped_locked(void)
+{
+	char line[96];
+	int n;
+
+	if (!collected.dropped)
+		return;
+	n = snprintf(line, sizeof(line), "<4>name=%s event=log_dropped lines=%lu\n", log_state.name,
+		     collected.dropped);
+	collected.dropped = 0;
+	if (n > 0)
+		append_locked(line, (size_t)n < sizeof(line) ? (size_t)n : sizeof(line) - 1);
+}
+
+static void collect(const char *line, size_t len)
+{
+	time_t now = time(NULL);
+
+	pthread_mutex_lock(&collected.lock);
+	if (now != collected.second) {
+		collected.second = now;
+		collected.lines = 0;
+		report_dropped_locked();
+	}
+	if (collected.lines++ < collected.lines_per_s)
+		append_locked(line, len);
+	else
+		collected.dropped++;
+	pthread_mutex_unlock(&collected.lock);
+}
+
 void pd_log_open(const char *name, enum pd_log_level level)
 {
 	snprintf(log_state.name, sizeof(log_state.name), "%s", name);
@@ -55,6 +147,10 @@
 			line[i] = ' ';
 	}
 	line[len++] = '\n';
+	if (collected.active) {
+		collect(line, len);
+		return;
+	}
 	if (write(STDERR_FILENO, line, len) < 0)
 		return;
 }
--- a/src/log.h
+++ b/src/log.h
@@ -1,5 +1,5 @@
 /**
- * DOC: Log lines on standard error
+ * DOC: Log lines on standard error, or bounded on standard output
  *
  * One line for each event: `<PRIORITY>time=... name=... event=... key=value ...`, where the number
  * in angle brackets is a syslog priority (3 error, 4 warning, 6 info, 7 debug). Values with blanks
@@ -33,6 +33,17 @@
 void pd_log(enum pd_log_level level, const char *event, const char *format, ...)
 	__attribute__((format(printf, 3, 4)));
 
+/**
+ * pd_log_to_stdout() - collects lines and writes them to standard output
+ * @lines_per_s: most lines per second; further ones are dropped, and counted in a later line
+ *
+ * Lines are collected in memory and written by pd_log_flush(), or at once when the memory is full.
+ * Writing never blocks: what the reader doesn't take is dropped and counted.
+ */
+void pd_log_to_stdout(unsigned int lines_per_s);
+/* Writes the collected lines. */
+void pd_log_flush(void);
+
 #define PD_LOG_QUOTE_MAX 320
 /* Writes @s quoted and escaped when it needs it; returns @out. */
 const char *pd_log_quote(struct pd_str s, char out[PD_LOG_QUOTE_MAX]);
--- a/src/os.c
+++ b/src/os.c
@@ -24,6 +24,14 @@
 	return (int64_t)ts.tv_sec * PD_USEC_PER_SEC + ts.tv_nsec / 1000;
 }
 
+int64_t pd_os_boot_us(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (int64_t)ts.tv_sec * PD_USEC_PER_SEC + ts.tv_nsec / 1000;
+}
+
 int64_t pd_os_unix_ms(void)
 {
 	struct timespec ts;
--- a/src/os.h
+++ b/src/os.h
@@ -17,6 +17,8 @@
 
 /* Monotonic time in microseconds; not stopped while the process is paused by a signal. */
 int64_t pd_os_now_us(void);
+/* Time since the machine started in microseconds, time of suspension included. */
+int64_t pd_os_boot_us(void);
 /* Wall clock, Unix time in milliseconds. */
 int64_t pd_os_unix_ms(void);
 void pd_os_sleep_us(int64_t us);
