--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -55,8 +55,8 @@
 
 static bool usable_locked(const struct pd_upstream *upstream)
 {
-	return !upstream->removed && !upstream->draining && !upstream->zone->evacuated &&
-	       !upstream->zone->unreachable;
+	return !upstream->removed && !upstream->draining && !upstream->replaced &&
+	       !upstream->zone->evacuated && !upstream->zone->unreachable;
 }
 
 static void describe(struct pd_registry *registry, const struct pd_upstream *upstream,
@@ -274,8 +274,9 @@
 		upstream->failure_rate += SAMPLE_WEIGHT * (1 - upstream->failure_rate);
 		break;
 	case PD_REPORT_WRONG_INSTANCE:
-		upstream->failures = FAILURES_TO_EJECT;
-		fail(upstream, "wrong_instance", now_us);
+		upstream->replaced = true;
+		pd_log(PD_LOG_INFO, "upstream_replaced", "upstream=%s service=%s address=%s",
+		       upstream->id.text, upstream->service->name.text, upstream->address_text);
 		break;
 	case PD_REPORT_UNREACHED:
 		upstream->failures += FAILURES_TO_EJECT - 1;
@@ -306,7 +307,7 @@
 static bool service_in_reach(const struct pd_service *service)
 {
 	for (const struct pd_upstream *u = service->upstreams; u; u = u->next) {
-		if (!u->removed && !u->draining && !u->zone->unreachable)
+		if (!u->removed && !u->draining && !u->replaced && !u->zone->unreachable)
 			return true;
 	}
 	return false;
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -247,6 +247,9 @@
 	double reach = pd_registry_reach(&ingress->registry, now_us);
 	bool isolated = reach < REACH_LEAST, changed;
 
+	if (!ingress->registry.listed)
+		return;
+
 	pthread_mutex_lock(&ingress->lock);
 	changed = ingress->isolated != isolated;
 	ingress->isolated = isolated;
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -242,6 +242,7 @@
 		upstream->draining = entry->draining;
 		upstream->slots = entry->slots;
 		upstream->listed = true;
+		upstream->replaced = false;
 		upstream->remove_at_us = 0;
 		upstream->cold_until_us =
 			entry->cold_ms > 0 ? pd_os_boot_us() + entry->cold_ms * PD_USEC_PER_MSEC
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -68,6 +68,7 @@
  * @born_ms: Unix time of its start as it says; 0 when unknown
  * @slots: requests that it runs at once
  * @draining: it reported that it leaves
+ * @replaced: another instance answered at its address; not used until its entry changes
  * @listed: the platform's last list names it
  * @removed: taken out of its service; freed with the last reference
  * @remove_at_us: a removal seen just after the platform came back takes effect then; 0 for none
@@ -95,6 +96,7 @@
 	int64_t born_ms;
 	uint32_t slots;
 	bool draining;
+	bool replaced;
 	bool listed;
 	bool removed;
 	int64_t remove_at_us;
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -1,7 +1,9 @@
 #include "sync.h"
 
+#include <fcntl.h>
 #include <inttypes.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "log.h"
 #include "os.h"
@@ -19,9 +21,9 @@
 #define BACKOFF_MAX_US (1200 * PD_USEC_PER_MSEC)
 /* Entries lapse after some seconds without contact; shorter failures need no hold. */
 #define HOLD_AFTER_US (1500 * PD_USEC_PER_MSEC)
-/* How often instances are counted, and how long after the start, when all have registered. */
-#define COUNT_FIRST_US	  (3 * PD_USEC_PER_SEC)
-#define COUNT_INTERVAL_US (12 * PD_USEC_PER_SEC)
+/* How often instances are counted, which also shows whether the store is in reach. Service must
+ * follow changes within some seconds of the end of an outage. */
+#define COUNT_INTERVAL_US (1500 * PD_USEC_PER_MSEC)
 
 void pd_sync_init(struct pd_sync *sync, struct pd_registry *registry,
 		  const struct pd_ingress_settings *settings)
@@ -38,6 +40,8 @@
 	for (size_t i = 0; i < PD_SYNC_TASKS; i++) {
 		sync->tasks[i].sync = sync;
 		sync->tasks[i].kind = kinds[i];
+		sync->tasks[i].wake[0] = -1;
+		sync->tasks[i].wake[1] = -1;
 		pd_store_init(&sync->tasks[i].store, &settings->store);
 	}
 }
@@ -129,6 +133,18 @@
 					  task->sync->evacuated_count);
 }
 
+/* Ends the watches of all other tasks, which then begin anew: their answers may have been lost. */
+static void wake_others(struct pd_sync_task *task)
+{
+	for (size_t i = 0; i < PD_SYNC_TASKS; i++) {
+		struct pd_sync_task *other = &task->sync->tasks[i];
+
+		if (other != task && other->wake[1] >= 0 && write(other->wake[1], "", 1) < 0)
+			pd_log(PD_LOG_DEBUG, "wake_pending", "kind=%s",
+			       pd_object_kind_name(other->kind));
+	}
+}
+
 static void note_success(struct pd_sync_task *task)
 {
 	int64_t now = pd_os_boot_us();
@@ -138,8 +154,10 @@
 		return;
 	pd_log(PD_LOG_INFO, "store_regained", "kind=%s lost_ms=%" PRId64,
 	       pd_object_kind_name(task->kind), (now - task->lost_us) / 1000);
-	if (task->kind == PD_OBJECT_UPSTREAMS && now - task->lost_us > HOLD_AFTER_US)
+	if (now - task->lost_us > HOLD_AFTER_US)
 		pd_registry_hold_removals(task->sync->registry);
+	if (task->kind == PD_OBJECT_INSTANCES)
+		wake_others(task);
 	task->lost_us = 0;
 }
 
@@ -227,6 +245,14 @@
 	pd_os_sleep_us(pause < PAUSE_MAX_US ? pause : PAUSE_MAX_US);
 }
 
+static void drain_wake(struct pd_sync_task *task)
+{
+	char bytes[16];
+
+	while (read(task->wake[0], bytes, sizeof(bytes)) > 0)
+		;
+}
+
 static enum pd_code watch_once(struct pd_sync_task *task, struct pd_error *err)
 {
 	int64_t start = pd_os_boot_us();
@@ -235,6 +261,12 @@
 	size_t count;
 
 	code = pd_store_watch(&task->store, task->kind, task->revision, WATCH_WAIT_MS, &page, err);
+	if (code == PD_CANCELLED) {
+		drain_wake(task);
+		pd_log(PD_LOG_INFO, "watch_renewed", "kind=%s revision=%" PRIu64,
+		       pd_object_kind_name(task->kind), task->revision);
+		return PD_OK;
+	}
 	if (code == PD_NOT_FOUND) {
 		pd_log(PD_LOG_INFO, "store_history_gone", "kind=%s revision=%" PRIu64,
 		       pd_object_kind_name(task->kind), task->revision);
@@ -331,8 +363,8 @@
 			note_failure(task, &err);
 			continue;
 		}
-		pd_os_sleep_us(registered ? COUNT_INTERVAL_US : COUNT_FIRST_US);
 		registered = true;
+		pd_os_sleep_us(COUNT_INTERVAL_US);
 	}
 	return NULL;
 }
@@ -341,10 +373,17 @@
 {
 	for (size_t i = 0; i < PD_SYNC_TASKS; i++) {
 		struct pd_sync_task *task = &sync->tasks[i];
-		void *(*run)(void *) = task->kind == PD_OBJECT_INSTANCES ? run_instances : run_task;
-		enum pd_code code = pd_os_thread_start(
-			&task->thread, pd_object_kind_name(task->kind), run, task, err);
+		const char *name = pd_object_kind_name(task->kind);
+		enum pd_code code;
 
+		if (pipe2(task->wake, O_CLOEXEC | O_NONBLOCK))
+			return pd_error_set(err, PD_LAYER_COORDINATION, PD_SYSTEM,
+					    "sync: no pipe for %s", name);
+		task->store.wake_fd = task->wake[0];
+		code = pd_os_thread_start(&task->thread, name,
+					  task->kind == PD_OBJECT_INSTANCES ? run_instances
+									    : run_task,
+					  task, err);
 		if (code != PD_OK)
 			return pd_error_wrap(err, PD_LAYER_COORDINATION, code, "sync");
 		task->running = true;
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -3,6 +3,10 @@
  *
  * One task for each kind of object: it lists the kind, then watches it, and puts every change into
  * the registry. When the store can't be reached, what is known stays in force.
+ *
+ * A watch whose answer is lost waits until its time is over and hears nothing, although its
+ * connection works. The task of the instances therefore reads a short list every second or two (a
+ * stale read, at a tenth of the price); when that fails and works again, all watches are renewed.
  */
 #ifndef PD_SYNC_H
 #define PD_SYNC_H
@@ -31,6 +35,7 @@
  * @lost_us: since when calls fail; 0 while they succeed
  * @failures: consecutive failed calls
  * @quick: watches in a row that returned early
+ * @wake: pipe that ends the task's watch
  */
 struct pd_sync_task {
 	struct pd_sync *sync;
@@ -43,6 +48,7 @@
 	int64_t lost_us;
 	uint32_t failures;
 	uint32_t quick;
+	int wake[2];
 };
 
 #define PD_SYNC_TASKS 4
