--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,11 @@
 PKGS := ck msgpack libmicrohttpd libcurl jansson libxxhash gsl
 CC := gcc
 CXX := g++
-CPPFLAGS := -D_GNU_SOURCE -Isrc -Istandins $(shell pkg-config --cflags $(PKGS))
+CPPFLAGS := -D_GNU_SOURCE -Isrc -Iingress -Iplatform -Istandins $(shell pkg-config --cflags $(PKGS))
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wvla
 CFLAGS := -std=gnu11 -O2 -g -pthread $(WARN)
 CXXFLAGS := -std=c++17 -O2 -g -pthread -Wall -Wextra -Werror
-LDLIBS := -lmicrohttpd -lcurl -ljansson -lmsgpackc -lxxhash -lgsl -lgslcblas -lck -lstdc++ -lm -pthread
+LDLIBS := -Wl,--as-needed -lhttp_parser -lmicrohttpd -lcurl -ljansson -lmsgpackc -lxxhash -lgsl -lgslcblas -lck -lstdc++ -lm -pthread
 ifneq ($(SAN),)
 CFLAGS += -fsanitize=$(SAN) -fno-omit-frame-pointer
 CXXFLAGS += -fsanitize=$(SAN) -fno-omit-frame-pointer
@@ -21,7 +21,7 @@
 CPPFLAGS += -DCK_USE_CC_BUILTINS=1
 endif
 
-LIB_OBJS := $(patsubst src/%.c,$B/src/%.o,$(wildcard src/*.c)) \
+LIB_OBJS := $(patsubst %.c,$B/%.o,$(wildcard src/*.c ingress/*.c platform/*.c)) \
 	$(patsubst src/%.cc,$B/src/%.o,$(wildcard src/*.cc))
 BINS := $(patsubst bin/%.c,$B/%,$(wildcard bin/*.c)) \
 	$(patsubst examples/%.c,$B/example-%,$(wildcard examples/*.c))
@@ -29,8 +29,8 @@
 STANDINS := $(patsubst standins/standin-%.c,$B/standin-%,$(wildcard standins/standin-*.c))
 TEST_LIB_OBJS := $(patsubst tests/%.c,$B/tests/%.o,$(filter-out tests/test_%.c,$(wildcard tests/*.c)))
 TESTS := $(patsubst tests/test_%.c,$B/test_%,$(wildcard tests/test_*.c))
-C_SOURCES := $(wildcard src/*.c bin/*.c standins/*.c bench/*.c tests/*.c fuzz/*.c examples/*.c)
-C_HEADERS := $(wildcard src/*.h standins/*.h bench/*.h tests/*.h)
+C_SOURCES := $(wildcard src/*.c ingress/*.c platform/*.c bin/*.c standins/*.c bench/*.c tests/*.c fuzz/*.c examples/*.c)
+C_HEADERS := $(wildcard src/*.h ingress/*.h platform/*.h standins/*.h bench/*.h tests/*.h)
 
 BENCH_LIB_OBJS := $(patsubst bench/%.c,$B/bench/%.o,$(filter-out bench/peridot-load.c bench/naive-entry.c,$(wildcard bench/*.c)))
 BENCH := $B/peridot-load $B/naive-entry
@@ -70,9 +70,9 @@
 # libFuzzer needs clang; each target is one file in fuzz/.
 FUZZERS := $(patsubst fuzz/%.c,build/fuzz/%,$(wildcard fuzz/*.c))
 fuzzers: $(FUZZERS)
-build/fuzz/%: fuzz/%.c $(wildcard src/*.c src/*.h) $B/libperidot.a
+build/fuzz/%: fuzz/%.c $(wildcard src/*.c src/*.h ingress/*.c ingress/*.h platform/*.c platform/*.h) $B/libperidot.a
 	@mkdir -p $(@D)
-	clang $(CPPFLAGS) -std=gnu11 -O1 -g -pthread -fsanitize=fuzzer,address $< $(wildcard src/*.c) \
+	clang $(CPPFLAGS) -std=gnu11 -O1 -g -pthread -fsanitize=fuzzer,address $< $(wildcard src/*.c ingress/*.c platform/*.c) \
 		$(patsubst src/%.cc,build/release/src/%.o,$(wildcard src/*.cc)) $(LDLIBS) -o $@
 
 format:
--- a/ingress/budget.c
+++ b/ingress/budget.c
@@ -7,6 +7,8 @@
 
 void pd_budget_resize(struct pd_budget *budget, double ratio, double size)
 {
+	if (size > budget->size)
+		budget->tokens += size - budget->size;
 	budget->ratio = ratio;
 	budget->size = size;
 	if (budget->tokens > size)
--- a/ingress/budget.h
+++ b/ingress/budget.h
@@ -17,7 +17,8 @@
 };
 
 void pd_budget_init(struct pd_budget *budget, double ratio, double size);
-/* Changes the bucket's size; tokens beyond it are dropped. */
+/* Changes the bucket's size: a larger one gets the tokens that were withheld so far, from a smaller
+ * one those beyond its size are dropped. */
 void pd_budget_resize(struct pd_budget *budget, double ratio, double size);
 void pd_budget_request(struct pd_budget *budget); /* a request's first arrival */
 bool pd_budget_take(struct pd_budget *budget); /* false when there is no whole token */
--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -110,11 +110,10 @@
 }
 
 bool pd_registry_available(struct pd_registry *registry, struct pd_service *service,
-			   struct pd_upstream *const *tried, size_t tried_count, int64_t now_us)
+			   struct pd_upstream *const *tried, size_t tried_count)
 {
 	bool found = false;
 
-	(void)now_us;
 	pthread_mutex_lock(&registry->lock);
 	for (struct pd_upstream *u = service->upstreams; u && !found; u = u->next)
 		found = usable_locked(u) && !was_tried(u, tried, tried_count);
@@ -304,21 +303,26 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
-static bool service_in_reach(const struct pd_service *service)
+/* Whether the service has upstreams, all of them in zones that are out of reach. */
+static bool out_of_reach(const struct pd_service *service)
 {
+	bool listed = false;
+
 	for (const struct pd_upstream *u = service->upstreams; u; u = u->next) {
-		if (!u->removed && !u->draining && !u->replaced && !u->zone->unreachable)
-			return true;
+		if (u->removed || u->draining || u->replaced)
+			continue;
+		if (!u->zone->unreachable)
+			return false;
+		listed = true;
 	}
-	return false;
+	return listed;
 }
 
-double pd_registry_reach(struct pd_registry *registry, int64_t now_us)
+double pd_registry_reach(struct pd_registry *registry)
 {
-	size_t total = 0, in_reach = 0;
+	size_t total = 0, missing = 0;
 	const struct pd_catalog *catalog;
 
-	(void)now_us;
 	pthread_mutex_lock(&registry->lock);
 	catalog = registry->catalog;
 	for (size_t r = 0; catalog && r < catalog->route_count; r++) {
@@ -331,11 +335,11 @@
 				catalog->services[route->targets[t].service].runtime;
 
 			total++;
-			in_reach += service && service_in_reach(service);
+			missing += service && out_of_reach(service);
 		}
 	}
 	pthread_mutex_unlock(&registry->lock);
-	return total ? (double)in_reach / (double)total : 1;
+	return total ? 1 - (double)missing / (double)total : 1;
 }
 
 struct pd_upstream *pd_registry_probe_target(struct pd_registry *registry, int64_t now_us)
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -296,7 +296,7 @@
 	}
 	if (!late || !fanout->route->idempotent || !free_exchange(leg) ||
 	    leg->arrivals >= fanout->route->max_attempts || fanout->broken >= BROKEN_MAX ||
-	    !pd_registry_available(registry, leg->service, leg->tried, leg->tried_count, now_us) ||
+	    !pd_registry_available(registry, leg->service, leg->tried, leg->tried_count) ||
 	    !pd_registry_take_retry(registry, leg->service))
 		return;
 	if (!send_leg(fanout, leg, now_us))
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -242,9 +242,9 @@
 	return ready;
 }
 
-static void judge_reach(struct pd_ingress *ingress, int64_t now_us)
+static void judge_reach(struct pd_ingress *ingress)
 {
-	double reach = pd_registry_reach(&ingress->registry, now_us);
+	double reach = pd_registry_reach(&ingress->registry);
 	bool isolated = reach < REACH_LEAST, changed;
 
 	if (!ingress->registry.listed)
@@ -284,7 +284,7 @@
 	pd_pool_tend(&ingress->pool, now);
 	pd_registry_expire(&ingress->registry, now);
 	probe_zone(ingress, now);
-	judge_reach(ingress, now);
+	judge_reach(ingress);
 	pd_log_flush();
 }
 
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -36,29 +36,30 @@
 
 void pd_registry_finish(struct pd_registry *registry)
 {
-	struct pd_upstream *upstream, *next_upstream;
-	struct pd_service *service, *next_service;
-	struct pd_zone *zone, *next_zone;
-	struct pd_route_stats *stats, *next_stats;
-
-	HASH_ITER(hh, registry->upstreams, upstream, next_upstream)
-	{
-		HASH_DEL(registry->upstreams, upstream);
+	struct pd_upstream *upstream = registry->upstreams, *next_upstream;
+	struct pd_service *service = registry->services, *next_service;
+	struct pd_zone *zone = registry->zones, *next_zone;
+	struct pd_route_stats *stats = registry->routes, *next_stats;
+
+	/* Clearing a table leaves its elements linked. */
+	HASH_CLEAR(hh, registry->upstreams);
+	HASH_CLEAR(hh, registry->services);
+	HASH_CLEAR(hh, registry->zones);
+	HASH_CLEAR(hh, registry->routes);
+	for (; upstream; upstream = next_upstream) {
+		next_upstream = upstream->hh.next;
 		free_upstream(upstream);
 	}
-	HASH_ITER(hh, registry->services, service, next_service)
-	{
-		HASH_DEL(registry->services, service);
+	for (; service; service = next_service) {
+		next_service = service->hh.next;
 		free(service);
 	}
-	HASH_ITER(hh, registry->zones, zone, next_zone)
-	{
-		HASH_DEL(registry->zones, zone);
+	for (; zone; zone = next_zone) {
+		next_zone = zone->hh.next;
 		free(zone);
 	}
-	HASH_ITER(hh, registry->routes, stats, next_stats)
-	{
-		HASH_DEL(registry->routes, stats);
+	for (; stats; stats = next_stats) {
+		next_stats = stats->hh.next;
 		free(stats);
 	}
 	pd_catalog_release(registry->catalog);
@@ -161,7 +162,8 @@
 {
 	pd_log(PD_LOG_INFO, "upstream_removed", "upstream=%s service=%s address=%s reason=%s",
 	       upstream->id.text, upstream->service->name.text, upstream->address_text, reason);
-	HASH_DEL(registry->upstreams, upstream);
+	/* The analyzer takes the table for freed while it holds other elements. */
+	HASH_DEL(registry->upstreams, upstream); /* NOLINT(clang-analyzer-*) */
 	unlink_from_service(upstream);
 	upstream->removed = true;
 	pd_pool_close_idle_locked(upstream);
@@ -172,15 +174,14 @@
 static void request_removal_locked(struct pd_registry *registry, struct pd_upstream *upstream,
 				   const char *reason)
 {
-	int64_t now = pd_os_boot_us();
-
-	if (now < registry->hold_removals_until_us) {
-		upstream->remove_at_us = registry->hold_removals_until_us;
-		pd_log(PD_LOG_INFO, "upstream_removal_held", "upstream=%s reason=%s hold_ms=%lld",
-		       upstream->id.text, reason, (long long)(upstream->remove_at_us - now) / 1000);
+	if (pd_os_boot_us() >= registry->hold_removals_until_us) {
+		remove_locked(registry, upstream, reason);
 		return;
 	}
-	remove_locked(registry, upstream, reason);
+	if (!upstream->remove_pending)
+		pd_log(PD_LOG_INFO, "upstream_removal_held", "upstream=%s reason=%s",
+		       upstream->id.text, reason);
+	upstream->remove_pending = true;
 }
 
 static struct pd_upstream *add_upstream(struct pd_registry *registry,
@@ -243,7 +244,7 @@
 		upstream->slots = entry->slots;
 		upstream->listed = true;
 		upstream->replaced = false;
-		upstream->remove_at_us = 0;
+		upstream->remove_pending = false;
 		upstream->cold_until_us =
 			entry->cold_ms > 0 ? pd_os_boot_us() + entry->cold_ms * PD_USEC_PER_MSEC
 					   : 0;
@@ -281,7 +282,7 @@
 	pthread_mutex_lock(&registry->lock);
 	HASH_ITER(hh, registry->upstreams, upstream, next)
 	{
-		if (!upstream->listed && !upstream->remove_at_us)
+		if (!upstream->listed)
 			request_removal_locked(registry, upstream, "not_listed");
 	}
 	registry->listed = true;
@@ -291,7 +292,16 @@
 void pd_registry_hold_removals(struct pd_registry *registry)
 {
 	pthread_mutex_lock(&registry->lock);
-	registry->hold_removals_until_us = pd_os_boot_us() + registry->options.removal_hold_us;
+	registry->hold_removals_until_us = INT64_MAX;
+	pthread_mutex_unlock(&registry->lock);
+}
+
+void pd_registry_release_removals(struct pd_registry *registry, bool lapsed)
+{
+	int64_t now = pd_os_boot_us();
+
+	pthread_mutex_lock(&registry->lock);
+	registry->hold_removals_until_us = lapsed ? now + registry->options.removal_hold_us : now;
 	pthread_mutex_unlock(&registry->lock);
 }
 
@@ -302,7 +312,7 @@
 	pthread_mutex_lock(&registry->lock);
 	HASH_ITER(hh, registry->upstreams, upstream, next)
 	{
-		if (upstream->remove_at_us && now_us >= upstream->remove_at_us)
+		if (upstream->remove_pending && now_us >= registry->hold_removals_until_us)
 			remove_locked(registry, upstream, "not_back_after_outage");
 	}
 	pthread_mutex_unlock(&registry->lock);
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -71,7 +71,7 @@
  * @replaced: another instance answered at its address; not used until its entry changes
  * @listed: the platform's last list names it
  * @removed: taken out of its service; freed with the last reference
- * @remove_at_us: a removal seen just after the platform came back takes effect then; 0 for none
+ * @remove_pending: its removal was seen while removals are held
  * @cold_until_us: end of its cold start
  * @references: users besides the registry
  * @slowness: latency relative to its route's mean
@@ -99,7 +99,7 @@
 	bool replaced;
 	bool listed;
 	bool removed;
-	int64_t remove_at_us;
+	bool remove_pending;
 	int64_t cold_until_us;
 	int references;
 	double slowness;
@@ -202,8 +202,11 @@
 /* A complete list follows: entries not put between the two calls are removed. */
 void pd_registry_list_begin(struct pd_registry *registry);
 void pd_registry_list_end(struct pd_registry *registry);
-/* The platform is back after an outage: entries that lapsed meanwhile may return. */
+/* The platform is out of reach: entries may lapse although their upstreams live. */
 void pd_registry_hold_removals(struct pd_registry *registry);
+/* It is back: removals take effect after the time in which lapsed entries return, or at once when
+ * the outage was too short for entries to lapse. */
+void pd_registry_release_removals(struct pd_registry *registry, bool lapsed);
 /* Replaces the set of evacuated zones. */
 void pd_registry_set_evacuated(struct pd_registry *registry, const struct pd_name *zones,
 			       size_t count);
@@ -234,7 +237,7 @@
 				     int64_t now_us);
 /* Whether an upstream of the service outside @tried could be picked now. */
 bool pd_registry_available(struct pd_registry *registry, struct pd_service *service,
-			   struct pd_upstream *const *tried, size_t tried_count, int64_t now_us);
+			   struct pd_upstream *const *tried, size_t tried_count);
 /* Takes a token of the service's retry budget. */
 bool pd_registry_take_retry(struct pd_registry *registry, struct pd_service *service);
 /* Counts a request's first arrival at the service. */
@@ -276,8 +279,8 @@
 /* Something was received from the upstream. */
 void pd_registry_heard(struct pd_registry *registry, struct pd_upstream *upstream, int64_t now_us);
 
-/* Share of the gather targets of the catalog that some upstream in reach could serve, 0 to 1. */
-double pd_registry_reach(struct pd_registry *registry, int64_t now_us);
+/* Share of the catalog's gathered services that aren't out of reach as a whole, 0 to 1. */
+double pd_registry_reach(struct pd_registry *registry);
 /* Carries out removals that are due. */
 void pd_registry_expire(struct pd_registry *registry, int64_t now_us);
 /* An upstream of an unreachable zone whose test is due, referenced; or NULL. */
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -54,6 +54,8 @@
 {
 	bool written;
 
+	request->close =
+		request->close || (request->ingress && pd_ingress_is_stopping(request->ingress));
 	pd_buf_printf(head, "Content-Length: %zu\r\n%s\r\n", body.len,
 		      request->close ? "Connection: close\r\n" : "");
 	if (is_head(request))
@@ -196,13 +198,13 @@
 	return answer_failed(request, fanout);
 }
 
-static size_t count_in_reach(struct request *request, const struct pd_fanout *fanout, int64_t now)
+static size_t count_in_reach(struct request *request, const struct pd_fanout *fanout)
 {
 	size_t count = 0;
 
 	for (size_t i = 0; i < fanout->leg_count; i++)
 		count += pd_registry_available(&request->ingress->registry, fanout->legs[i].service,
-					       NULL, 0, now);
+					       NULL, 0);
 	return count;
 }
 
@@ -296,7 +298,7 @@
 	describe_fanout(request, &fanout, &head);
 	if (head.failed) {
 		written = refuse(request, PD_REFUSAL_BUSY, "memory");
-	} else if (count_in_reach(request, &fanout, pd_os_boot_us()) < fanout.needed) {
+	} else if (count_in_reach(request, &fanout) < fanout.needed) {
 		written = refuse_unreachable(request);
 	} else {
 		pd_fanout_run(&fanout);
@@ -350,7 +352,7 @@
 
 	pd_platform_read_request(&client->msg, &request.fields);
 	request.catalog = pd_registry_catalog(&ingress->registry);
-	request.close = !client->msg.keep_alive || pd_ingress_is_stopping(ingress);
+	request.close = !client->msg.keep_alive;
 	written = serve_known(&request);
 	pd_catalog_release(request.catalog);
 	return written && !request.close;
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -154,10 +154,11 @@
 		return;
 	pd_log(PD_LOG_INFO, "store_regained", "kind=%s lost_ms=%" PRId64,
 	       pd_object_kind_name(task->kind), (now - task->lost_us) / 1000);
-	if (now - task->lost_us > HOLD_AFTER_US)
-		pd_registry_hold_removals(task->sync->registry);
-	if (task->kind == PD_OBJECT_INSTANCES)
+	if (task->kind == PD_OBJECT_INSTANCES) {
+		pd_registry_release_removals(task->sync->registry,
+					     now - task->lost_us > HOLD_AFTER_US);
 		wake_others(task);
+	}
 	task->lost_us = 0;
 }
 
@@ -170,6 +171,8 @@
 		pd_log(PD_LOG_WARNING, "store_lost", "kind=%s revision=%" PRIu64 " code=%s",
 		       pd_object_kind_name(task->kind), task->revision, pd_strerror(err->code));
 		pd_log_failure(PD_LOG_WARNING, "store_failure", err);
+		if (task->kind == PD_OBJECT_INSTANCES)
+			pd_registry_hold_removals(task->sync->registry);
 	}
 	for (uint32_t i = 0; i < task->failures && pause < BACKOFF_MAX_US; i++)
 		pause *= 2;
@@ -380,10 +383,9 @@
 			return pd_error_set(err, PD_LAYER_COORDINATION, PD_SYSTEM,
 					    "sync: no pipe for %s", name);
 		task->store.wake_fd = task->wake[0];
-		code = pd_os_thread_start(&task->thread, name,
-					  task->kind == PD_OBJECT_INSTANCES ? run_instances
-									    : run_task,
-					  task, err);
+		code = pd_os_thread_start(
+			&task->thread, name,
+			task->kind == PD_OBJECT_INSTANCES ? run_instances : run_task, task, err);
 		if (code != PD_OK)
 			return pd_error_wrap(err, PD_LAYER_COORDINATION, code, "sync");
 		task->running = true;
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -17,7 +17,7 @@
 
 #include "ingress_settings.h"
 #include "registry.h"
-#include "store.h"
+#include "store_client.h"
 
 #define PD_SYNC_ZONES_MAX 64 /* evacuated zones at a time */
 
--- /dev/null
+++ b/standins/platform_store.c
@@ -0,0 +1,281 @@
+#include "platform_store.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "http.h"
+
+#define HEAD_MAX 16384
+#define BODY_MAX (1024 * 1024)
+
+struct connection {
+	struct platform_store *store;
+	int fd;
+};
+
+static json_t *kind_of(struct platform_store *store, const char *kind)
+{
+	json_t *objects = json_object_get(store->objects, kind);
+
+	if (!objects) {
+		objects = json_object();
+		json_object_set_new(store->objects, kind, objects);
+	}
+	return objects;
+}
+
+static void record_locked(struct platform_store *store, const char *kind, json_t *object,
+			  bool removed)
+{
+	json_array_append_new(store->events, json_pack("{s:s,s:I,s:O,s:b}", "kind", kind,
+						       "revision", (json_int_t)store->revision,
+						       "object", object, "tombstone", removed));
+	pthread_cond_broadcast(&store->changed);
+}
+
+static json_t *put_locked(struct platform_store *store, const char *kind, const char *name,
+			  json_t *spec)
+{
+	json_t *object;
+
+	store->revision++;
+	object = json_pack("{s:{s:s,s:I},s:o,s:n}", "meta", "name", name, "revision",
+			   (json_int_t)store->revision, "spec", spec, "status");
+	json_object_set_new(kind_of(store, kind), name, object);
+	record_locked(store, kind, object, false);
+	return object;
+}
+
+void platform_store_put(struct platform_store *store, const char *kind, const char *name,
+			json_t *spec)
+{
+	pthread_mutex_lock(&store->lock);
+	put_locked(store, kind, name, spec);
+	pthread_mutex_unlock(&store->lock);
+}
+
+void platform_store_remove(struct platform_store *store, const char *kind, const char *name)
+{
+	json_t *object;
+
+	pthread_mutex_lock(&store->lock);
+	object = json_object_get(kind_of(store, kind), name);
+	if (object) {
+		store->revision++;
+		record_locked(store, kind, object, true);
+		json_object_del(kind_of(store, kind), name);
+	}
+	pthread_mutex_unlock(&store->lock);
+}
+
+void platform_store_set_mode(struct platform_store *store, enum platform_store_mode mode)
+{
+	pthread_mutex_lock(&store->lock);
+	store->mode = mode;
+	pthread_cond_broadcast(&store->changed);
+	pthread_mutex_unlock(&store->lock);
+}
+
+void platform_store_compact(struct platform_store *store)
+{
+	pthread_mutex_lock(&store->lock);
+	store->oldest = ++store->revision;
+	pthread_cond_broadcast(&store->changed);
+	pthread_mutex_unlock(&store->lock);
+}
+
+size_t platform_store_count(struct platform_store *store, const char *kind)
+{
+	size_t count;
+
+	pthread_mutex_lock(&store->lock);
+	count = json_object_size(kind_of(store, kind));
+	pthread_mutex_unlock(&store->lock);
+	return count;
+}
+
+static void reply(int fd, int status, json_t *body)
+{
+	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
+	struct pd_buf out = {0};
+
+	pd_buf_printf(&out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", status,
+		      pd_http_reason(status));
+	pd_buf_printf(&out, "Content-Length: %zu\r\n\r\n%s", text ? strlen(text) : 0,
+		      text ? text : "");
+	pd_os_write_full(fd, out.data, out.len, NULL);
+	pd_buf_finish(&out);
+	free(text);
+	json_decref(body);
+}
+
+/* Value of a number in the query; 0 when missing. */
+static uint64_t query_number(const char *target, const char *key)
+{
+	char pattern[32];
+	const char *at;
+
+	snprintf(pattern, sizeof(pattern), "%s=", key);
+	at = strchr(target, '?');
+	at = at ? strstr(at, pattern) : NULL;
+	return at ? strtoull(at + strlen(pattern), NULL, 10) : 0;
+}
+
+static json_t *list_locked(struct platform_store *store, const char *kind)
+{
+	json_t *items = json_array();
+	const char *name;
+	json_t *object;
+
+	json_object_foreach(kind_of(store, kind), name, object)
+	{
+		json_array_append(items, object);
+	}
+	return json_pack("{s:o,s:b,s:I}", "items", items, "has_more", 0, "at",
+			 (json_int_t)store->revision);
+}
+
+static json_t *events_after(struct platform_store *store, const char *kind, uint64_t revision)
+{
+	json_t *events = json_array();
+	json_t *event;
+	size_t i;
+
+	json_array_foreach(store->events, i, event)
+	{
+		if ((uint64_t)json_integer_value(json_object_get(event, "revision")) > revision &&
+		    !strcmp(json_string_value(json_object_get(event, "kind")), kind))
+			json_array_append(events, event);
+	}
+	return events;
+}
+
+/* Waits for a change; NULL with *status for a refusal, and with 0 when the answer is lost. */
+static json_t *watch_locked(struct platform_store *store, const char *kind, uint64_t revision,
+			    int64_t wait_ms, int *status)
+{
+	int64_t until = pd_os_now_us() + wait_ms * PD_USEC_PER_MSEC;
+	json_t *events;
+
+	store->watches++;
+	for (;;) {
+		events = events_after(store, kind, revision);
+		if (json_array_size(events) && store->mode == PLATFORM_STORE_SILENT) {
+			json_decref(events);
+			*status = 0;
+			return NULL;
+		}
+		if (revision < store->oldest) {
+			json_decref(events);
+			*status = 410;
+			return NULL;
+		}
+		if (json_array_size(events) || pd_os_now_us() >= until)
+			break;
+		json_decref(events);
+		pd_os_cond_wait_until(&store->changed, &store->lock, until);
+	}
+	*status = 200;
+	return json_pack("{s:o,s:I}", "events", events, "at", (json_int_t)store->revision);
+}
+
+static json_t *create_locked(struct platform_store *store, const char *kind, const char *body,
+			     int *status)
+{
+	json_t *json = json_loads(body ? body : "", 0, NULL);
+	const char *name =
+		json_string_value(json_object_get(json_object_get(json, "meta"), "name"));
+	json_t *object = name ? json_object_get(kind_of(store, kind), name) : NULL;
+
+	*status = object ? 409 : 201;
+	if (!name)
+		*status = 400;
+	else if (!object)
+		object = put_locked(store, kind, name, json_incref(json_object_get(json, "spec")));
+	json_decref(json);
+	return json_incref(object);
+}
+
+static void answer(struct platform_store *store, int fd, const struct pd_http_message *msg)
+{
+	char target[512], kind[64] = "";
+	json_t *body = NULL;
+	int status = 200;
+
+	pd_str_copy(pd_http_message_target(msg), target, sizeof(target));
+	sscanf(target, "/api/objects/%63[^?/]", kind);
+	pthread_mutex_lock(&store->lock);
+	store->calls++;
+	if (store->mode == PLATFORM_STORE_BUSY)
+		status = 503;
+	else if (store->mode == PLATFORM_STORE_SILENT)
+		status = 0;
+	else if (msg->parser.method == HTTP_POST)
+		body = create_locked(store, kind, msg->body.data, &status);
+	else if (strstr(target, "watch="))
+		body = watch_locked(store, kind, query_number(target, "watch"),
+				    (int64_t)query_number(target, "wait_ms"), &status);
+	else
+		body = list_locked(store, kind);
+	pthread_mutex_unlock(&store->lock);
+	if (status)
+		reply(fd, status, body);
+}
+
+static void *serve(void *arg)
+{
+	struct connection connection = *(struct connection *)arg;
+	struct pd_http_message msg;
+	char bytes[4096];
+	ssize_t n;
+
+	free(arg);
+	pd_http_message_init(&msg, PD_HTTP_REQUEST, HEAD_MAX, BODY_MAX);
+	while ((n = recv(connection.fd, bytes, sizeof(bytes), 0)) > 0) {
+		size_t used;
+
+		if (pd_http_message_read(&msg, bytes, (size_t)n, &used) != PD_HTTP_COMPLETE)
+			continue;
+		answer(connection.store, connection.fd, &msg);
+		pd_http_message_reset(&msg);
+	}
+	pd_http_message_finish(&msg);
+	pd_os_close(&connection.fd);
+	return NULL;
+}
+
+static void *accept_all(void *arg)
+{
+	struct platform_store *store = arg;
+	int fd;
+
+	while (pd_os_accept(store->listener, &fd, NULL) == PD_OK) {
+		struct connection *connection = malloc(sizeof(*connection));
+		pthread_t thread;
+
+		if (!connection)
+			abort();
+		*connection = (struct connection){store, fd};
+		if (pd_os_thread_start(&thread, "store", serve, connection, NULL) != PD_OK)
+			abort();
+		pthread_detach(thread);
+	}
+	return NULL;
+}
+
+void platform_store_start(struct platform_store *store)
+{
+	memset(store, 0, sizeof(*store));
+	pthread_mutex_init(&store->lock, NULL);
+	pd_os_cond_init(&store->changed);
+	store->objects = json_object();
+	store->events = json_array();
+	store->revision = 100;
+	memcpy(store->address.ip, "127.0.0.1", sizeof("127.0.0.1"));
+	if (pd_os_listen(&store->address, &store->listener, NULL) != PD_OK ||
+	    pd_os_thread_start(&store->thread, "store-accept", accept_all, store, NULL) != PD_OK)
+		abort();
+}
--- /dev/null
+++ b/standins/platform_upstream.c
@@ -0,0 +1,250 @@
+#include "platform_upstream.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "http.h"
+
+#define HEAD_MAX     16384
+#define BODY_MAX     (1024 * 1024)
+#define RECORDS	     3
+#define RECORD_BYTES 16
+#define HANG_MS	     20000
+
+static const char *const mode_names[PLATFORM_UPSTREAM_MODES] = {
+	[PLATFORM_UPSTREAM_OK] = "ok",
+	[PLATFORM_UPSTREAM_CHUNKED] = "chunked",
+	[PLATFORM_UPSTREAM_UNFRAMED] = "unframed",
+	[PLATFORM_UPSTREAM_ERROR] = "error",
+	[PLATFORM_UPSTREAM_SHED] = "shed",
+	[PLATFORM_UPSTREAM_HANG] = "hang",
+	[PLATFORM_UPSTREAM_RESET] = "reset",
+	[PLATFORM_UPSTREAM_CUT] = "cut",
+	[PLATFORM_UPSTREAM_GARBLE] = "garble",
+	[PLATFORM_UPSTREAM_EXTRA] = "extra",
+	[PLATFORM_UPSTREAM_LATE] = "late",
+};
+
+struct connection {
+	struct platform_upstream *upstream;
+	int fd;
+};
+
+bool platform_upstream_set_mode(struct platform_upstream *upstream, const char *name, int delay_ms)
+{
+	for (int mode = 0; mode < PLATFORM_UPSTREAM_MODES; mode++) {
+		if (strcmp(mode_names[mode], name) != 0)
+			continue;
+		pthread_mutex_lock(&upstream->lock);
+		upstream->mode = (enum platform_upstream_mode)mode;
+		upstream->delay_ms = delay_ms;
+		pthread_mutex_unlock(&upstream->lock);
+		return true;
+	}
+	return false;
+}
+
+static void send_text(int fd, const struct pd_buf *out)
+{
+	pd_os_write_full(fd, out->data, out->len, NULL);
+}
+
+/* Three records, whose order depends on the service only. */
+static void write_records(const struct platform_upstream *upstream, struct pd_buf *out)
+{
+	for (int i = 0; i < RECORDS; i++) {
+		char record[RECORD_BYTES + 1];
+
+		snprintf(record, sizeof(record), "%d-%-14.14s", (i * 2) % RECORDS,
+			 upstream->service);
+		pd_buf_append(out, record, RECORD_BYTES);
+	}
+}
+
+static void begin(struct pd_buf *out, const struct platform_upstream *upstream, int status,
+		  struct pd_str id)
+{
+	pd_buf_printf(out, "HTTP/1.1 %d %s\r\nX-Request-Id: %.*s\r\n", status,
+		      pd_http_reason(status), PD_STR_ARG(id));
+	pd_buf_printf(out, "X-Server-Stamp: %s.%.*s\r\nX-Server-Load: 1,0,3\r\n", upstream->id,
+		      PD_STR_ARG(id));
+}
+
+static void reset_connection(int fd)
+{
+	struct linger linger = {.l_onoff = 1};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
+static void write_whole(struct pd_buf *out, const struct platform_upstream *upstream, int status,
+			struct pd_str id, const struct pd_buf *body)
+{
+	begin(out, upstream, status, id);
+	pd_buf_printf(out, "Content-Length: %zu\r\n\r\n", body->len);
+	pd_buf_append(out, body->data, body->len);
+}
+
+/* Writes the answer to a request that ran; false when the connection ends. */
+static bool answer_run(struct platform_upstream *upstream, enum platform_upstream_mode mode,
+		       int delay_ms, int fd, struct pd_str id)
+{
+	struct pd_buf out = {0}, body = {0};
+	bool more = true;
+
+	write_records(upstream, &body);
+	switch (mode) {
+	case PLATFORM_UPSTREAM_CHUNKED:
+		begin(&out, upstream, 200, id);
+		pd_buf_printf(&out, "Transfer-Encoding: chunked\r\n\r\n%zx\r\n", body.len);
+		pd_buf_append(&out, body.data, body.len);
+		pd_buf_append_str(&out, PD_STR("\r\n0\r\n\r\n"));
+		break;
+	case PLATFORM_UPSTREAM_UNFRAMED:
+		begin(&out, upstream, 200, id);
+		pd_buf_append_str(&out, PD_STR("Connection: close\r\n\r\n"));
+		pd_buf_append(&out, body.data, body.len);
+		more = false;
+		break;
+	case PLATFORM_UPSTREAM_ERROR:
+		write_whole(&out, upstream, 500, id, &body);
+		break;
+	case PLATFORM_UPSTREAM_HANG:
+		pd_os_sleep_us(HANG_MS * PD_USEC_PER_MSEC);
+		more = false;
+		break;
+	case PLATFORM_UPSTREAM_RESET:
+		reset_connection(fd);
+		more = false;
+		break;
+	case PLATFORM_UPSTREAM_CUT:
+		begin(&out, upstream, 200, id);
+		pd_buf_printf(&out, "Content-Length: %zu\r\n\r\n", body.len);
+		pd_buf_append(&out, body.data, body.len / 2);
+		more = false;
+		break;
+	case PLATFORM_UPSTREAM_GARBLE:
+		pd_buf_append_str(&out, PD_STR("\001\002 these bytes are no answer\r\n\r\n"));
+		more = false;
+		break;
+	case PLATFORM_UPSTREAM_EXTRA:
+		write_whole(&out, upstream, 200, id, &body);
+		write_whole(&out, upstream, 200, id, &body);
+		break;
+	case PLATFORM_UPSTREAM_LATE:
+		pd_os_sleep_us(delay_ms * PD_USEC_PER_MSEC);
+		write_whole(&out, upstream, 200, id, &body);
+		break;
+	default:
+		write_whole(&out, upstream, 200, id, &body);
+		break;
+	}
+	if (out.len)
+		send_text(fd, &out);
+	pd_buf_finish(&out);
+	pd_buf_finish(&body);
+	return more;
+}
+
+static void note_run(struct platform_upstream *upstream, const struct pd_http_message *msg)
+{
+	snprintf(upstream->last, sizeof(upstream->last), "%s %.*s \"%.*s\"",
+		 http_method_str((enum http_method)msg->parser.method),
+		 PD_STR_ARG(pd_http_message_target(msg)),
+		 (int)(msg->body.len < 64 ? msg->body.len : 64),
+		 msg->body.data ? msg->body.data : "");
+}
+
+static bool answer(struct platform_upstream *upstream, int fd, const struct pd_http_message *msg)
+{
+	struct pd_buf out = {0};
+	enum platform_upstream_mode mode;
+	struct pd_str id, expected;
+	bool right;
+	int delay;
+
+	pd_http_message_field(msg, "X-Request-Id", &id);
+	right = !pd_http_message_field(msg, "X-Expect-Instance", &expected) ||
+		pd_str_is(expected, upstream->id);
+	pthread_mutex_lock(&upstream->lock);
+	mode = upstream->mode;
+	delay = upstream->delay_ms;
+	upstream->arrivals++;
+	if (right && mode != PLATFORM_UPSTREAM_SHED) {
+		upstream->runs++;
+		note_run(upstream, msg);
+	}
+	pthread_mutex_unlock(&upstream->lock);
+	if (!right) {
+		pd_buf_printf(&out,
+			      "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\n"
+			      "Content-Length: 0\r\n\r\n",
+			      upstream->id);
+	} else if (mode == PLATFORM_UPSTREAM_SHED) {
+		pd_buf_append_str(&out, PD_STR("HTTP/1.1 503 Service Unavailable\r\n"
+					       "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+	} else {
+		return answer_run(upstream, mode, delay, fd, id);
+	}
+	send_text(fd, &out);
+	pd_buf_finish(&out);
+	return true;
+}
+
+static void *serve(void *arg)
+{
+	struct connection connection = *(struct connection *)arg;
+	struct pd_http_message msg;
+	char bytes[4096];
+	bool more = true;
+	ssize_t n;
+
+	free(arg);
+	pd_http_message_init(&msg, PD_HTTP_REQUEST, HEAD_MAX, BODY_MAX);
+	while (more && (n = recv(connection.fd, bytes, sizeof(bytes), 0)) > 0) {
+		size_t used;
+
+		if (pd_http_message_read(&msg, bytes, (size_t)n, &used) != PD_HTTP_COMPLETE)
+			continue;
+		more = answer(connection.upstream, connection.fd, &msg);
+		pd_http_message_reset(&msg);
+	}
+	pd_http_message_finish(&msg);
+	pd_os_close(&connection.fd);
+	return NULL;
+}
+
+static void *accept_all(void *arg)
+{
+	struct platform_upstream *upstream = arg;
+	int fd;
+
+	while (pd_os_accept(upstream->listener, &fd, NULL) == PD_OK) {
+		struct connection *connection = malloc(sizeof(*connection));
+		pthread_t thread;
+
+		if (!connection)
+			abort();
+		*connection = (struct connection){upstream, fd};
+		if (pd_os_thread_start(&thread, "upstream", serve, connection, NULL) != PD_OK)
+			abort();
+		pthread_detach(thread);
+	}
+	return NULL;
+}
+
+void platform_upstream_start(struct platform_upstream *upstream, const char *id,
+			     const char *service)
+{
+	memset(upstream, 0, sizeof(*upstream));
+	pthread_mutex_init(&upstream->lock, NULL);
+	snprintf(upstream->id, sizeof(upstream->id), "%s", id);
+	snprintf(upstream->service, sizeof(upstream->service), "%s", service);
+	memcpy(upstream->address.ip, "127.0.0.1", sizeof("127.0.0.1"));
+	if (pd_os_listen(&upstream->address, &upstream->listener, NULL) != PD_OK ||
+	    pd_os_thread_start(&upstream->thread, "upstream-accept", accept_all, upstream, NULL) !=
+		    PD_OK)
+		abort();
+}
