--- a/Makefile
+++ b/Makefile
@@ -64,8 +64,8 @@
 $(BENCH): $B/%: $B/bench/%.o $(BENCH_LIB_OBJS) $B/standins/draw.o $B/libperidot.a
 	$(CC) $(LDFLAGS) $< $(BENCH_LIB_OBJS) $B/standins/draw.o $B/libperidot.a $(LDLIBS) -o $@
 
-$(TESTS): $B/test_%: $B/tests/test_%.o $(TEST_LIB_OBJS) $B/libperidot.a
-	$(CC) $(LDFLAGS) $< $(TEST_LIB_OBJS) $B/libperidot.a -lcheck -lsubunit $(LDLIBS) -lrt -o $@
+$(TESTS): $B/test_%: $B/tests/test_%.o $(TEST_LIB_OBJS) $B/standins/platform_store.o $B/libperidot.a
+	$(CC) $(LDFLAGS) $< $(TEST_LIB_OBJS) $B/standins/platform_store.o $B/libperidot.a -lcheck -lsubunit $(LDLIBS) -lrt -o $@
 
 # libFuzzer needs clang; each target is one file in fuzz/.
 FUZZERS := $(patsubst fuzz/%.c,build/fuzz/%,$(wildcard fuzz/*.c))
