--- a/ingress/client.c
+++ b/ingress/client.c
@@ -2,6 +2,8 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -126,8 +128,10 @@
 		if (client->in.len) {
 			enum pd_http_result result = read_buffered(client);
 
-			if (result != PD_HTTP_MORE)
+			if (result != PD_HTTP_MORE) {
+				client->requests++;
 				return to_client_result(result);
+			}
 		}
 		if (!continued && expects_continue(&client->msg)) {
 			continued = true;
@@ -147,6 +151,17 @@
 	}
 }
 
+int64_t pd_client_travel_us(const struct pd_client *client)
+{
+	struct tcp_info info;
+	socklen_t len = sizeof(info);
+
+	memset(&info, 0, sizeof(info));
+	if (getsockopt(client->fd, IPPROTO_TCP, TCP_INFO, &info, &len) || !info.tcpi_rtt)
+		return -1;
+	return (int64_t)info.tcpi_rtt * (client->requests > 1 ? 1 : 2);
+}
+
 bool pd_client_write(struct pd_client *client, struct pd_str head, struct pd_str body)
 {
 	int64_t until = pd_os_boot_us() + WRITE_TIMEOUT_US;
--- a/ingress/client.h
+++ b/ingress/client.h
@@ -19,12 +19,14 @@
  * @in: bytes received and not yet read as part of a message
  * @msg: the request that is read
  * @arrived_us: when the first byte of the request was seen
+ * @requests: requests read
  */
 struct pd_client {
 	int fd;
 	struct pd_buf in;
 	struct pd_http_message msg;
 	int64_t arrived_us;
+	uint32_t requests;
 };
 
 /** enum pd_client_result - what reading a request led to. */
@@ -44,6 +46,9 @@
  */
 bool pd_client_wait(struct pd_client *client, uint32_t idle_ms);
 enum pd_client_result pd_client_read(struct pd_client *client, const struct pd_limits *limits);
+/* Time in microseconds that this request took here and its answer takes back, with the set-up of
+ * the connection for its first request; -1 when unknown. */
+int64_t pd_client_travel_us(const struct pd_client *client);
 /* Writes @head (with its blank line) and @body; false when the caller has left. */
 bool pd_client_write(struct pd_client *client, struct pd_str head, struct pd_str body);
 
--- a/ingress/pick.c
+++ b/ingress/pick.c
@@ -3,6 +3,7 @@
 /* Cost of another zone, in units of an idle upstream's cost: the round trip between zones is about
  * a tenth of a typical sub-request, and bytes between zones are paid for. */
 #define OTHER_ZONE_COST	  0.35
+#define FULL_COST	  3.0
 #define COLD_COST	  100.0
 #define EJECTED_COST	  1000.0
 #define TIE_COST	  0.1 /* differences below this are decided at random */
@@ -16,6 +17,8 @@
 
 	if (!candidate->same_zone)
 		cost += OTHER_ZONE_COST;
+	if (candidate->full)
+		cost += FULL_COST;
 	if (candidate->cold)
 		cost += COLD_COST;
 	if (candidate->ejected)
--- a/ingress/pick.h
+++ b/ingress/pick.h
@@ -16,6 +16,7 @@
  * @usable: listed as ready, in a zone that isn't evacuated or out of reach, and not yet tried
  * @cold: started a short time ago
  * @ejected: failed or stayed silent repeatedly and is left alone for a while
+ * @full: a further connection would exceed this process's share of those that it accepts
  * @same_zone: in the zone of this process
  * @slowness: recent latency relative to the usual one of the same route; 1 is usual
  * @running: requests of this process at the upstream
@@ -27,6 +28,7 @@
 	bool usable;
 	bool cold;
 	bool ejected;
+	bool full;
 	bool same_zone;
 	double slowness;
 	double running;
--- a/ingress/policy.c
+++ b/ingress/policy.c
@@ -10,10 +10,12 @@
 #define HEDGE_FORWARD_MAX_SHARE 0.5
 /* Used in place of the latency objective by routes that state none. */
 #define OBJECTIVE_DEFAULT_US 1000000
-/* Time to merge and to deliver an answer: a round trip to the caller, connection set-up included,
- * and the merge on a small machine. */
-#define DELIVERY_MAX_US	   20000
-#define DELIVERY_MAX_SHARE 0.25
+/* Time to merge and to write an answer of some dozens of parts on a small machine. */
+#define MERGE_US 9000
+/* Used when the travel time is unknown. */
+#define TRAVEL_DEFAULT_US 14000
+/* The wait for parts gets at least this share of the objective. */
+#define WAIT_LEAST_SHARE 0.5
 /* Final answers leave this long before the caller's deadline passes. */
 #define DEADLINE_MARGIN_US  15000
 #define DEADLINE_DEFAULT_US (30 * PD_USEC_PER_SEC)
@@ -37,12 +39,13 @@
 	return (int64_t)(high_us < least ? least : high_us);
 }
 
-int64_t pd_policy_cutoff(const struct pd_route *route, int64_t arrived_us)
+int64_t pd_policy_cutoff(const struct pd_route *route, int64_t arrived_us, int64_t travel_us)
 {
 	int64_t objective = objective_us(route);
-	int64_t delivery = (int64_t)((double)objective * DELIVERY_MAX_SHARE);
+	int64_t wait = objective - MERGE_US - (travel_us < 0 ? TRAVEL_DEFAULT_US : travel_us);
+	int64_t least = (int64_t)((double)objective * WAIT_LEAST_SHARE);
 
-	return arrived_us + objective - (delivery < DELIVERY_MAX_US ? delivery : DELIVERY_MAX_US);
+	return arrived_us + (wait > least ? wait : least);
 }
 
 int64_t pd_policy_deadline(const struct pd_route *route, int64_t arrived_us,
--- a/ingress/policy.h
+++ b/ingress/policy.h
@@ -26,10 +26,12 @@
  * pd_policy_cutoff() - when a gathered answer goes out although parts are missing
  * @route: route
  * @arrived_us: when the request arrived
+ * @travel_us: time that the request and the answer take between the caller and here; negative when
+ *	       unknown
  *
  * Leaves time to merge and to bring the answer to the caller within the latency objective.
  */
-int64_t pd_policy_cutoff(const struct pd_route *route, int64_t arrived_us);
+int64_t pd_policy_cutoff(const struct pd_route *route, int64_t arrived_us, int64_t travel_us);
 
 /**
  * pd_policy_deadline() - when a request must have its final answer
--- a/ingress/pool.c
+++ b/ingress/pool.c
@@ -23,6 +23,35 @@
  * isn't used again. */
 #define TCP_USER_TIMEOUT_MS 3000
 
+/* Share of an upstream's connections that all instances together hold. The connections of an
+ * instance that lost power stay at the upstream until it gives them up, and the instance needs as
+ * many again at once. */
+#define CONNECTION_SHARE 0.5
+
+static uint32_t connection_share(const struct pd_upstream *upstream)
+{
+	const struct pd_service *service = upstream->service;
+	double share = service->max_connections * CONNECTION_SHARE / service->registry->instances;
+
+	if (!service->max_connections)
+		return UINT32_MAX;
+	return share < 1 ? 1 : (uint32_t)share;
+}
+
+bool pd_pool_is_full_locked(const struct pd_upstream *upstream)
+{
+	return upstream->connections >= connection_share(upstream);
+}
+
+static uint32_t count_idle(const struct pd_upstream *upstream)
+{
+	uint32_t count = 0;
+
+	for (const struct pd_conn *conn = upstream->idle; conn; conn = conn->next)
+		count++;
+	return count;
+}
+
 void pd_pool_init(struct pd_pool *pool, struct pd_registry *registry, uint32_t open_max)
 {
 	memset(pool, 0, sizeof(*pool));
@@ -210,7 +239,8 @@
 {
 	struct pd_upstream *upstream = conn->upstream;
 
-	if (upstream->removed || upstream->draining || conn->idle_limit_us <= 0) {
+	if (upstream->removed || upstream->draining || conn->idle_limit_us <= 0 ||
+	    count_idle(upstream) >= connection_share(upstream)) {
 		close_locked(pool, conn);
 		return;
 	}
--- a/ingress/pool.h
+++ b/ingress/pool.h
@@ -79,6 +79,8 @@
 void pd_pool_tend(struct pd_pool *pool, int64_t now_us);
 
 /* For the registry, under its lock. */
+/* Whether this process has its share of the connections that the upstream accepts. */
+bool pd_pool_is_full_locked(const struct pd_upstream *upstream);
 void pd_pool_close_idle_locked(struct pd_upstream *upstream);
 
 #endif
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -253,7 +253,8 @@
 		stop_limit(request->ingress, pd_policy_deadline(request->route, client->arrived_us,
 								request->fields.has_deadline,
 								request->fields.deadline_ms));
-	fanout->cutoff_us = pd_policy_cutoff(request->route, client->arrived_us);
+	fanout->cutoff_us =
+		pd_policy_cutoff(request->route, client->arrived_us, pd_client_travel_us(client));
 	fanout->needed = pd_policy_parts_needed(request->route);
 }
 
