--- /dev/null
+++ b/ingress/directory.c
@@ -0,0 +1,231 @@
+#include "directory.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "objects.h"
+#include "os.h"
+
+/* Entries lapse after some seconds without contact; shorter losses need no hold of removals. */
+#define LAPSE_US (1500 * PD_USEC_PER_MSEC)
+
+void pd_directory_init(struct pd_directory *directory, struct pd_registry *registry)
+{
+	memset(directory, 0, sizeof(*directory));
+	directory->registry = registry;
+	directory->store_in_touch = true;
+	pthread_mutex_init(&directory->lock, NULL);
+	pd_os_cond_init(&directory->changed);
+}
+
+void pd_directory_finish(struct pd_directory *directory)
+{
+	for (size_t i = 0; i < PD_DIRECTORY_LOG; i++)
+		pd_buf_finish(&directory->frames[i]);
+	pd_buf_finish(&directory->config);
+	pthread_cond_destroy(&directory->changed);
+	pthread_mutex_destroy(&directory->lock);
+}
+
+/* Logs a change for the followers. Without followers nothing is kept. */
+static void log_locked(struct pd_directory *directory, const struct pd_feed_message *msg)
+{
+	struct pd_buf *frame = &directory->frames[directory->next % PD_DIRECTORY_LOG];
+
+	pd_buf_finish(frame);
+	if (directory->followers)
+		pd_feed_message_encode(msg, frame);
+	directory->next++;
+	pthread_cond_broadcast(&directory->changed);
+}
+
+static void log_change(struct pd_directory *directory, const struct pd_feed_message *msg)
+{
+	pthread_mutex_lock(&directory->lock);
+	log_locked(directory, msg);
+	pthread_mutex_unlock(&directory->lock);
+}
+
+void pd_directory_put_upstream(struct pd_directory *directory,
+			       const struct pd_upstream_entry *entry)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_UPSTREAM, .upstream = *entry};
+
+	pd_registry_put(directory->registry, entry);
+	log_change(directory, &msg);
+}
+
+void pd_directory_remove_upstream(struct pd_directory *directory, struct pd_str id,
+				  const char *reason)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_REMOVED};
+
+	pd_registry_remove(directory->registry, id, reason);
+	if (pd_name_set(&msg.removed, id))
+		log_change(directory, &msg);
+}
+
+void pd_directory_list_begin(struct pd_directory *directory)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_LIST_BEGIN};
+
+	pd_registry_list_begin(directory->registry);
+	log_change(directory, &msg);
+}
+
+void pd_directory_list_end(struct pd_directory *directory)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_LIST_END};
+
+	pd_registry_list_end(directory->registry);
+	log_change(directory, &msg);
+}
+
+/* Keeps the text of a configuration that is put in force. */
+static enum pd_code keep_config(struct pd_directory *directory, json_t *spec, struct pd_error *err)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_CONFIG};
+	char *text = json_dumps(spec, JSON_COMPACT);
+
+	if (!text)
+		return pd_error_set(err, PD_LAYER_COORDINATION, PD_NO_MEMORY, "configuration");
+	pthread_mutex_lock(&directory->lock);
+	pd_buf_finish(&directory->config);
+	pd_buf_append_str(&directory->config, pd_str_from(text));
+	msg.config = pd_buf_str(&directory->config);
+	log_locked(directory, &msg);
+	pthread_mutex_unlock(&directory->lock);
+	free(text);
+	return PD_OK;
+}
+
+enum pd_code pd_directory_put_config(struct pd_directory *directory, json_t *spec,
+				     struct pd_error *err)
+{
+	struct pd_catalog *catalog = pd_object_read_config(spec, err);
+
+	if (!catalog)
+		return pd_error_wrap(err, PD_LAYER_COORDINATION, PD_INVALID, "configuration");
+	if (!pd_registry_install(directory->registry, catalog))
+		return PD_OK;
+	return keep_config(directory, spec, err);
+}
+
+void pd_directory_set_evacuated(struct pd_directory *directory, const struct pd_name *zones,
+				size_t count)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_EVACUATIONS};
+
+	if (count > PD_FEED_ZONES_MAX)
+		count = PD_FEED_ZONES_MAX;
+	memcpy(msg.evacuations.zones, zones, count * sizeof(*zones));
+	msg.evacuations.count = count;
+	pd_registry_set_evacuated(directory->registry, zones, count);
+	pthread_mutex_lock(&directory->lock);
+	memcpy(directory->evacuated, zones, count * sizeof(*zones));
+	directory->evacuated_count = count;
+	log_locked(directory, &msg);
+	pthread_mutex_unlock(&directory->lock);
+}
+
+void pd_directory_set_in_touch(struct pd_directory *directory, bool in_touch)
+{
+	int64_t now = pd_os_boot_us(), lost_us;
+	bool changed;
+
+	pthread_mutex_lock(&directory->lock);
+	changed = directory->store_in_touch != in_touch;
+	directory->store_in_touch = in_touch;
+	lost_us = now - directory->lost_us;
+	if (changed) {
+		directory->lost_us = now;
+		pthread_cond_broadcast(&directory->changed);
+	}
+	pthread_mutex_unlock(&directory->lock);
+	if (!changed)
+		return;
+	if (in_touch)
+		pd_registry_release_removals(directory->registry, lost_us > LAPSE_US);
+	else
+		pd_registry_hold_removals(directory->registry);
+}
+
+static void append_beat_locked(struct pd_directory *directory, struct pd_buf *out)
+{
+	struct pd_feed_message beat = {.kind = PD_FEED_BEAT};
+
+	beat.beat.store_in_touch = directory->store_in_touch;
+	beat.beat.instances = directory->registry->instances;
+	pd_feed_message_encode(&beat, out);
+}
+
+static void append_kind(struct pd_buf *out, enum pd_feed_kind kind)
+{
+	struct pd_feed_message msg = {.kind = kind};
+
+	pd_feed_message_encode(&msg, out);
+}
+
+/* Appends all upstreams, if a complete list of them is known. */
+static void append_upstreams(struct pd_directory *directory, struct pd_buf *out)
+{
+	struct pd_upstream_entry *entries;
+	size_t count;
+
+	if (!pd_registry_export(directory->registry, &entries, &count))
+		return;
+	append_kind(out, PD_FEED_LIST_BEGIN);
+	for (size_t i = 0; i < count; i++) {
+		struct pd_feed_message msg = {.kind = PD_FEED_UPSTREAM, .upstream = entries[i]};
+
+		pd_feed_message_encode(&msg, out);
+	}
+	append_kind(out, PD_FEED_LIST_END);
+	free(entries);
+}
+
+uint64_t pd_directory_snapshot(struct pd_directory *directory, struct pd_buf *out)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_CONFIG};
+	uint64_t next;
+
+	/* Changes that come while the snapshot is made are sent again after it. */
+	pthread_mutex_lock(&directory->lock);
+	next = directory->next;
+	msg.config = pd_buf_str(&directory->config);
+	if (msg.config.len)
+		pd_feed_message_encode(&msg, out);
+	msg = (struct pd_feed_message){.kind = PD_FEED_EVACUATIONS};
+	memcpy(msg.evacuations.zones, directory->evacuated, sizeof(directory->evacuated));
+	msg.evacuations.count = directory->evacuated_count;
+	pd_feed_message_encode(&msg, out);
+	pthread_mutex_unlock(&directory->lock);
+	append_upstreams(directory, out);
+	return next;
+}
+
+bool pd_directory_wait(struct pd_directory *directory, uint64_t *from, int64_t wait_us,
+		       struct pd_buf *out)
+{
+	int64_t until = pd_os_now_us() + wait_us;
+	bool kept;
+
+	pthread_mutex_lock(&directory->lock);
+	/* A change of the contact with the store ends the wait, too. */
+	if (directory->next == *from)
+		pd_os_cond_wait_until(&directory->changed, &directory->lock, until);
+	kept = directory->next - *from <= PD_DIRECTORY_LOG;
+	for (; kept && *from < directory->next; (*from)++)
+		pd_buf_append_str(out, pd_buf_str(&directory->frames[*from % PD_DIRECTORY_LOG]));
+	append_beat_locked(directory, out);
+	pthread_mutex_unlock(&directory->lock);
+	return kept;
+}
+
+void pd_directory_count_follower(struct pd_directory *directory, int change)
+{
+	pthread_mutex_lock(&directory->lock);
+	directory->followers = (uint32_t)((int)directory->followers + change);
+	pthread_mutex_unlock(&directory->lock);
+}
--- /dev/null
+++ b/ingress/feed.c
@@ -0,0 +1,152 @@
+#include "feed.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+#define HELLO_TIMEOUT_US (1000 * PD_USEC_PER_MSEC)
+/* A follower that takes no data for this long has gone. */
+#define SEND_TIMEOUT_US (2000 * PD_USEC_PER_MSEC)
+#define FOLLOWERS_MAX	256 /* a zone of the largest fleet has about 100 instances */
+
+void pd_feed_init(struct pd_feed *feed, struct pd_directory *directory,
+		  const struct pd_address *address)
+{
+	memset(feed, 0, sizeof(*feed));
+	feed->directory = directory;
+	feed->address = *address;
+	feed->listener = -1;
+}
+
+enum pd_code pd_feed_read(int fd, struct pd_buf *buffer, struct pd_feed_message *msg,
+			  struct pd_error *err)
+{
+	uint32_t length;
+	enum pd_code code = pd_os_read_full(fd, &length, sizeof(length), err);
+
+	if (code != PD_OK)
+		return code;
+	length = ntohl(length);
+	if (length > PD_FEED_FRAME_MAX)
+		return pd_error_set(err, PD_LAYER_TRANSPORT, PD_TOO_LARGE, "feed frame of %u bytes",
+				    length);
+	pd_buf_finish(buffer);
+	buffer->data = malloc(length + 1);
+	if (!buffer->data)
+		return pd_error_set(err, PD_LAYER_TRANSPORT, PD_NO_MEMORY, "feed frame");
+	buffer->cap = length + 1;
+	buffer->len = length;
+	code = pd_os_read_full(fd, buffer->data, length, err);
+	if (code != PD_OK)
+		return code;
+	return pd_feed_message_decode(pd_buf_str(buffer), msg, err);
+}
+
+/**
+ * struct follower - argument of a follower's task
+ * @feed: owner
+ * @fd: connection
+ */
+struct follower {
+	struct pd_feed *feed;
+	int fd;
+};
+
+static bool read_hello(int fd, struct pd_name *name)
+{
+	struct pd_buf buffer = {0};
+	struct pd_feed_message msg;
+	struct pd_error err;
+	bool read;
+
+	pd_os_set_io_timeout(fd, HELLO_TIMEOUT_US);
+	read = pd_feed_read(fd, &buffer, &msg, &err) == PD_OK;
+	if (read) {
+		*name = msg.hello;
+		read = msg.kind == PD_FEED_HELLO;
+		pd_feed_message_finish(&msg);
+	} else {
+		pd_log_failure(PD_LOG_WARNING, "follower_rejected", &err);
+	}
+	pd_buf_finish(&buffer);
+	return read;
+}
+
+/* Sends a snapshot and then changes, until the connection fails. */
+static void send_all(struct pd_directory *directory, int fd, struct pd_error *err)
+{
+	struct pd_buf out = {0};
+	uint64_t from = pd_directory_snapshot(directory, &out);
+
+	while (!out.failed && pd_os_write_full(fd, out.data, out.len, err) == PD_OK) {
+		pd_buf_finish(&out);
+		if (!pd_directory_wait(directory, &from, PD_FEED_BEAT_US, &out))
+			from = pd_directory_snapshot(directory, &out);
+	}
+	pd_buf_finish(&out);
+}
+
+static void *run_follower(void *arg)
+{
+	struct follower follower = *(struct follower *)arg;
+	struct pd_directory *directory = follower.feed->directory;
+	struct pd_error err = {0};
+	struct pd_name name;
+
+	free(arg);
+	if (read_hello(follower.fd, &name)) {
+		pd_os_set_io_timeout(follower.fd, SEND_TIMEOUT_US);
+		pd_log(PD_LOG_INFO, "follower_joined", "instance=%s", name.text);
+		pd_directory_count_follower(directory, 1);
+		send_all(directory, follower.fd, &err);
+		pd_directory_count_follower(directory, -1);
+		pd_log(PD_LOG_INFO, "follower_left", "instance=%s code=%s", name.text,
+		       pd_strerror(err.code));
+	}
+	pd_os_close(&follower.fd);
+	return NULL;
+}
+
+static void start_follower(struct pd_feed *feed, int fd)
+{
+	struct follower *follower = malloc(sizeof(*follower));
+	struct pd_error err;
+	pthread_t thread;
+
+	if (follower && feed->directory->followers < FOLLOWERS_MAX) {
+		*follower = (struct follower){.feed = feed, .fd = fd};
+		if (pd_os_thread_start(&thread, "follower", run_follower, follower, &err) ==
+		    PD_OK) {
+			pthread_detach(thread);
+			return;
+		}
+		pd_log_failure(PD_LOG_ERROR, "follower_refused", &err);
+	} else {
+		pd_log(PD_LOG_WARNING, "follower_refused", "limit=%d", FOLLOWERS_MAX);
+	}
+	free(follower);
+	pd_os_close(&fd);
+}
+
+static void *run_listener(void *arg)
+{
+	struct pd_feed *feed = arg;
+	struct pd_error err;
+	int fd;
+
+	while (pd_os_accept(feed->listener, &fd, &err) == PD_OK)
+		start_follower(feed, fd);
+	pd_log_failure(PD_LOG_ERROR, "feed_ended", &err);
+	return NULL;
+}
+
+enum pd_code pd_feed_start(struct pd_feed *feed, struct pd_error *err)
+{
+	enum pd_code code = pd_os_listen(&feed->address, &feed->listener, err);
+
+	if (code != PD_OK)
+		return pd_error_wrap(err, PD_LAYER_COORDINATION, code, "feed");
+	return pd_os_thread_start(&feed->thread, "feed", run_listener, feed, err);
+}
--- /dev/null
+++ b/ingress/feed_message.c
@@ -0,0 +1,219 @@
+#include "feed_message.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "os.h"
+
+#define VERSION		1
+#define UPSTREAM_FIELDS 8
+
+static int append(void *data, const char *bytes, size_t len)
+{
+	return pd_buf_append(data, bytes, len) ? 0 : -1;
+}
+
+static void pack_str(msgpack_packer *packer, struct pd_str s)
+{
+	msgpack_pack_str(packer, s.len);
+	msgpack_pack_str_body(packer, s.data, s.len);
+}
+
+static void pack_upstream(msgpack_packer *packer, const struct pd_upstream_entry *entry)
+{
+	pack_str(packer, pd_name_str(&entry->id));
+	pack_str(packer, pd_name_str(&entry->service));
+	pack_str(packer, pd_name_str(&entry->zone));
+	pack_str(packer, pd_str_from(entry->address.text));
+	msgpack_pack_uint32(packer, entry->draining);
+	msgpack_pack_uint32(packer, entry->slots);
+	msgpack_pack_int64(packer, entry->cold_ms);
+	msgpack_pack_int64(packer, entry->born_ms);
+}
+
+static size_t field_count(const struct pd_feed_message *msg)
+{
+	switch (msg->kind) {
+	case PD_FEED_UPSTREAM:
+		return UPSTREAM_FIELDS;
+	case PD_FEED_EVACUATIONS:
+		return msg->evacuations.count;
+	case PD_FEED_BEAT:
+		return 2;
+	case PD_FEED_HELLO:
+	case PD_FEED_REMOVED:
+	case PD_FEED_CONFIG:
+		return 1;
+	case PD_FEED_LIST_BEGIN:
+	case PD_FEED_LIST_END:
+		return 0;
+	}
+	return 0;
+}
+
+void pd_feed_message_encode(const struct pd_feed_message *msg, struct pd_buf *out)
+{
+	size_t start = out->len;
+	msgpack_packer packer;
+	uint32_t length = 0;
+
+	pd_buf_append(out, &length, sizeof(length));
+	msgpack_packer_init(&packer, out, append);
+	msgpack_pack_array(&packer, 2 + field_count(msg));
+	msgpack_pack_uint32(&packer, VERSION);
+	msgpack_pack_uint32(&packer, (uint32_t)msg->kind);
+	switch (msg->kind) {
+	case PD_FEED_HELLO:
+		pack_str(&packer, pd_name_str(&msg->hello));
+		break;
+	case PD_FEED_UPSTREAM:
+		pack_upstream(&packer, &msg->upstream);
+		break;
+	case PD_FEED_REMOVED:
+		pack_str(&packer, pd_name_str(&msg->removed));
+		break;
+	case PD_FEED_CONFIG:
+		pack_str(&packer, msg->config);
+		break;
+	case PD_FEED_EVACUATIONS:
+		for (size_t i = 0; i < msg->evacuations.count; i++)
+			pack_str(&packer, pd_name_str(&msg->evacuations.zones[i]));
+		break;
+	case PD_FEED_BEAT:
+		msgpack_pack_uint32(&packer, msg->beat.store_in_touch);
+		msgpack_pack_uint32(&packer, msg->beat.instances);
+		break;
+	case PD_FEED_LIST_BEGIN:
+	case PD_FEED_LIST_END:
+		break;
+	}
+	if (out->failed)
+		return;
+	length = htonl((uint32_t)(out->len - start - sizeof(length)));
+	memcpy(out->data + start, &length, sizeof(length));
+}
+
+static bool to_str(const msgpack_object *object, struct pd_str *s)
+{
+	if (object->type != MSGPACK_OBJECT_STR)
+		return false;
+	*s = (struct pd_str){object->via.str.ptr, object->via.str.size};
+	return true;
+}
+
+static bool to_name(const msgpack_object *object, struct pd_name *name)
+{
+	struct pd_str s;
+
+	return to_str(object, &s) && pd_name_set(name, s);
+}
+
+static bool to_number(const msgpack_object *object, uint64_t most, uint64_t *number)
+{
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER || object->via.u64 > most)
+		return false;
+	*number = object->via.u64;
+	return true;
+}
+
+static bool to_address(const msgpack_object *object, struct pd_address_view *view)
+{
+	struct pd_address address;
+	struct pd_str text;
+
+	memset(view, 0, sizeof(*view));
+	if (!to_str(object, &text) || pd_address_parse(text, &address, NULL) != PD_OK ||
+	    !pd_str_copy(text, view->text, sizeof(view->text)))
+		return false;
+	view->in.sin_family = AF_INET;
+	view->in.sin_port = htons(address.port);
+	return inet_pton(AF_INET, address.ip, &view->in.sin_addr) == 1;
+}
+
+static bool decode_upstream(const msgpack_object *fields, struct pd_upstream_entry *entry)
+{
+	uint64_t draining, slots, cold, born;
+
+	if (!to_name(&fields[0], &entry->id) || !to_name(&fields[1], &entry->service) ||
+	    !to_name(&fields[2], &entry->zone) || !to_address(&fields[3], &entry->address) ||
+	    !to_number(&fields[4], 1, &draining) || !to_number(&fields[5], UINT32_MAX, &slots) ||
+	    !to_number(&fields[6], INT64_MAX, &cold) || !to_number(&fields[7], INT64_MAX, &born))
+		return false;
+	entry->draining = draining != 0;
+	entry->slots = (uint32_t)slots;
+	entry->cold_ms = (int64_t)cold;
+	entry->born_ms = (int64_t)born;
+	return true;
+}
+
+static bool decode_fields(const msgpack_object *fields, size_t count, struct pd_feed_message *msg)
+{
+	uint64_t in_touch, instances;
+
+	switch (msg->kind) {
+	case PD_FEED_HELLO:
+		return count == 1 && to_name(&fields[0], &msg->hello);
+	case PD_FEED_LIST_BEGIN:
+	case PD_FEED_LIST_END:
+		return count == 0;
+	case PD_FEED_UPSTREAM:
+		return count == UPSTREAM_FIELDS && decode_upstream(fields, &msg->upstream);
+	case PD_FEED_REMOVED:
+		return count == 1 && to_name(&fields[0], &msg->removed);
+	case PD_FEED_CONFIG:
+		return count == 1 && to_str(&fields[0], &msg->config);
+	case PD_FEED_EVACUATIONS:
+		if (count > PD_FEED_ZONES_MAX)
+			return false;
+		msg->evacuations.count = count;
+		for (size_t i = 0; i < count; i++) {
+			if (!to_name(&fields[i], &msg->evacuations.zones[i]))
+				return false;
+		}
+		return true;
+	case PD_FEED_BEAT:
+		if (count != 2 || !to_number(&fields[0], 1, &in_touch) ||
+		    !to_number(&fields[1], UINT32_MAX, &instances))
+			return false;
+		msg->beat.store_in_touch = in_touch != 0;
+		msg->beat.instances = (uint32_t)instances;
+		return true;
+	}
+	return false;
+}
+
+static enum pd_code invalid(struct pd_feed_message *msg, enum pd_code code, const char *what,
+			    struct pd_error *err)
+{
+	pd_feed_message_finish(msg);
+	return pd_error_set(err, PD_LAYER_PROTOCOL, code, "feed message: %s", what);
+}
+
+enum pd_code pd_feed_message_decode(struct pd_str frame, struct pd_feed_message *msg,
+				    struct pd_error *err)
+{
+	const msgpack_object *root;
+	uint64_t version, kind;
+
+	memset(msg, 0, sizeof(*msg));
+	msgpack_unpacked_init(&msg->unpacked);
+	if (msgpack_unpack_next(&msg->unpacked, frame.data ? frame.data : "", frame.len, NULL) !=
+	    MSGPACK_UNPACK_SUCCESS)
+		return invalid(msg, PD_INVALID, "no msgpack", err);
+	root = &msg->unpacked.data;
+	if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size < 2 ||
+	    !to_number(&root->via.array.ptr[0], UINT32_MAX, &version) ||
+	    !to_number(&root->via.array.ptr[1], PD_FEED_BEAT, &kind))
+		return invalid(msg, PD_INVALID, "no version and kind", err);
+	if (version != VERSION)
+		return invalid(msg, PD_UNSUPPORTED_VERSION, "unknown version", err);
+	msg->kind = (enum pd_feed_kind)kind;
+	if (!decode_fields(root->via.array.ptr + 2, root->via.array.size - 2, msg))
+		return invalid(msg, PD_INVALID, "fields missing or of another type", err);
+	return PD_OK;
+}
+
+void pd_feed_message_finish(struct pd_feed_message *msg)
+{
+	msgpack_unpacked_destroy(&msg->unpacked);
+}
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -32,6 +32,8 @@
 	};
 	const struct pd_address *addresses[PD_LISTENERS] = {&settings->front, &settings->ready,
 							    &settings->metrics};
+	const struct pd_instance_entry self = {
+		.name = settings->node, .zone = settings->zone, .address = settings->peer};
 	uint32_t open_max = DESCRIPTORS_MIN;
 
 	if (!ingress) {
@@ -43,7 +45,10 @@
 		open_max = settings->max_descriptors - DESCRIPTORS_RESERVED;
 	pd_registry_init(&ingress->registry, &options);
 	pd_pool_init(&ingress->pool, &ingress->registry, open_max);
-	pd_sync_init(&ingress->sync, &ingress->registry, settings);
+	pd_directory_init(&ingress->directory, &ingress->registry);
+	pd_sync_init(&ingress->sync, &ingress->directory, &settings->store);
+	pd_membership_init(&ingress->membership, &ingress->directory, &ingress->sync, &self);
+	pd_feed_init(&ingress->feed, &ingress->directory, &settings->peer);
 	pthread_mutex_init(&ingress->lock, NULL);
 	for (size_t i = 0; i < PD_LISTENERS; i++) {
 		ingress->listeners[i] = (struct pd_listener){.ingress = ingress,
@@ -205,13 +210,20 @@
 
 enum pd_code pd_ingress_start(struct pd_ingress *ingress, struct pd_error *err)
 {
+	enum pd_code code;
+
 	for (size_t i = 0; i < PD_LISTENERS; i++) {
-		enum pd_code code = start_listener(&ingress->listeners[i], err);
+		code = start_listener(&ingress->listeners[i], err);
 
 		if (code != PD_OK)
 			return pd_error_wrap(err, PD_LAYER_STATE, code, "start");
 	}
-	return pd_sync_start(&ingress->sync, err);
+	code = pd_feed_start(&ingress->feed, err);
+	if (code == PD_OK)
+		code = pd_sync_start(&ingress->sync, err);
+	if (code == PD_OK)
+		code = pd_membership_start(&ingress->membership, err);
+	return code;
 }
 
 void pd_ingress_reload(struct pd_ingress *ingress, const struct pd_ingress_settings *settings)
--- a/ingress/ingress_private.h
+++ b/ingress/ingress_private.h
@@ -5,8 +5,11 @@
 #define PD_INGRESS_PRIVATE_H
 
 #include "client.h"
+#include "directory.h"
+#include "feed.h"
 #include "histogram.h"
 #include "ingress.h"
+#include "membership.h"
 #include "pool.h"
 #include "registry.h"
 #include "sync.h"
@@ -41,7 +44,10 @@
  * @settings: settings at the start
  * @registry: what is known of services and upstreams
  * @pool: connections to upstreams
- * @sync: follows the platform's store
+ * @directory: what the platform says
+ * @sync: hears it in the store
+ * @membership: hears it from another instance
+ * @feed: passes it on to other instances
  * @listeners: front, ready, metrics
  * @lock: guards the fields below
  * @connections: callers' connections
@@ -57,7 +63,10 @@
 	struct pd_ingress_settings settings;
 	struct pd_registry registry;
 	struct pd_pool pool;
+	struct pd_directory directory;
 	struct pd_sync sync;
+	struct pd_membership membership;
+	struct pd_feed feed;
 	struct pd_listener listeners[PD_LISTENERS];
 	pthread_mutex_t lock;
 	uint32_t connections;
--- a/ingress/ingress_settings.h
+++ b/ingress/ingress_settings.h
@@ -18,6 +18,7 @@
  * @zone: its availability zone
  * @front: where callers connect
  * @ready: where the platform asks whether it is ready
+ * @peer: where other instances of the zone connect
  * @metrics: where counters and histograms are served
  * @store: the platform's store
  * @max_descriptors: most open descriptors
@@ -31,6 +32,7 @@
 	struct pd_name zone;
 	struct pd_address front;
 	struct pd_address ready;
+	struct pd_address peer;
 	struct pd_address metrics;
 	struct sockaddr_in store;
 	uint32_t max_descriptors;
--- /dev/null
+++ b/ingress/membership.c
@@ -0,0 +1,371 @@
+#include "membership.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "feed.h"
+#include "log.h"
+#include "os.h"
+
+/* How often an instance that watches the store checks whether it is in reach, with a stale read: a
+ * drain must be noticed within three seconds, also when the store is lost and regained. */
+#define CHECK_US (1200 * PD_USEC_PER_MSEC)
+/* How long a starting instance looks for one to follow before it watches the store. It lists the
+ * instances at these intervals meanwhile, as those that start at the same time register. */
+#define SEEK_US		 (2500 * PD_USEC_PER_MSEC)
+#define SEEK_INTERVAL_US (600 * PD_USEC_PER_MSEC)
+#define CONNECT_US	 (150 * PD_USEC_PER_MSEC) /* within the zone, it takes less than 1 ms */
+/* A source that is silent for this long is given up: it sends a beat every 300 ms, and a pause of
+ * a whole machine takes longer. */
+#define SILENCE_US (1000 * PD_USEC_PER_MSEC)
+/* A source that failed isn't tried again before this time. */
+#define RETRY_US (4000 * PD_USEC_PER_MSEC)
+/* While its source has lost the store, an instance tries the store itself at this interval. */
+#define OWN_CHECK_US (1000 * PD_USEC_PER_MSEC)
+
+void pd_membership_init(struct pd_membership *membership, struct pd_directory *directory,
+			struct pd_sync *sync, const struct pd_instance_entry *self)
+{
+	memset(membership, 0, sizeof(*membership));
+	membership->directory = directory;
+	membership->sync = sync;
+	membership->self = *self;
+	pd_store_init(&membership->store, &sync->address);
+}
+
+bool pd_membership_ranks_before(const struct pd_name *a, const struct pd_name *b)
+{
+	uint64_t left = pd_str_hash(pd_name_str(a), 0), right = pd_str_hash(pd_name_str(b), 0);
+
+	if (left != right)
+		return left < right;
+	return pd_str_compare(pd_name_str(a), pd_name_str(b)) < 0;
+}
+
+/* When the source at that name may be tried again, from what was known before. */
+static int64_t known_retry_us(const struct pd_source *sources, size_t count,
+			      const struct pd_name *name)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (pd_name_equal(&sources[i].entry.name, name))
+			return sources[i].retry_us;
+	}
+	return 0;
+}
+
+/* Keeps an instance of the own zone that ranks before this one, in order of rank. */
+static void add_source(struct pd_membership *membership, const struct pd_instance_entry *entry,
+		       int64_t retry_us)
+{
+	size_t at = membership->source_count;
+
+	if (at == PD_MEMBERSHIP_SOURCES || !pd_name_equal(&entry->zone, &membership->self.zone) ||
+	    !pd_membership_ranks_before(&entry->name, &membership->self.name))
+		return;
+	for (; at > 0 &&
+	       pd_membership_ranks_before(&entry->name, &membership->sources[at - 1].entry.name);
+	     at--)
+		membership->sources[at] = membership->sources[at - 1];
+	membership->sources[at] = (struct pd_source){.entry = *entry, .retry_us = retry_us};
+	membership->source_count++;
+}
+
+static void take_page(struct pd_membership *membership, const struct pd_object_page *page,
+		      const struct pd_source *before, size_t before_count)
+{
+	struct pd_instance_entry entry;
+	struct pd_object object;
+
+	for (size_t i = 0; i < pd_object_page_count(page); i++) {
+		if (!pd_object_page_get(page, i, &object) ||
+		    !pd_object_read_instance(&object, &entry))
+			continue;
+		if (pd_name_equal(&entry.name, &membership->self.name)) {
+			membership->registered =
+				entry.address.port == membership->self.address.port &&
+				!strcmp(entry.address.ip, membership->self.address.ip);
+			continue;
+		}
+		add_source(membership, &entry, known_retry_us(before, before_count, &entry.name));
+	}
+}
+
+/* Lists all instances; the list may be some seconds old. */
+static enum pd_code list_instances(struct pd_membership *membership, struct pd_error *err)
+{
+	struct pd_source before[PD_MEMBERSHIP_SOURCES];
+	size_t before_count = membership->source_count;
+	struct pd_buf after = {0};
+	uint32_t count = 0;
+	bool more = true;
+	enum pd_code code = PD_OK;
+
+	memcpy(before, membership->sources, before_count * sizeof(before[0]));
+	while (more) {
+		struct pd_object_page page;
+
+		code = pd_store_list(&membership->store, PD_OBJECT_INSTANCES, pd_buf_str(&after),
+				     true, &page, err);
+		if (code != PD_OK)
+			break;
+		if (!count)
+			membership->source_count = 0;
+		count += (uint32_t)pd_object_page_count(&page);
+		take_page(membership, &page, before, before_count);
+		more = page.more && pd_object_page_last_name(&page, &after);
+		pd_object_page_finish(&page);
+	}
+	pd_buf_finish(&after);
+	if (code == PD_OK)
+		pd_registry_set_instances(membership->directory->registry, count);
+	return code;
+}
+
+static void register_self(struct pd_membership *membership)
+{
+	struct pd_error err;
+	enum pd_code code = pd_store_create(&membership->store, PD_OBJECT_INSTANCES,
+					    pd_name_str(&membership->self.name),
+					    pd_object_write_instance(&membership->self), &err);
+
+	membership->registered = code == PD_OK || code == PD_CONFLICT;
+	if (!membership->registered)
+		pd_log_failure(PD_LOG_WARNING, "register_failed", &err);
+}
+
+static void note_in_touch(struct pd_membership *membership)
+{
+	membership->failures = 0;
+	pd_directory_set_in_touch(membership->directory, true);
+	if (!membership->lost_us)
+		return;
+	pd_log(PD_LOG_INFO, "store_regained", "kind=instances lost_ms=%" PRId64,
+	       (pd_os_boot_us() - membership->lost_us) / 1000);
+	membership->lost_us = 0;
+	pd_sync_renew(membership->sync);
+}
+
+static void note_lost(struct pd_membership *membership, const struct pd_error *err)
+{
+	if (!membership->lost_us) {
+		membership->lost_us = pd_os_boot_us();
+		pd_log(PD_LOG_WARNING, "store_lost", "kind=instances code=%s",
+		       pd_strerror(err->code));
+		pd_log_failure(PD_LOG_WARNING, "store_failure", err);
+		pd_directory_set_in_touch(membership->directory, false);
+	}
+	membership->failures++;
+}
+
+/**
+ * struct pursuit - following one source
+ * @fd: connection
+ * @frame: memory of the last frame
+ * @lost_us: since when the source has lost the store; 0 while it is in touch
+ * @check_us: when the store is to be tried next meanwhile
+ */
+struct pursuit {
+	int fd;
+	struct pd_buf frame;
+	int64_t lost_us;
+	int64_t check_us;
+};
+
+static void take_config(struct pd_directory *directory, struct pd_str text)
+{
+	json_t *spec = json_loadb(text.data ? text.data : "", text.len, 0, NULL);
+	struct pd_error err;
+
+	if (pd_directory_put_config(directory, spec, &err) != PD_OK)
+		pd_log_failure(PD_LOG_ERROR, "config_unreadable", &err);
+	json_decref(spec);
+}
+
+static void take_beat(struct pd_membership *membership, struct pursuit *pursuit,
+		      const struct pd_feed_message *msg)
+{
+	int64_t now = pd_os_boot_us();
+
+	pd_registry_set_instances(membership->directory->registry, msg->beat.instances);
+	pd_directory_set_in_touch(membership->directory, msg->beat.store_in_touch);
+	if (msg->beat.store_in_touch) {
+		pursuit->lost_us = 0;
+	} else if (!pursuit->lost_us) {
+		pursuit->lost_us = now;
+		pursuit->check_us =
+			now + (int64_t)(pd_os_random_seed() % (uint64_t)OWN_CHECK_US) / 2;
+	}
+}
+
+static void take_message(struct pd_membership *membership, struct pursuit *pursuit,
+			 const struct pd_feed_message *msg)
+{
+	struct pd_directory *directory = membership->directory;
+
+	switch (msg->kind) {
+	case PD_FEED_LIST_BEGIN:
+		pd_directory_list_begin(directory);
+		break;
+	case PD_FEED_LIST_END:
+		pd_directory_list_end(directory);
+		break;
+	case PD_FEED_UPSTREAM:
+		pd_directory_put_upstream(directory, &msg->upstream);
+		break;
+	case PD_FEED_REMOVED:
+		pd_directory_remove_upstream(directory, pd_name_str(&msg->removed),
+					     "entry_removed");
+		break;
+	case PD_FEED_CONFIG:
+		take_config(directory, msg->config);
+		break;
+	case PD_FEED_EVACUATIONS:
+		pd_directory_set_evacuated(directory, msg->evacuations.zones,
+					   msg->evacuations.count);
+		break;
+	case PD_FEED_BEAT:
+		take_beat(membership, pursuit, msg);
+		break;
+	case PD_FEED_HELLO:
+		break;
+	}
+}
+
+/* While the source has lost the store: true when this instance reaches it. */
+static bool reaches_store(struct pd_membership *membership, struct pursuit *pursuit)
+{
+	int64_t now = pd_os_boot_us();
+	struct pd_error err;
+
+	if (!pursuit->lost_us || now < pursuit->check_us)
+		return false;
+	pursuit->check_us = now + OWN_CHECK_US;
+	return list_instances(membership, &err) == PD_OK;
+}
+
+/* Takes in what the source sends until it fails or this instance hears more in the store. */
+static const char *follow_connected(struct pd_membership *membership, struct pursuit *pursuit)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_HELLO, .hello = membership->self.name};
+	struct pd_buf hello = {0};
+	struct pd_error err;
+	enum pd_code code;
+
+	pd_os_set_io_timeout(pursuit->fd, SILENCE_US);
+	pd_feed_message_encode(&msg, &hello);
+	code = pd_os_write_full(pursuit->fd, hello.data, hello.len, &err);
+	pd_buf_finish(&hello);
+	if (code != PD_OK)
+		return pd_strerror(code);
+	for (;;) {
+		bool current;
+
+		code = pd_feed_read(pursuit->fd, &pursuit->frame, &msg, &err);
+		if (code != PD_OK)
+			return pd_strerror(code);
+		/* A beat follows the snapshot: from here on, changes are heard in time. */
+		current = msg.kind == PD_FEED_BEAT && msg.beat.store_in_touch;
+		take_message(membership, pursuit, &msg);
+		pd_feed_message_finish(&msg);
+		if (current)
+			pd_sync_set_mode(membership->sync, PD_SYNC_PAUSED);
+		if (reaches_store(membership, pursuit))
+			return "source_lost_store";
+	}
+}
+
+/* Follows a source for as long as it serves; false when it can't be reached. */
+static bool follow(struct pd_membership *membership, struct pd_source *source)
+{
+	struct pursuit pursuit = {.fd = -1};
+	struct pd_name name = source->entry.name;
+	struct pd_error err;
+	const char *reason;
+
+	source->retry_us = pd_os_boot_us() + RETRY_US;
+	if (pd_os_connect(&source->entry.address, CONNECT_US, &pursuit.fd, &err) != PD_OK) {
+		pd_log(PD_LOG_INFO, "source_unreached", "instance=%s code=%s", name.text,
+		       pd_strerror(err.code));
+		return false;
+	}
+	pd_log(PD_LOG_INFO, "following", "instance=%s", name.text);
+	reason = follow_connected(membership, &pursuit);
+	pd_log(PD_LOG_WARNING, "source_lost", "instance=%s reason=%s", name.text, reason);
+	pd_os_close(&pursuit.fd);
+	pd_buf_finish(&pursuit.frame);
+	return true;
+}
+
+/* The best source that may be tried now. */
+static struct pd_source *choose_source(struct pd_membership *membership)
+{
+	int64_t now = pd_os_boot_us();
+
+	for (size_t i = 0; i < membership->source_count; i++) {
+		if (now >= membership->sources[i].retry_us)
+			return &membership->sources[i];
+	}
+	return NULL;
+}
+
+/* Follows one source after the other, as long as one can be reached. */
+static void follow_sources(struct pd_membership *membership)
+{
+	struct pd_source *source;
+
+	while ((source = choose_source(membership))) {
+		struct pd_name name = source->entry.name;
+
+		if (!follow(membership, source))
+			continue;
+		/* The list may have been read anew meanwhile. */
+		for (size_t i = 0; i < membership->source_count; i++) {
+			if (pd_name_equal(&membership->sources[i].entry.name, &name))
+				membership->sources[i].retry_us = pd_os_boot_us() + RETRY_US;
+		}
+	}
+}
+
+/* One round in which the store is asked. */
+static void check_store(struct pd_membership *membership)
+{
+	struct sockaddr_in address;
+	struct pd_error err;
+
+	pd_sync_get_address(membership->sync, &address);
+	pd_store_set_address(&membership->store, &address);
+	if (list_instances(membership, &err) != PD_OK) {
+		note_lost(membership, &err);
+		return;
+	}
+	note_in_touch(membership);
+	if (!membership->registered)
+		register_self(membership);
+}
+
+static void *run(void *arg)
+{
+	struct pd_membership *membership = arg;
+
+	membership->started_us = pd_os_boot_us();
+	for (;;) {
+		int64_t age;
+
+		check_store(membership);
+		follow_sources(membership);
+		age = pd_os_boot_us() - membership->started_us;
+		if (age < SEEK_US && !membership->failures) {
+			pd_os_sleep_us(SEEK_INTERVAL_US);
+			continue;
+		}
+		pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
+		pd_os_sleep_us(membership->failures ? pd_sync_backoff_us(membership->failures - 1)
+						    : CHECK_US);
+	}
+	return NULL;
+}
+
+enum pd_code pd_membership_start(struct pd_membership *membership, struct pd_error *err)
+{
+	return pd_os_thread_start(&membership->thread, "membership", run, membership, err);
+}
--- /dev/null
+++ b/ingress/membership.h
@@ -0,0 +1,57 @@
+/**
+ * DOC: Which instance hears the platform's changes from whom
+ *
+ * Every instance registers itself in the store. Within a zone, the instances are ranked by their
+ * names; an instance follows the first one before it that it reaches, and hears the changes from
+ * there. The first one watches the store. So the number of calls to the store grows with the number
+ * of zones, not of instances.
+ *
+ * An instance watches the store itself when it reaches none before it, when its source falls
+ * silent, and when its source has lost the store while it reaches the store itself.
+ */
+#ifndef PD_MEMBERSHIP_H
+#define PD_MEMBERSHIP_H
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "directory.h"
+#include "objects.h"
+#include "store_client.h"
+#include "sync.h"
+
+#define PD_MEMBERSHIP_SOURCES 128 /* instances of the own zone that are kept */
+
+/**
+ * struct pd_source - an instance of the own zone that could be followed
+ * @entry: what it says of itself
+ * @retry_us: it isn't tried before that time
+ */
+struct pd_source {
+	struct pd_instance_entry entry;
+	int64_t retry_us;
+};
+
+struct pd_membership {
+	struct pd_directory *directory;
+	struct pd_sync *sync;
+	struct pd_instance_entry self;
+	struct pd_store store;
+	pthread_t thread;
+	struct pd_source sources[PD_MEMBERSHIP_SOURCES]; /* ranked before this one */
+	size_t source_count;
+	bool registered;
+	int64_t started_us;
+	int64_t lost_us; /* since when the store can't be reached; 0 while it can */
+	uint32_t failures;
+};
+
+void pd_membership_init(struct pd_membership *membership, struct pd_directory *directory,
+			struct pd_sync *sync, const struct pd_instance_entry *self);
+enum pd_code pd_membership_start(struct pd_membership *membership, struct pd_error *err);
+
+/* True when @a is ranked before @b: followers go to the instance that ranks first. */
+bool pd_membership_ranks_before(const struct pd_name *a, const struct pd_name *b);
+
+#endif
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -289,6 +289,47 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
+static void export_upstream(const struct pd_upstream *upstream, struct pd_upstream_entry *entry)
+{
+	int64_t cold_us = upstream->cold_until_us - pd_os_boot_us();
+
+	memset(entry, 0, sizeof(*entry));
+	entry->id = upstream->id;
+	entry->service = upstream->service->name;
+	entry->zone = upstream->zone->name;
+	entry->address.in = upstream->address;
+	memcpy(entry->address.text, upstream->address_text, sizeof(entry->address.text));
+	entry->draining = upstream->draining;
+	entry->slots = upstream->slots;
+	entry->cold_ms = cold_us > 0 ? cold_us / PD_USEC_PER_MSEC : 0;
+	entry->born_ms = upstream->born_ms;
+}
+
+bool pd_registry_export(struct pd_registry *registry, struct pd_upstream_entry **entries,
+			size_t *count)
+{
+	struct pd_upstream *upstream, *next;
+	bool listed;
+
+	*count = 0;
+	pthread_mutex_lock(&registry->lock);
+	listed = registry->listed;
+	*entries = calloc(HASH_COUNT(registry->upstreams) + 1, sizeof(**entries));
+	if (*entries && listed) {
+		HASH_ITER(hh, registry->upstreams, upstream, next)
+		{
+			/* Entries that may return are passed on as they were. */
+			export_upstream(upstream, &(*entries)[(*count)++]);
+		}
+	}
+	pthread_mutex_unlock(&registry->lock);
+	if (*entries && listed)
+		return true;
+	free(*entries);
+	*entries = NULL;
+	return false;
+}
+
 void pd_registry_hold_removals(struct pd_registry *registry)
 {
 	pthread_mutex_lock(&registry->lock);
@@ -391,7 +432,7 @@
 		route->targets[i].credit = next_random(registry) * route->targets[i].weight;
 }
 
-void pd_registry_install(struct pd_registry *registry, struct pd_catalog *catalog)
+bool pd_registry_install(struct pd_registry *registry, struct pd_catalog *catalog)
 {
 	struct pd_catalog *old;
 
@@ -404,7 +445,7 @@
 			       catalog->version, old->version);
 		pthread_mutex_unlock(&registry->lock);
 		pd_catalog_release(catalog);
-		return;
+		return false;
 	}
 	for (size_t i = 0; i < catalog->service_count; i++) {
 		struct pd_catalog_service *entry = &catalog->services[i];
@@ -424,6 +465,7 @@
 	       old ? old->version : 0, catalog->route_count, catalog->service_count);
 	pd_count_set(PD_COUNT_config_version, catalog->version);
 	pd_catalog_release(old);
+	return true;
 }
 
 struct pd_catalog *pd_registry_catalog(struct pd_registry *registry)
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -211,8 +211,13 @@
 void pd_registry_set_evacuated(struct pd_registry *registry, const struct pd_name *zones,
 			       size_t count);
 void pd_registry_set_instances(struct pd_registry *registry, uint32_t instances);
-/* Puts a version in force; takes over the caller's reference. Older versions are ignored. */
-void pd_registry_install(struct pd_registry *registry, struct pd_catalog *catalog);
+/* All upstreams as entries, in an array to be freed; false before a complete list was read, or
+ * without memory. */
+bool pd_registry_export(struct pd_registry *registry, struct pd_upstream_entry **entries,
+			size_t *count);
+/* Puts a version in force; takes over the caller's reference. False for a version that isn't newer
+ * than the one in force, which changes nothing. */
+bool pd_registry_install(struct pd_registry *registry, struct pd_catalog *catalog);
 /* The version in force with a reference of its own, or NULL. */
 struct pd_catalog *pd_registry_catalog(struct pd_registry *registry);
 /* Statistics of a route; they live as long as the registry. */
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -19,30 +19,24 @@
  * store's return. */
 #define BACKOFF_MIN_US (200 * PD_USEC_PER_MSEC)
 #define BACKOFF_MAX_US (1200 * PD_USEC_PER_MSEC)
-/* Entries lapse after some seconds without contact; shorter failures need no hold. */
-#define HOLD_AFTER_US (1500 * PD_USEC_PER_MSEC)
-/* How often instances are counted, which also shows whether the store is in reach. Service must
- * follow changes within some seconds of the end of an outage. */
-#define COUNT_INTERVAL_US (1500 * PD_USEC_PER_MSEC)
-
-void pd_sync_init(struct pd_sync *sync, struct pd_registry *registry,
-		  const struct pd_ingress_settings *settings)
+
+void pd_sync_init(struct pd_sync *sync, struct pd_directory *directory,
+		  const struct sockaddr_in *address)
 {
 	static const enum pd_object_kind kinds[PD_SYNC_TASKS] = {
-		PD_OBJECT_CONFIG, PD_OBJECT_UPSTREAMS, PD_OBJECT_EVACUATIONS, PD_OBJECT_INSTANCES};
+		PD_OBJECT_CONFIG, PD_OBJECT_UPSTREAMS, PD_OBJECT_EVACUATIONS};
 
 	memset(sync, 0, sizeof(*sync));
-	sync->registry = registry;
-	sync->node = settings->node;
-	sync->zone = settings->zone;
-	sync->address = settings->store;
+	sync->directory = directory;
+	sync->address = *address;
 	pthread_mutex_init(&sync->lock, NULL);
+	pd_os_cond_init(&sync->changed);
 	for (size_t i = 0; i < PD_SYNC_TASKS; i++) {
 		sync->tasks[i].sync = sync;
 		sync->tasks[i].kind = kinds[i];
 		sync->tasks[i].wake[0] = -1;
 		sync->tasks[i].wake[1] = -1;
-		pd_store_init(&sync->tasks[i].store, &settings->store);
+		pd_store_init(&sync->tasks[i].store, address);
 	}
 }
 
@@ -53,19 +47,55 @@
 	pthread_mutex_unlock(&sync->lock);
 }
 
+void pd_sync_get_address(struct pd_sync *sync, struct sockaddr_in *address)
+{
+	pthread_mutex_lock(&sync->lock);
+	*address = sync->address;
+	pthread_mutex_unlock(&sync->lock);
+}
+
+void pd_sync_renew(struct pd_sync *sync)
+{
+	for (size_t i = 0; i < PD_SYNC_TASKS; i++) {
+		/* A pipe that is full wakes as well. */
+		if (sync->tasks[i].wake[1] >= 0 && write(sync->tasks[i].wake[1], "", 1) < 0)
+			pd_log(PD_LOG_DEBUG, "renewal_pending", "kind=%s",
+			       pd_object_kind_name(sync->tasks[i].kind));
+	}
+}
+
+void pd_sync_set_mode(struct pd_sync *sync, enum pd_sync_mode mode)
+{
+	bool changed;
+
+	pthread_mutex_lock(&sync->lock);
+	changed = sync->mode != mode;
+	sync->mode = mode;
+	pthread_cond_broadcast(&sync->changed);
+	pthread_mutex_unlock(&sync->lock);
+	if (changed && mode == PD_SYNC_PAUSED)
+		pd_sync_renew(sync);
+}
+
+int64_t pd_sync_backoff_us(uint32_t failures)
+{
+	int64_t pause = BACKOFF_MIN_US;
+
+	for (uint32_t i = 0; i < failures && pause < BACKOFF_MAX_US; i++)
+		pause *= 2;
+	if (pause > BACKOFF_MAX_US)
+		pause = BACKOFF_MAX_US;
+	return pause + (int64_t)(pd_os_random_seed() % (uint64_t)(pause / 2));
+}
+
 static void put_config(struct pd_sync *sync, const struct pd_object *object)
 {
-	struct pd_catalog *catalog;
 	struct pd_error err;
 
 	if (object->removed || !pd_object_is_config(object->name))
 		return;
-	catalog = pd_object_read_config(object->spec, &err);
-	if (!catalog) {
+	if (pd_directory_put_config(sync->directory, object->spec, &err) != PD_OK)
 		pd_log_failure(PD_LOG_ERROR, "config_unreadable", &err);
-		return;
-	}
-	pd_registry_install(sync->registry, catalog);
 }
 
 static void put_upstream(struct pd_sync *sync, const struct pd_object *object)
@@ -74,15 +104,15 @@
 	struct pd_error err;
 
 	if (object->removed) {
-		pd_registry_remove(sync->registry, object->name, "entry_removed");
+		pd_directory_remove_upstream(sync->directory, object->name, "entry_removed");
 		return;
 	}
 	if (pd_object_read_upstream(object, &entry, &err) != PD_OK) {
 		pd_log_failure(PD_LOG_WARNING, "upstream_entry_unreadable", &err);
-		pd_registry_remove(sync->registry, object->name, "entry_unreadable");
+		pd_directory_remove_upstream(sync->directory, object->name, "entry_unreadable");
 		return;
 	}
-	pd_registry_put(sync->registry, &entry);
+	pd_directory_put_upstream(sync->directory, &entry);
 }
 
 static void drop_zone(struct pd_sync *sync, const struct pd_name *zone)
@@ -102,7 +132,7 @@
 	if (!pd_name_set(&zone, object->name))
 		return;
 	drop_zone(sync, &zone);
-	if (!object->removed && sync->evacuated_count < PD_SYNC_ZONES_MAX)
+	if (!object->removed && sync->evacuated_count < PD_FEED_ZONES_MAX)
 		sync->evacuated[sync->evacuated_count++] = zone;
 }
 
@@ -129,69 +159,29 @@
 		}
 	}
 	if (task->kind == PD_OBJECT_EVACUATIONS)
-		pd_registry_set_evacuated(task->sync->registry, task->sync->evacuated,
-					  task->sync->evacuated_count);
-}
-
-/* Ends the watches of all other tasks, which then begin anew: their answers may have been lost. */
-static void wake_others(struct pd_sync_task *task)
-{
-	for (size_t i = 0; i < PD_SYNC_TASKS; i++) {
-		struct pd_sync_task *other = &task->sync->tasks[i];
-
-		if (other != task && other->wake[1] >= 0 && write(other->wake[1], "", 1) < 0)
-			pd_log(PD_LOG_DEBUG, "wake_pending", "kind=%s",
-			       pd_object_kind_name(other->kind));
-	}
+		pd_directory_set_evacuated(task->sync->directory, task->sync->evacuated,
+					   task->sync->evacuated_count);
 }
 
 static void note_success(struct pd_sync_task *task)
 {
-	int64_t now = pd_os_boot_us();
-
 	task->failures = 0;
 	if (!task->lost_us)
 		return;
 	pd_log(PD_LOG_INFO, "store_regained", "kind=%s lost_ms=%" PRId64,
-	       pd_object_kind_name(task->kind), (now - task->lost_us) / 1000);
-	if (task->kind == PD_OBJECT_INSTANCES) {
-		pd_registry_release_removals(task->sync->registry,
-					     now - task->lost_us > HOLD_AFTER_US);
-		wake_others(task);
-	}
+	       pd_object_kind_name(task->kind), (pd_os_boot_us() - task->lost_us) / 1000);
 	task->lost_us = 0;
 }
 
 static void note_failure(struct pd_sync_task *task, const struct pd_error *err)
 {
-	int64_t pause = BACKOFF_MIN_US;
-
 	if (!task->lost_us) {
 		task->lost_us = pd_os_boot_us();
 		pd_log(PD_LOG_WARNING, "store_lost", "kind=%s revision=%" PRIu64 " code=%s",
 		       pd_object_kind_name(task->kind), task->revision, pd_strerror(err->code));
 		pd_log_failure(PD_LOG_WARNING, "store_failure", err);
-		if (task->kind == PD_OBJECT_INSTANCES)
-			pd_registry_hold_removals(task->sync->registry);
 	}
-	for (uint32_t i = 0; i < task->failures && pause < BACKOFF_MAX_US; i++)
-		pause *= 2;
-	task->failures++;
-	if (pause > BACKOFF_MAX_US)
-		pause = BACKOFF_MAX_US;
-	pause += (int64_t)(pd_os_random_seed() % (uint64_t)(pause / 2));
-	pd_os_sleep_us(pause);
-}
-
-/* Copies a page's last name, which views into it don't outlive. */
-static bool last_name(const struct pd_object_page *page, struct pd_buf *name)
-{
-	struct pd_object object;
-	size_t count = pd_object_page_count(page);
-
-	pd_buf_clear(name);
-	return count && pd_object_page_get(page, count - 1, &object) &&
-	       pd_buf_append_str(name, object.name);
+	pd_os_sleep_us(pd_sync_backoff_us(task->failures++));
 }
 
 /* Reads all pages. Changes made meanwhile are seen again by watching from the first page's
@@ -199,7 +189,10 @@
  */
 static enum pd_code list_all(struct pd_sync_task *task, struct pd_error *err)
 {
-	struct pd_registry *registry = task->sync->registry;
+	struct pd_directory *directory = task->sync->directory;
+	/* The first list may be some seconds old, at a tenth of the price: watching from its
+	 * revision brings what was missed. */
+	bool stale_ok = !task->listed_before;
 	struct pd_buf after = {0};
 	uint64_t revision = 0;
 	bool first = true, more = true;
@@ -210,7 +203,7 @@
 	while (more) {
 		struct pd_object_page page;
 
-		code = pd_store_list(&task->store, task->kind, pd_buf_str(&after), false, &page,
+		code = pd_store_list(&task->store, task->kind, pd_buf_str(&after), stale_ok, &page,
 				     err);
 		if (code != PD_OK)
 			break;
@@ -218,19 +211,20 @@
 			note_success(task);
 			revision = page.revision;
 			if (task->kind == PD_OBJECT_UPSTREAMS)
-				pd_registry_list_begin(registry);
+				pd_directory_list_begin(directory);
 		}
 		first = false;
 		put_page(task, &page);
-		more = page.more && last_name(&page, &after);
+		more = page.more && pd_object_page_last_name(&page, &after);
 		pd_object_page_finish(&page);
 	}
 	pd_buf_finish(&after);
 	if (code != PD_OK)
 		return code;
 	if (task->kind == PD_OBJECT_UPSTREAMS)
-		pd_registry_list_end(registry);
+		pd_directory_list_end(directory);
 	task->listed = true;
+	task->listed_before = true;
 	task->revision = revision;
 	pd_log(PD_LOG_INFO, "store_listed", "kind=%s revision=%" PRIu64,
 	       pd_object_kind_name(task->kind), revision);
@@ -289,13 +283,21 @@
 	return PD_OK;
 }
 
-static void take_address(struct pd_sync_task *task)
+/* Waits until there is something to do in the store. */
+static void wait_for_work(struct pd_sync_task *task)
 {
+	struct pd_sync *sync = task->sync;
 	struct sockaddr_in address;
 
-	pthread_mutex_lock(&task->sync->lock);
-	address = task->sync->address;
-	pthread_mutex_unlock(&task->sync->lock);
+	pthread_mutex_lock(&sync->lock);
+	while (sync->mode == PD_SYNC_PAUSED || (sync->mode == PD_SYNC_STARTING && task->listed)) {
+		/* Changes are heard elsewhere meanwhile. */
+		if (sync->mode == PD_SYNC_PAUSED)
+			task->listed = false;
+		pthread_cond_wait(&sync->changed, &sync->lock);
+	}
+	address = sync->address;
+	pthread_mutex_unlock(&sync->lock);
 	pd_store_set_address(&task->store, &address);
 }
 
@@ -307,7 +309,7 @@
 	for (;;) {
 		enum pd_code code;
 
-		take_address(task);
+		wait_for_work(task);
 		code = task->listed ? watch_once(task, &err) : list_all(task, &err);
 		if (code != PD_OK)
 			note_failure(task, &err);
@@ -315,63 +317,6 @@
 	return NULL;
 }
 
-static enum pd_code count_instances(struct pd_sync_task *task, struct pd_error *err)
-{
-	struct pd_buf after = {0};
-	uint32_t count = 0;
-	bool more = true;
-	enum pd_code code = PD_OK;
-
-	while (more && code == PD_OK) {
-		struct pd_object_page page;
-
-		code = pd_store_list(&task->store, task->kind, pd_buf_str(&after), true, &page,
-				     err);
-		if (code != PD_OK)
-			break;
-		count += (uint32_t)pd_object_page_count(&page);
-		more = page.more && last_name(&page, &after);
-		pd_object_page_finish(&page);
-	}
-	pd_buf_finish(&after);
-	if (code == PD_OK) {
-		note_success(task);
-		pd_registry_set_instances(task->sync->registry, count);
-	}
-	return code;
-}
-
-static enum pd_code register_instance(struct pd_sync_task *task, struct pd_error *err)
-{
-	enum pd_code code =
-		pd_store_create(&task->store, task->kind, pd_name_str(&task->sync->node),
-				json_pack("{s:s}", "zone", task->sync->zone.text), err);
-
-	return code == PD_CONFLICT ? PD_OK : code;
-}
-
-/* Registers this instance and counts all of them: budgets are shared between them. */
-static void *run_instances(void *arg)
-{
-	struct pd_sync_task *task = arg;
-	bool registered = false;
-	struct pd_error err;
-
-	for (;;) {
-		enum pd_code code;
-
-		take_address(task);
-		code = registered ? count_instances(task, &err) : register_instance(task, &err);
-		if (code != PD_OK) {
-			note_failure(task, &err);
-			continue;
-		}
-		registered = true;
-		pd_os_sleep_us(COUNT_INTERVAL_US);
-	}
-	return NULL;
-}
-
 enum pd_code pd_sync_start(struct pd_sync *sync, struct pd_error *err)
 {
 	for (size_t i = 0; i < PD_SYNC_TASKS; i++) {
@@ -383,12 +328,9 @@
 			return pd_error_set(err, PD_LAYER_COORDINATION, PD_SYSTEM,
 					    "sync: no pipe for %s", name);
 		task->store.wake_fd = task->wake[0];
-		code = pd_os_thread_start(
-			&task->thread, name,
-			task->kind == PD_OBJECT_INSTANCES ? run_instances : run_task, task, err);
+		code = pd_os_thread_start(&task->thread, name, run_task, task, err);
 		if (code != PD_OK)
 			return pd_error_wrap(err, PD_LAYER_COORDINATION, code, "sync");
-		task->running = true;
 	}
 	return PD_OK;
 }
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -1,12 +1,12 @@
 /**
- * DOC: Following the platform's objects
+ * DOC: Following the platform's objects in the store
  *
  * One task for each kind of object: it lists the kind, then watches it, and puts every change into
- * the registry. When the store can't be reached, what is known stays in force.
+ * the directory. When the store can't be reached, what is known stays in force.
  *
  * A watch whose answer is lost waits until its time is over and hears nothing, although its
- * connection works. The task of the instances therefore reads a short list every second or two (a
- * stale read, at a tenth of the price); when that fails and works again, all watches are renewed.
+ * connection works. Whoever notices an outage of the store renews the watches afterwards with
+ * pd_sync_renew().
  */
 #ifndef PD_SYNC_H
 #define PD_SYNC_H
@@ -15,22 +15,26 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "ingress_settings.h"
-#include "registry.h"
+#include "directory.h"
 #include "store_client.h"
 
-#define PD_SYNC_ZONES_MAX 64 /* evacuated zones at a time */
-
 struct pd_sync;
 
+/** enum pd_sync_mode - where changes are heard. */
+enum pd_sync_mode {
+	PD_SYNC_STARTING, /* kinds are listed once, and not watched yet */
+	PD_SYNC_WATCHING, /* in the store */
+	PD_SYNC_PAUSED, /* from another instance */
+};
+
 /**
  * struct pd_sync_task - one kind
  * @sync: owner
  * @kind: kind
  * @thread: its thread
- * @running: @thread was started
  * @store: its connection
  * @listed: the kind was listed; changes follow by watching
+ * @listed_before: it was listed once since the start
  * @revision: the store's revision up to which changes are known
  * @lost_us: since when calls fail; 0 while they succeed
  * @failures: consecutive failed calls
@@ -41,9 +45,9 @@
 	struct pd_sync *sync;
 	enum pd_object_kind kind;
 	pthread_t thread;
-	bool running;
 	struct pd_store store;
 	bool listed;
+	bool listed_before;
 	uint64_t revision;
 	int64_t lost_us;
 	uint32_t failures;
@@ -51,22 +55,29 @@
 	int wake[2];
 };
 
-#define PD_SYNC_TASKS 4
+#define PD_SYNC_TASKS 3
 
 struct pd_sync {
-	struct pd_registry *registry;
-	struct pd_name node;
-	struct pd_name zone;
-	pthread_mutex_t lock; /* guards @address */
+	struct pd_directory *directory;
+	pthread_mutex_t lock; /* guards @address and @mode */
+	pthread_cond_t changed; /* @mode was changed */
 	struct sockaddr_in address;
+	enum pd_sync_mode mode;
 	struct pd_sync_task tasks[PD_SYNC_TASKS];
-	struct pd_name evacuated[PD_SYNC_ZONES_MAX]; /* used by one task only */
+	struct pd_name evacuated[PD_FEED_ZONES_MAX]; /* used by one task only */
 	size_t evacuated_count;
 };
 
-void pd_sync_init(struct pd_sync *sync, struct pd_registry *registry,
-		  const struct pd_ingress_settings *settings);
+void pd_sync_init(struct pd_sync *sync, struct pd_directory *directory,
+		  const struct sockaddr_in *address);
 enum pd_code pd_sync_start(struct pd_sync *sync, struct pd_error *err);
 void pd_sync_set_address(struct pd_sync *sync, const struct sockaddr_in *address);
+void pd_sync_get_address(struct pd_sync *sync, struct sockaddr_in *address);
+void pd_sync_set_mode(struct pd_sync *sync, enum pd_sync_mode mode);
+/* Ends all watches, which then begin anew: their answers may have been lost. */
+void pd_sync_renew(struct pd_sync *sync);
+
+/* Pause before the next call after a number of consecutive failures, in microseconds. */
+int64_t pd_sync_backoff_us(uint32_t failures);
 
 #endif
