--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -160,6 +160,13 @@
 	pd_feed_message_encode(&beat, out);
 }
 
+void pd_directory_beat(struct pd_directory *directory, struct pd_buf *out)
+{
+	pthread_mutex_lock(&directory->lock);
+	append_beat_locked(directory, out);
+	pthread_mutex_unlock(&directory->lock);
+}
+
 static void append_kind(struct pd_buf *out, enum pd_feed_kind kind)
 {
 	struct pd_feed_message msg = {.kind = kind};
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -71,6 +71,8 @@
  * Return: number of the first change that isn't in it.
  */
 uint64_t pd_directory_snapshot(struct pd_directory *directory, struct pd_buf *out);
+/* Appends a beat, which says whether the store is in reach. */
+void pd_directory_beat(struct pd_directory *directory, struct pd_buf *out);
 /**
  * pd_directory_wait() - changes after a number, as frames, and a beat
  * @directory: directory
--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -25,6 +25,10 @@
 #define FAILURES_TO_EJECT 3
 #define EJECT_US	  400000 /* doubled with each further failure */
 #define EJECT_MAX_US	  3000000
+/* Without a new report, half of a reported queue is taken for served in this time. */
+#define QUEUE_HALF_LIFE_US 150000.0
+/* Weight of one answer in a service's usual time of answers. */
+#define WORK_WEIGHT 0.05
 /* A zone is out of reach when nothing was heard from it for this long and this many of its
  * upstreams are overdue; one paused upstream, or three, happen in normal operation. */
 #define ZONE_SILENCE_US 250000
@@ -122,6 +126,38 @@
 	return found;
 }
 
+static double expected_at(const struct pd_upstream *upstream, double work_us, int64_t now_us)
+{
+	double age = (double)(now_us - upstream->reported_us);
+	double load = upstream->reported * exp2(-age / QUEUE_HALF_LIFE_US);
+	double slots = upstream->slots ? upstream->slots : 1;
+	double ahead;
+
+	if (load < upstream->running)
+		load = upstream->running;
+	ahead = load - slots + 1;
+	return work_us * (1 + (ahead > 0 ? ahead / slots : 0));
+}
+
+int64_t pd_registry_expected_us(struct pd_registry *registry, struct pd_service *service,
+				int64_t now_us)
+{
+	double best = 0;
+
+	pthread_mutex_lock(&registry->lock);
+	for (struct pd_upstream *u = service->upstreams; u && service->work_us > 0; u = u->next) {
+		double expected;
+
+		if (!usable_locked(u) || now_us < u->ejected_until_us)
+			continue;
+		expected = expected_at(u, service->work_us, now_us);
+		if (best <= 0 || expected < best)
+			best = expected;
+	}
+	pthread_mutex_unlock(&registry->lock);
+	return (int64_t)best;
+}
+
 bool pd_registry_take_retry(struct pd_registry *registry, struct pd_service *service)
 {
 	bool taken;
@@ -246,6 +282,15 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
+static void add_work(struct pd_service *service, const struct pd_report *report)
+{
+	if (!report->has_load || report->waiting > 0)
+		return;
+	if (service->work_us <= 0)
+		service->work_us = (double)report->latency_us;
+	service->work_us += WORK_WEIGHT * ((double)report->latency_us - service->work_us);
+}
+
 static void take_evidence(struct pd_upstream *upstream, const struct pd_report *report,
 			  int64_t now_us)
 {
@@ -256,6 +301,7 @@
 	switch (report->kind) {
 	case PD_REPORT_ANSWER:
 		succeed(upstream);
+		add_work(upstream->service, report);
 		if (report->stats) {
 			add_latency(report->stats, (double)report->latency_us);
 			add_slowness(upstream, (double)report->latency_us / report->stats->mean_us,
--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -126,6 +126,7 @@
 	pd_conn_learn_idle_limit(exchange->conn);
 	exchange->has_load = fields->has_load;
 	exchange->load = (double)fields->running + fields->waiting;
+	exchange->waiting = fields->waiting;
 	exchange->reusable = exchange->reusable && msg->keep_alive && msg->framed &&
 			     exchange->state == PD_EXCHANGE_WAITING;
 	switch (fields->run) {
--- a/ingress/exchange.h
+++ b/ingress/exchange.h
@@ -58,6 +58,7 @@
  * @stale: the reused connection ended before anything was received
  * @has_load: the upstream told its load
  * @load: requests running and waiting there
+ * @waiting: requests waiting there
  * @overdue: was reported as overdue
  */
 struct pd_exchange {
@@ -74,6 +75,7 @@
 	bool stale;
 	bool has_load;
 	double load;
+	double waiting;
 	bool overdue;
 };
 
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -193,6 +193,7 @@
 		.stats = fanout->stats,
 		.has_load = exchange->has_load,
 		.load = exchange->load,
+		.waiting = exchange->waiting,
 	};
 
 	pd_exchange_end(exchange, fanout->pool, &report, now_us);
@@ -276,6 +277,9 @@
 	}
 }
 
+/* Time until a late sub-request is looked at again when most of the others are late, too. */
+#define HEDGE_DEFER_US 5000
+
 /* A sub-request is late: a second one goes to another upstream if the budget allows. */
 static void hedge_leg(struct pd_fanout *fanout, struct pd_leg *leg, int64_t now_us)
 {
@@ -283,6 +287,10 @@
 	struct pd_upstream *late = NULL;
 	int64_t waited = 0;
 
+	if (!pd_policy_is_straggler(fanout->leg_count, fanout->answered)) {
+		leg->hedge_us = now_us + HEDGE_DEFER_US;
+		return;
+	}
 	leg->hedge_us = 0;
 	for (int i = 0; i < PD_LEG_EXCHANGES; i++) {
 		struct pd_exchange *exchange = &leg->exchanges[i];
@@ -475,7 +483,8 @@
 /* Ends what is still open. Late sub-requests are evidence against their upstreams. */
 static void end_open_legs(struct pd_fanout *fanout)
 {
-	bool close = fanout->end == PD_FANOUT_CLIENT_GONE;
+	/* Work whose result nobody takes is ended at the upstreams. */
+	bool close = fanout->end == PD_FANOUT_CLIENT_GONE || fanout->end == PD_FANOUT_HOPELESS;
 	int64_t now = pd_os_boot_us();
 
 	for (size_t i = 0; i < fanout->leg_count; i++) {
@@ -487,8 +496,10 @@
 			if (pd_exchange_was_sent(exchange))
 				fanout->legs[i].runs++;
 			pd_exchange_abandon(exchange, fanout->pool, close,
-					    exchange->overdue && !close ? PD_REPORT_SILENT
-									: PD_REPORT_ABANDONED,
+					    exchange->overdue &&
+							    fanout->end != PD_FANOUT_CLIENT_GONE
+						    ? PD_REPORT_SILENT
+						    : PD_REPORT_ABANDONED,
 					    now);
 		}
 	}
--- a/ingress/feed.c
+++ b/ingress/feed.c
@@ -74,11 +74,15 @@
 	return read;
 }
 
-/* Sends a snapshot and then changes, until the connection fails. */
+/* Sends a beat, a snapshot and then changes, until the connection fails. The beat goes first: a
+ * follower must know whether the snapshot may be old before it takes it in. */
 static void send_all(struct pd_directory *directory, int fd, struct pd_error *err)
 {
 	struct pd_buf out = {0};
-	uint64_t from = pd_directory_snapshot(directory, &out);
+	uint64_t from;
+
+	pd_directory_beat(directory, &out);
+	from = pd_directory_snapshot(directory, &out);
 
 	while (!out.failed && pd_os_write_full(fd, out.data, out.len, err) == PD_OK) {
 		pd_buf_finish(&out);
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -10,6 +10,9 @@
 /* How often an instance that watches the store checks whether it is in reach, with a stale read: a
  * drain must be noticed within three seconds, also when the store is lost and regained. */
 #define CHECK_US (1200 * PD_USEC_PER_MSEC)
+/* The same while the store is lost: a second after its return, everything must be known again, so
+ * that removals can be held for lapsed entries and still take effect in time. */
+#define LOST_CHECK_US (350 * PD_USEC_PER_MSEC)
 /* How long a starting instance looks for one to follow before it watches the store. It lists the
  * instances at these intervals meanwhile, as those that start at the same time register. */
 #define SEEK_US		 (2500 * PD_USEC_PER_MSEC)
@@ -22,6 +25,9 @@
 #define RETRY_US (4000 * PD_USEC_PER_MSEC)
 /* While its source has lost the store, an instance tries the store itself at this interval. */
 #define OWN_CHECK_US (1000 * PD_USEC_PER_MSEC)
+/* How long the lists after an outage are waited for; they take some milliseconds. */
+#define CURRENT_US	(600 * PD_USEC_PER_MSEC)
+#define CURRENT_POLL_US (20 * PD_USEC_PER_MSEC)
 
 void pd_membership_init(struct pd_membership *membership, struct pd_directory *directory,
 			struct pd_sync *sync, const struct pd_instance_entry *self)
@@ -133,16 +139,31 @@
 		pd_log_failure(PD_LOG_WARNING, "register_failed", &err);
 }
 
+/* Waits until all kinds were listed since the store came back; false when that takes too long. */
+static bool wait_until_current(struct pd_membership *membership)
+{
+	int64_t until = pd_os_boot_us() + CURRENT_US;
+
+	while (!pd_sync_is_current(membership->sync)) {
+		if (pd_os_boot_us() >= until)
+			return false;
+		pd_os_sleep_us(CURRENT_POLL_US);
+	}
+	return true;
+}
+
+/* The store is in reach. Instances that follow this one are told so once all kinds are known anew.
+ */
 static void note_in_touch(struct pd_membership *membership)
 {
-	membership->failures = 0;
-	pd_directory_set_in_touch(membership->directory, true);
-	if (!membership->lost_us)
-		return;
-	pd_log(PD_LOG_INFO, "store_regained", "kind=instances lost_ms=%" PRId64,
-	       (pd_os_boot_us() - membership->lost_us) / 1000);
-	membership->lost_us = 0;
-	pd_sync_renew(membership->sync);
+	if (membership->lost_us) {
+		pd_log(PD_LOG_INFO, "store_regained", "kind=instances lost_ms=%" PRId64,
+		       (pd_os_boot_us() - membership->lost_us) / 1000);
+		membership->lost_us = 0;
+		pd_sync_renew(membership->sync);
+	}
+	if (!membership->directory->store_in_touch && wait_until_current(membership))
+		pd_directory_set_in_touch(membership->directory, true);
 }
 
 static void note_lost(struct pd_membership *membership, const struct pd_error *err)
@@ -154,7 +175,6 @@
 		pd_log_failure(PD_LOG_WARNING, "store_failure", err);
 		pd_directory_set_in_touch(membership->directory, false);
 	}
-	membership->failures++;
 }
 
 /**
@@ -240,38 +260,62 @@
 	if (!pursuit->lost_us || now < pursuit->check_us)
 		return false;
 	pursuit->check_us = now + OWN_CHECK_US;
-	return list_instances(membership, &err) == PD_OK;
+	if (list_instances(membership, &err) != PD_OK)
+		return false;
+	pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
+	note_in_touch(membership);
+	return true;
 }
 
-/* Takes in what the source sends until it fails or this instance hears more in the store. */
-static const char *follow_connected(struct pd_membership *membership, struct pursuit *pursuit)
+static enum pd_code send_hello(struct pd_membership *membership, int fd, struct pd_error *err)
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_HELLO, .hello = membership->self.name};
 	struct pd_buf hello = {0};
-	struct pd_error err;
 	enum pd_code code;
 
-	pd_os_set_io_timeout(pursuit->fd, SILENCE_US);
 	pd_feed_message_encode(&msg, &hello);
-	code = pd_os_write_full(pursuit->fd, hello.data, hello.len, &err);
+	code = pd_os_write_full(fd, hello.data, hello.len, err);
 	pd_buf_finish(&hello);
-	if (code != PD_OK)
-		return pd_strerror(code);
-	for (;;) {
+	return code;
+}
+
+/* Whether the first message, a beat, says that the source is in touch with the store. What a source
+ * without the store knows may be older than what is known here. */
+static bool is_current(const struct pd_feed_message *msg)
+{
+	return msg->kind == PD_FEED_BEAT && msg->beat.store_in_touch;
+}
+
+/* Takes in what the source sends until it fails or this instance hears more in the store. */
+static const char *follow_connected(struct pd_membership *membership, struct pursuit *pursuit)
+{
+	struct pd_error err;
+	enum pd_code code;
+	bool first = true;
+
+	pd_os_set_io_timeout(pursuit->fd, SILENCE_US);
+	code = send_hello(membership, pursuit->fd, &err);
+	while (code == PD_OK) {
+		struct pd_feed_message msg;
 		bool current;
 
 		code = pd_feed_read(pursuit->fd, &pursuit->frame, &msg, &err);
 		if (code != PD_OK)
-			return pd_strerror(code);
-		/* A beat follows the snapshot: from here on, changes are heard in time. */
-		current = msg.kind == PD_FEED_BEAT && msg.beat.store_in_touch;
-		take_message(membership, pursuit, &msg);
+			break;
+		current = is_current(&msg);
+		if (!first || current)
+			take_message(membership, pursuit, &msg);
 		pd_feed_message_finish(&msg);
-		if (current)
+		if (first && !current)
+			return "source_without_store";
+		/* A beat follows the snapshot: from here on, changes are heard in time. */
+		if (!first && current)
 			pd_sync_set_mode(membership->sync, PD_SYNC_PAUSED);
 		if (reaches_store(membership, pursuit))
 			return "source_lost_store";
+		first = false;
 	}
+	return pd_strerror(code);
 }
 
 /* Follows a source for as long as it serves; false when it can't be reached. */
@@ -354,13 +398,12 @@
 		check_store(membership);
 		follow_sources(membership);
 		age = pd_os_boot_us() - membership->started_us;
-		if (age < SEEK_US && !membership->failures) {
+		if (age < SEEK_US && !membership->lost_us) {
 			pd_os_sleep_us(SEEK_INTERVAL_US);
 			continue;
 		}
 		pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
-		pd_os_sleep_us(membership->failures ? pd_sync_backoff_us(membership->failures - 1)
-						    : CHECK_US);
+		pd_os_sleep_us(membership->lost_us ? LOST_CHECK_US : CHECK_US);
 	}
 	return NULL;
 }
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -44,7 +44,6 @@
 	bool registered;
 	int64_t started_us;
 	int64_t lost_us; /* since when the store can't be reached; 0 while it can */
-	uint32_t failures;
 };
 
 void pd_membership_init(struct pd_membership *membership, struct pd_directory *directory,
--- a/ingress/policy.c
+++ b/ingress/policy.c
@@ -8,6 +8,8 @@
 #define HEDGE_MIN_SHARE		0.15
 #define HEDGE_GATHER_MAX_SHARE	0.35
 #define HEDGE_FORWARD_MAX_SHARE 0.5
+/* Share of the parts that must be in before the others count as stragglers. */
+#define STRAGGLER_SHARE 0.5
 /* Used in place of the latency objective by routes that state none. */
 #define OBJECTIVE_DEFAULT_US 1000000
 /* Time to merge and to write an answer of some dozens of parts on a small machine. */
@@ -39,6 +41,11 @@
 	return (int64_t)(high_us < least ? least : high_us);
 }
 
+bool pd_policy_is_straggler(size_t legs, size_t answered)
+{
+	return (double)answered >= STRAGGLER_SHARE * (double)legs || legs == 1;
+}
+
 int64_t pd_policy_cutoff(const struct pd_route *route, int64_t arrived_us, int64_t travel_us)
 {
 	int64_t objective = objective_us(route);
@@ -61,6 +68,17 @@
 	return arrived_us + (limit > 0 ? limit : 0);
 }
 
+bool pd_policy_admit(const struct pd_route *route, const int64_t *expected_us, size_t legs,
+		     int64_t now_us, int64_t cutoff_us, int64_t deadline_us)
+{
+	int64_t until = route->kind == PD_ROUTE_GATHER ? cutoff_us : deadline_us;
+	size_t in_time = 0;
+
+	for (size_t i = 0; i < legs; i++)
+		in_time += now_us + expected_us[i] <= until;
+	return in_time >= pd_policy_parts_needed(route);
+}
+
 size_t pd_policy_parts_needed(const struct pd_route *route)
 {
 	/* The margin keeps 0.9 of 10 from becoming 10 by rounding. */
--- a/ingress/policy.h
+++ b/ingress/policy.h
@@ -22,6 +22,16 @@
  */
 int64_t pd_policy_hedge_delay(const struct pd_route *route, double high_us);
 
+/**
+ * pd_policy_is_straggler() - whether a late sub-request is worth a second one
+ * @legs: sub-requests of the request
+ * @answered: those that are answered
+ *
+ * Answers the load after an outage, or in a burst: when most parts are late, all upstreams are
+ * busy, and second sub-requests would make them busier.
+ */
+bool pd_policy_is_straggler(size_t legs, size_t answered);
+
 /**
  * pd_policy_cutoff() - when a gathered answer goes out although parts are missing
  * @route: route
@@ -46,6 +56,21 @@
 /* Least number of parts of a successful answer. */
 size_t pd_policy_parts_needed(const struct pd_route *route);
 
+/**
+ * pd_policy_admit() - whether a request is sent to its upstreams
+ * @route: route
+ * @expected_us: for each leg, when its answer is expected; 0 when unknown
+ * @legs: number of legs
+ * @now_us: time
+ * @cutoff_us: when a gathered answer goes out
+ * @deadline_us: when the final answer is due
+ *
+ * Answers bursts beyond the upstreams' capacity: a request that can't have enough parts in time
+ * would keep the upstreams busy with parts that nobody takes, until no request has enough.
+ */
+bool pd_policy_admit(const struct pd_route *route, const int64_t *expected_us, size_t legs,
+		     int64_t now_us, int64_t cutoff_us, int64_t deadline_us);
+
 /** enum pd_refusal - why a request isn't served. */
 enum pd_refusal {
 	PD_REFUSAL_NOT_CONFIGURED, /* no configuration is known yet */
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -318,8 +318,8 @@
 	if (*entries && listed) {
 		HASH_ITER(hh, registry->upstreams, upstream, next)
 		{
-			/* Entries that may return are passed on as they were. */
-			export_upstream(upstream, &(*entries)[(*count)++]);
+			if (!upstream->remove_pending)
+				export_upstream(upstream, &(*entries)[(*count)++]);
 		}
 	}
 	pthread_mutex_unlock(&registry->lock);
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -126,6 +126,7 @@
  * @budget: retry budget of this process for the service
  * @max_connections: connections that one upstream accepts; 0 when unknown
  * @cold_per_s: requests per second that one cold upstream tolerates; 0 when not stated
+ * @work_us: usual time of an answer while no request waits at the upstream; 0 until known
  */
 struct pd_service {
 	struct pd_name name;
@@ -135,6 +136,7 @@
 	struct pd_budget budget;
 	uint32_t max_connections;
 	double cold_per_s;
+	double work_us;
 	UT_hash_handle hh;
 };
 
@@ -211,8 +213,8 @@
 void pd_registry_set_evacuated(struct pd_registry *registry, const struct pd_name *zones,
 			       size_t count);
 void pd_registry_set_instances(struct pd_registry *registry, uint32_t instances);
-/* All upstreams as entries, in an array to be freed; false before a complete list was read, or
- * without memory. */
+/* All upstreams whose entries stand, in an array to be freed; false before a complete list was
+ * read, or without memory. */
 bool pd_registry_export(struct pd_registry *registry, struct pd_upstream_entry **entries,
 			size_t *count);
 /* Puts a version in force; takes over the caller's reference. False for a version that isn't newer
@@ -243,6 +245,10 @@
 /* Whether an upstream of the service outside @tried could be picked now. */
 bool pd_registry_available(struct pd_registry *registry, struct pd_service *service,
 			   struct pd_upstream *const *tried, size_t tried_count);
+/* Time until a sub-request sent now would probably be answered, in microseconds, at the upstream of
+ * the service with the shortest queue; 0 when nothing is known. */
+int64_t pd_registry_expected_us(struct pd_registry *registry, struct pd_service *service,
+				int64_t now_us);
 /* Takes a token of the service's retry budget. */
 bool pd_registry_take_retry(struct pd_registry *registry, struct pd_service *service);
 /* Counts a request's first arrival at the service. */
@@ -264,8 +270,9 @@
  * @kind: how it ended
  * @latency_us: time until the answer
  * @stats: route that it belongs to, or NULL
- * @has_load: @load is given
+ * @has_load: @load and @waiting are given
  * @load: requests running and waiting at the upstream
+ * @waiting: requests waiting there
  */
 struct pd_report {
 	enum pd_report_kind kind;
@@ -273,6 +280,7 @@
 	struct pd_route_stats *stats;
 	bool has_load;
 	double load;
+	double waiting;
 };
 
 /* Ends a sub-request: takes in the evidence and drops the reference of pd_registry_pick(). */
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -284,6 +284,24 @@
 		      isolated ? "out of reach" : "too few services have an upstream");
 }
 
+/* Whether the queues at the upstreams leave time to answer. */
+static bool is_admitted(struct request *request, const struct pd_fanout *fanout)
+{
+	int64_t now = pd_os_boot_us();
+	int64_t *expected = calloc(fanout->leg_count, sizeof(*expected));
+	bool admitted;
+
+	if (!expected)
+		return false;
+	for (size_t i = 0; i < fanout->leg_count; i++)
+		expected[i] = pd_registry_expected_us(&request->ingress->registry,
+						      fanout->legs[i].service, now);
+	admitted = pd_policy_admit(request->route, expected, fanout->leg_count, now,
+				   fanout->cutoff_us, fanout->deadline_us);
+	free(expected);
+	return admitted;
+}
+
 static bool serve_routed(struct request *request)
 {
 	struct pd_route *route = request->route;
@@ -301,6 +319,8 @@
 		written = refuse(request, PD_REFUSAL_BUSY, "memory");
 	} else if (count_in_reach(request, &fanout) < fanout.needed) {
 		written = refuse_unreachable(request);
+	} else if (!is_admitted(request, &fanout)) {
+		written = refuse(request, PD_REFUSAL_FULL, "upstreams are busy");
 	} else {
 		pd_fanout_run(&fanout);
 		written = answer_fanout(request, &fanout);
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <inttypes.h>
+#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -54,16 +55,38 @@
 	pthread_mutex_unlock(&sync->lock);
 }
 
+static void set_listed(struct pd_sync_task *task, bool listed)
+{
+	pthread_mutex_lock(&task->sync->lock);
+	task->listed = listed;
+	pthread_mutex_unlock(&task->sync->lock);
+}
+
 void pd_sync_renew(struct pd_sync *sync)
 {
 	for (size_t i = 0; i < PD_SYNC_TASKS; i++) {
+		struct pd_sync_task *task = &sync->tasks[i];
+
+		set_listed(task, false);
 		/* A pipe that is full wakes as well. */
-		if (sync->tasks[i].wake[1] >= 0 && write(sync->tasks[i].wake[1], "", 1) < 0)
+		if (task->wake[1] >= 0 && write(task->wake[1], "", 1) < 0)
 			pd_log(PD_LOG_DEBUG, "renewal_pending", "kind=%s",
-			       pd_object_kind_name(sync->tasks[i].kind));
+			       pd_object_kind_name(task->kind));
 	}
 }
 
+bool pd_sync_is_current(struct pd_sync *sync)
+{
+	bool current;
+
+	pthread_mutex_lock(&sync->lock);
+	current = sync->mode == PD_SYNC_WATCHING;
+	for (size_t i = 0; i < PD_SYNC_TASKS; i++)
+		current = current && sync->tasks[i].listed;
+	pthread_mutex_unlock(&sync->lock);
+	return current;
+}
+
 void pd_sync_set_mode(struct pd_sync *sync, enum pd_sync_mode mode)
 {
 	bool changed;
@@ -77,7 +100,8 @@
 		pd_sync_renew(sync);
 }
 
-int64_t pd_sync_backoff_us(uint32_t failures)
+/* Pause before the next call after a number of consecutive failures, in microseconds. */
+static int64_t backoff_us(uint32_t failures)
 {
 	int64_t pause = BACKOFF_MIN_US;
 
@@ -173,6 +197,23 @@
 	task->lost_us = 0;
 }
 
+static void drain_wake(struct pd_sync_task *task)
+{
+	char bytes[16];
+
+	while (read(task->wake[0], bytes, sizeof(bytes)) > 0)
+		;
+}
+
+/* Sleeps for a while, or until the task is woken. */
+static void pause_or_wake(struct pd_sync_task *task, int64_t us)
+{
+	struct pollfd p = {.fd = task->wake[0], .events = POLLIN};
+
+	if (poll(&p, 1, (int)(us / PD_USEC_PER_MSEC)) > 0)
+		drain_wake(task);
+}
+
 static void note_failure(struct pd_sync_task *task, const struct pd_error *err)
 {
 	if (!task->lost_us) {
@@ -181,7 +222,7 @@
 		       pd_object_kind_name(task->kind), task->revision, pd_strerror(err->code));
 		pd_log_failure(PD_LOG_WARNING, "store_failure", err);
 	}
-	pd_os_sleep_us(pd_sync_backoff_us(task->failures++));
+	pause_or_wake(task, backoff_us(task->failures++));
 }
 
 /* Reads all pages. Changes made meanwhile are seen again by watching from the first page's
@@ -223,7 +264,7 @@
 		return code;
 	if (task->kind == PD_OBJECT_UPSTREAMS)
 		pd_directory_list_end(directory);
-	task->listed = true;
+	set_listed(task, true);
 	task->listed_before = true;
 	task->revision = revision;
 	pd_log(PD_LOG_INFO, "store_listed", "kind=%s revision=%" PRIu64,
@@ -242,14 +283,6 @@
 	pd_os_sleep_us(pause < PAUSE_MAX_US ? pause : PAUSE_MAX_US);
 }
 
-static void drain_wake(struct pd_sync_task *task)
-{
-	char bytes[16];
-
-	while (read(task->wake[0], bytes, sizeof(bytes)) > 0)
-		;
-}
-
 static enum pd_code watch_once(struct pd_sync_task *task, struct pd_error *err)
 {
 	int64_t start = pd_os_boot_us();
@@ -267,7 +300,7 @@
 	if (code == PD_NOT_FOUND) {
 		pd_log(PD_LOG_INFO, "store_history_gone", "kind=%s revision=%" PRIu64,
 		       pd_object_kind_name(task->kind), task->revision);
-		task->listed = false;
+		set_listed(task, false);
 		return PD_OK;
 	}
 	if (code != PD_OK)
@@ -311,8 +344,11 @@
 
 		wait_for_work(task);
 		code = task->listed ? watch_once(task, &err) : list_all(task, &err);
-		if (code != PD_OK)
-			note_failure(task, &err);
+		if (code == PD_OK)
+			continue;
+		/* What was changed while the store was out of reach is seen best in a list. */
+		set_listed(task, false);
+		note_failure(task, &err);
 	}
 	return NULL;
 }
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -33,7 +33,7 @@
  * @kind: kind
  * @thread: its thread
  * @store: its connection
- * @listed: the kind was listed; changes follow by watching
+ * @listed: the kind was listed; changes follow by watching; guarded by the owner's lock
  * @listed_before: it was listed once since the start
  * @revision: the store's revision up to which changes are known
  * @lost_us: since when calls fail; 0 while they succeed
@@ -74,10 +74,9 @@
 void pd_sync_set_address(struct pd_sync *sync, const struct sockaddr_in *address);
 void pd_sync_get_address(struct pd_sync *sync, struct sockaddr_in *address);
 void pd_sync_set_mode(struct pd_sync *sync, enum pd_sync_mode mode);
-/* Ends all watches, which then begin anew: their answers may have been lost. */
+/* Ends all watches and lists all kinds anew: answers to the watches may have been lost. */
 void pd_sync_renew(struct pd_sync *sync);
-
-/* Pause before the next call after a number of consecutive failures, in microseconds. */
-int64_t pd_sync_backoff_us(uint32_t failures);
+/* Whether all kinds were listed since the last failure or renewal, and are watched. */
+bool pd_sync_is_current(struct pd_sync *sync);
 
 #endif
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -20,6 +20,8 @@
 #include "platform_store.h"
 #include "platform_upstream.h"
 
+#define INSTANCES_MAX  4
+#define DARK_PORT      9 /* nothing listens there */
 #define UPSTREAMS_MAX  32
 #define WORDS_MAX      16
 #define OUTPUT_MAX     4096
@@ -28,17 +30,36 @@
 #define REPLY_LIMIT_US (8 * PD_USEC_PER_SEC)
 #define UNTIL_LIMIT_US (12 * PD_USEC_PER_SEC)
 
+/**
+ * struct instance - one ingress process
+ * @name: its name
+ * @front: where it serves callers
+ * @ready: where it says whether it is ready
+ * @metrics: where it serves counters
+ * @peer: where other instances connect
+ * @settings: path of its settings file
+ * @pid: process, 0 while there is none
+ */
+struct instance {
+	char name[32];
+	struct pd_address front;
+	struct pd_address ready;
+	struct pd_address metrics;
+	struct pd_address peer;
+	char settings[160];
+	pid_t pid;
+};
+
 static struct {
 	struct platform_store store;
 	struct platform_upstream upstreams[UPSTREAMS_MAX];
 	size_t upstream_count;
 	json_t *routes;
-	struct pd_address front;
-	struct pd_address ready;
-	struct pd_address metrics;
-	char settings[128];
+	struct instance instances[INSTANCES_MAX];
+	size_t instance_count;
+	struct instance *used; /* the one that commands go to */
+	const char *settings; /* start of the paths of settings files */
 	const char *binary;
-	pid_t ingress;
 	int kept; /* a caller's connection that stays open */
 	uint32_t next_id;
 } world = {.kept = -1};
@@ -230,54 +251,97 @@
 	pd_os_close(&fd);
 }
 
-static void write_settings(void)
+static void write_settings(const struct instance *instance, uint16_t store_port)
 {
-	FILE *file = fopen(world.settings, "w");
+	FILE *file = fopen(instance->settings, "w");
 
 	if (!file)
 		abort();
 	fprintf(file,
-		"{\"platform\":{\"node_name\":\"front-1\",\"zone\":\"here\",\"listen_addresses\":"
+		"{\"platform\":{\"node_name\":\"%s\",\"zone\":\"here\",\"ip\":\"127.0.0.1\","
+		"\"internal_port_range\":[%u,%u],\"listen_addresses\":"
 		"{\"front\":\"127.0.0.1:%u\",\"ready\":\"127.0.0.1:%u\"},\"platform\":{\"address\":"
 		"\"127.0.0.1:%u\"},\"limits\":{\"max_file_descriptors\":1024},\"bounds\":"
 		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6}},"
 		"\"ingress\":{\"metrics_address\":\"127.0.0.1:%u\",\"log_lines_per_s\":500}}\n",
-		world.front.port, world.ready.port, world.store.address.port, world.metrics.port);
+		instance->name, instance->peer.port, instance->peer.port, instance->front.port,
+		instance->ready.port, store_port, instance->metrics.port);
 	fclose(file);
 }
 
-/* start: the ingress process, with its log in a file */
-static void do_start(char **words, int count)
+/* use NAME: the commands that follow go to that instance, which is described if it is new */
+static void do_use(char **words, int count)
 {
-	(void)words;
+	struct instance *instance;
+
 	(void)count;
-	if (!world.front.port) {
-		choose_address(&world.front);
-		choose_address(&world.ready);
-		choose_address(&world.metrics);
+	for (size_t i = 0; i < world.instance_count; i++) {
+		if (!strcmp(world.instances[i].name, words[1])) {
+			world.used = &world.instances[i];
+			return;
+		}
 	}
-	write_settings();
+	instance = &world.instances[world.instance_count++];
+	snprintf(instance->name, sizeof(instance->name), "%s", words[1]);
+	snprintf(instance->settings, sizeof(instance->settings), "%s%s", world.settings,
+		 world.instance_count > 1 ? words[1] : "");
+	choose_address(&instance->front);
+	choose_address(&instance->ready);
+	choose_address(&instance->metrics);
+	choose_address(&instance->peer);
+	world.used = instance;
+}
+
+/* instance NAME: registers an instance as if it had done so itself */
+static void do_instance(char **words, int count)
+{
+	char address[PD_ADDRESS_TEXT_MAX];
+
+	do_use(words, count);
+	pd_address_format(&world.used->peer, address, sizeof(address));
+	platform_store_put(&world.store, "instances", words[1],
+			   json_pack("{s:s,s:s}", "zone", "here", "address", address));
+}
+
+/* start [NAME [dark]]: an ingress process, with its log in a file; dark: it can't reach the store
+ */
+static void do_start(char **words, int count)
+{
+	char first[] = "front-1";
+	char *use[] = {first, count > 1 ? words[1] : first};
+
+	do_use(use, 2);
+	write_settings(world.used, count > 2 ? DARK_PORT : world.store.address.port);
 	fflush(NULL);
-	world.ingress = fork();
-	if (!world.ingress) {
-		char log[160];
+	world.used->pid = fork();
+	if (!world.used->pid) {
+		char log[200];
 
-		snprintf(log, sizeof(log), "%s.log", world.settings);
+		snprintf(log, sizeof(log), "%s.log", world.used->settings);
 		if (!freopen(log, "a", stdout))
 			_exit(127);
-		execl(world.binary, world.binary, "--settings", world.settings, (char *)NULL);
+		execl(world.binary, world.binary, "--settings", world.used->settings, (char *)NULL);
 		_exit(127);
 	}
 }
 
-/* term, hup, kill */
+/* term, hup, kill, pause, resume */
 static void do_signal(char **words, int count)
 {
+	static const struct {
+		const char *name;
+		int number;
+	} signals[] = {{"term", SIGTERM},
+		       {"hup", SIGHUP},
+		       {"kill", SIGKILL},
+		       {"pause", SIGSTOP},
+		       {"resume", SIGCONT}};
+
 	(void)count;
-	if (!strcmp(words[0], "hup"))
-		kill(world.ingress, SIGHUP);
-	else
-		kill(world.ingress, strcmp(words[0], "term") ? SIGKILL : SIGTERM);
+	for (size_t i = 0; i < sizeof(signals) / sizeof(signals[0]); i++) {
+		if (!strcmp(words[0], signals[i].name))
+			kill(world.used->pid, signals[i].number);
+	}
 }
 
 /* exit: waits for the end of the process */
@@ -287,8 +351,8 @@
 
 	(void)words;
 	(void)count;
-	waitpid(world.ingress, &status, 0);
-	world.ingress = 0;
+	waitpid(world.used->pid, &status, 0);
+	world.used->pid = 0;
 	if (WIFEXITED(status))
 		print("exit %d", WEXITSTATUS(status));
 	else
@@ -374,7 +438,7 @@
 {
 	int fd = -1;
 
-	if (pd_os_connect(&world.front, PD_USEC_PER_SEC, &fd, NULL) != PD_OK)
+	if (pd_os_connect(&world.used->front, PD_USEC_PER_SEC, &fd, NULL) != PD_OK)
 		print("no connection");
 	return fd;
 }
@@ -494,7 +558,7 @@
 	(void)words;
 	(void)count;
 	pd_http_message_init(&msg, PD_HTTP_RESPONSE, HEAD_MAX, BODY_MAX);
-	get(&world.ready, "/api/readiness", &msg);
+	get(&world.used->ready, "/api/readiness", &msg);
 	print("%u", msg.complete ? msg.parser.status_code : 0);
 	pd_http_message_finish(&msg);
 }
@@ -508,7 +572,7 @@
 
 	(void)count;
 	pd_http_message_init(&msg, PD_HTTP_RESPONSE, HEAD_MAX, BODY_MAX);
-	get(&world.metrics, "/metrics", &msg);
+	get(&world.used->metrics, "/metrics", &msg);
 	snprintf(pattern, sizeof(pattern), "%s ", words[1]);
 	at = msg.body.len ? strstr(msg.body.data, pattern) : NULL;
 	if (at)
@@ -535,12 +599,12 @@
 /* logged TEXT: how many log lines hold it */
 static void do_logged(char **words, int count)
 {
-	char line[2048], path[160];
+	char line[2048], path[200];
 	int found = 0;
 	FILE *file;
 
 	(void)count;
-	snprintf(path, sizeof(path), "%s.log", world.settings);
+	snprintf(path, sizeof(path), "%s.log", world.used->settings);
 	file = fopen(path, "r");
 	while (file && fgets(line, sizeof(line), file))
 		found += strstr(line, words[1]) != NULL;
@@ -562,10 +626,12 @@
 	{"route", 2, do_route},	      {"forget", 1, do_forget},	    {"publish", 2, do_publish},
 	{"store", 2, do_store},	      {"objects", 2, do_objects},   {"start", 1, do_start},
 	{"term", 1, do_signal},	      {"hup", 1, do_signal},	    {"kill", 1, do_signal},
-	{"exit", 1, do_exit},	      {"sleep", 2, do_sleep},	    {"request", 3, do_request},
-	{"kept", 3, do_request},      {"leave", 4, do_leave},	    {"raw", 2, do_raw},
-	{"ready", 1, do_ready},	      {"metric", 2, do_metric},	    {"runs", 2, do_ask},
-	{"arrivals", 2, do_ask},      {"last", 2, do_ask},	    {"logged", 2, do_logged},
+	{"pause", 1, do_signal},      {"resume", 1, do_signal},	    {"use", 2, do_use},
+	{"instance", 2, do_instance}, {"exit", 1, do_exit},	    {"sleep", 2, do_sleep},
+	{"request", 3, do_request},   {"kept", 3, do_request},	    {"leave", 4, do_leave},
+	{"raw", 2, do_raw},	      {"ready", 1, do_ready},	    {"metric", 2, do_metric},
+	{"runs", 2, do_ask},	      {"arrivals", 2, do_ask},	    {"last", 2, do_ask},
+	{"logged", 2, do_logged},
 };
 
 static void run_command(char **words, int count)
@@ -632,7 +698,7 @@
 	alarm(100);
 	signal(SIGPIPE, SIG_IGN);
 	world.binary = argv[1];
-	snprintf(world.settings, sizeof(world.settings), "%s", argv[2]);
+	world.settings = argv[2];
 	world.routes = json_array();
 	platform_store_start(&world.store);
 	while (fgets(line, sizeof(line), stdin)) {
@@ -650,7 +716,9 @@
 			printf("%s -> %s\n", copy, output);
 		fflush(stdout);
 	}
-	if (world.ingress)
-		kill(world.ingress, SIGKILL);
+	for (size_t i = 0; i < world.instance_count; i++) {
+		if (world.instances[i].pid)
+			kill(world.instances[i].pid, SIGKILL);
+	}
 	return EXIT_SUCCESS;
 }
