--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -16,9 +16,9 @@
 
 /* Weight of one sample in the moving values: about the last five samples count. */
 #define SAMPLE_WEIGHT 0.25
-/* Without samples, half of the slowness is forgotten in this time, so that an upstream which was
- * paused or slow is tried again. */
-#define SLOWNESS_HALF_LIFE_US 1200000.0
+/* Without new evidence, half of the slowness and of the failures is forgotten in this time, so that
+ * an upstream which was paused, slow or failing is tried again. */
+#define EVIDENCE_HALF_LIFE_US 1200000.0
 #define SLOWNESS_MAX	      12.0
 /* A failure weighs as much as an answer that takes this many times as long as usual. */
 #define FAILURE_SLOWNESS  4.0
@@ -38,13 +38,30 @@
 #define HIGH_STEP     0.05
 #define HIGH_QUANTILE 0.92
 
+/* What is left of old evidence. */
+static double remembered(const struct pd_upstream *upstream, int64_t now_us)
+{
+	double age = (double)(now_us - upstream->evidence_us);
+
+	return age <= 0 ? 1 : exp2(-age / EVIDENCE_HALF_LIFE_US);
+}
+
 static double slowness_now(const struct pd_upstream *upstream, int64_t now_us)
 {
-	double age = (double)(now_us - upstream->slowness_us);
+	return 1 + (upstream->slowness - 1) * remembered(upstream, now_us);
+}
 
-	if (age <= 0)
-		return upstream->slowness;
-	return 1 + (upstream->slowness - 1) * exp2(-age / SLOWNESS_HALF_LIFE_US);
+static double failure_rate_now(const struct pd_upstream *upstream, int64_t now_us)
+{
+	return upstream->failure_rate * remembered(upstream, now_us);
+}
+
+/* Takes the time that has passed into account before new evidence is added. */
+static void age_evidence(struct pd_upstream *upstream, int64_t now_us)
+{
+	upstream->slowness = slowness_now(upstream, now_us);
+	upstream->failure_rate = failure_rate_now(upstream, now_us);
+	upstream->evidence_us = now_us;
 }
 
 static bool was_tried(const struct pd_upstream *upstream, struct pd_upstream *const *tried,
@@ -74,8 +91,8 @@
 	candidate->ejected = now_us < upstream->ejected_until_us;
 	candidate->full = !upstream->idle && pd_pool_is_full_locked(upstream);
 	candidate->same_zone = pd_name_equal(&upstream->zone->name, &registry->options.zone);
-	candidate->slowness =
-		slowness_now(upstream, now_us) * (1 + FAILURE_SLOWNESS * upstream->failure_rate);
+	candidate->slowness = slowness_now(upstream, now_us) *
+			      (1 + FAILURE_SLOWNESS * failure_rate_now(upstream, now_us));
 	candidate->running = upstream->running;
 	candidate->reported = upstream->reported * weight;
 	candidate->slots = upstream->slots;
@@ -179,12 +196,10 @@
 
 static void add_slowness(struct pd_upstream *upstream, double sample, int64_t now_us)
 {
-	double current = slowness_now(upstream, now_us);
-
 	if (sample > SLOWNESS_MAX)
 		sample = SLOWNESS_MAX;
-	upstream->slowness = current + SAMPLE_WEIGHT * (sample - current);
-	upstream->slowness_us = now_us;
+	age_evidence(upstream, now_us);
+	upstream->slowness += SAMPLE_WEIGHT * (sample - upstream->slowness);
 }
 
 static void add_latency(struct pd_route_stats *stats, double latency_us)
@@ -222,18 +237,25 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
-static void succeed(struct pd_upstream *upstream)
+static void succeed(struct pd_upstream *upstream, int64_t now_us)
 {
+	age_evidence(upstream, now_us);
 	upstream->failure_rate *= 1 - SAMPLE_WEIGHT;
 	upstream->failures = 0;
 	upstream->ejected_until_us = 0;
 }
 
+static void add_failure(struct pd_upstream *upstream, int64_t now_us)
+{
+	age_evidence(upstream, now_us);
+	upstream->failure_rate += SAMPLE_WEIGHT * (1 - upstream->failure_rate);
+}
+
 static void fail(struct pd_upstream *upstream, const char *reason, int64_t now_us)
 {
 	int64_t pause = EJECT_US;
 
-	upstream->failure_rate += SAMPLE_WEIGHT * (1 - upstream->failure_rate);
+	add_failure(upstream, now_us);
 	upstream->failures++;
 	if (upstream->failures < FAILURES_TO_EJECT)
 		return;
@@ -300,7 +322,7 @@
 	}
 	switch (report->kind) {
 	case PD_REPORT_ANSWER:
-		succeed(upstream);
+		succeed(upstream, now_us);
 		add_work(upstream->service, report);
 		if (report->stats) {
 			add_latency(report->stats, (double)report->latency_us);
@@ -317,7 +339,7 @@
 			upstream->reported = 2.0 * upstream->slots;
 			upstream->reported_us = now_us;
 		}
-		upstream->failure_rate += SAMPLE_WEIGHT * (1 - upstream->failure_rate);
+		add_failure(upstream, now_us);
 		break;
 	case PD_REPORT_WRONG_INSTANCE:
 		upstream->replaced = true;
--- a/ingress/http.c
+++ b/ingress/http.c
@@ -34,6 +34,10 @@
 
 	if (msg->head_complete)
 		return 0; /* trailers are dropped */
+	/* http-parser takes "Transfer-Encoding : chunked" for another name; the next reader may
+	 * not. */
+	if (memchr(at, ' ', len))
+		return -1;
 	if (msg->in_value || !msg->field_count) {
 		if (msg->field_count == PD_HTTP_FIELDS_MAX) {
 			msg->overflow = PD_HTTP_HEAD_TOO_LARGE;
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -18,6 +18,9 @@
 /* Instances assumed until the platform's list of them was read: the largest fleet expected. */
 #define INSTANCES_ASSUMED 64
 #define RETRY_BUCKET_MIN  1.0
+/* Positions of a weighted round-robin at which an instance may start; a multiple of no usual sum of
+ * weights. */
+#define SPREAD_STEPS 997
 
 void pd_registry_init(struct pd_registry *registry, const struct pd_registry_options *options)
 {
@@ -92,6 +95,7 @@
 		return NULL;
 	zone->name = *name;
 	zone->heard_us = pd_os_boot_us();
+	zone->round = 1; /* upstreams begin unmarked, at 0 */
 	HASH_ADD_KEYPTR(hh, registry->zones, zone->name.text, zone->name.len, zone);
 	return zone;
 }
@@ -409,11 +413,6 @@
 	return stats;
 }
 
-static double next_random(struct pd_registry *registry)
-{
-	return (double)(pd_registry_random_locked(registry) >> 11) / (double)(1ULL << 53);
-}
-
 uint64_t pd_registry_random_locked(struct pd_registry *registry)
 {
 	/* SplitMix64 */
@@ -424,12 +423,32 @@
 	return z ^ (z >> 31);
 }
 
-/* Starts each weighted route at a random position, so that instances with few requests each don't
- * all begin with the same service. */
+/* Smooth weighted round-robin: the largest credit is served and pays for the round. */
+static uint32_t advance_targets(struct pd_route *route)
+{
+	double total = 0;
+	size_t best = 0;
+
+	for (size_t i = 0; i < route->target_count; i++) {
+		route->targets[i].credit += route->targets[i].weight;
+		total += route->targets[i].weight;
+		if (route->targets[i].credit > route->targets[best].credit)
+			best = i;
+	}
+	route->targets[best].credit -= total;
+	return (uint32_t)best;
+}
+
+/* Starts a weighted route at a random position, so that instances with few requests each don't all
+ * begin with the same service. */
 static void spread_targets(struct pd_registry *registry, struct pd_route *route)
 {
-	for (size_t i = 0; i < route->target_count; i++)
-		route->targets[i].credit = next_random(registry) * route->targets[i].weight;
+	uint64_t steps = pd_registry_random_locked(registry) % SPREAD_STEPS;
+
+	if (route->kind != PD_ROUTE_FORWARD || route->target_count < 2)
+		return;
+	while (steps--)
+		advance_targets(route);
 }
 
 bool pd_registry_install(struct pd_registry *registry, struct pd_catalog *catalog)
@@ -480,19 +499,12 @@
 
 uint32_t pd_registry_next_target(struct pd_registry *registry, struct pd_route *route)
 {
-	double total = 0;
-	size_t best = 0;
+	uint32_t target;
 
 	if (route->target_count < 2)
 		return 0;
 	pthread_mutex_lock(&registry->lock);
-	for (size_t i = 0; i < route->target_count; i++) {
-		route->targets[i].credit += route->targets[i].weight;
-		total += route->targets[i].weight;
-		if (route->targets[i].credit > route->targets[best].credit)
-			best = i;
-	}
-	route->targets[best].credit -= total;
+	target = advance_targets(route);
 	pthread_mutex_unlock(&registry->lock);
-	return (uint32_t)best;
+	return target;
 }
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -75,8 +75,8 @@
  * @cold_until_us: end of its cold start
  * @references: users besides the registry
  * @slowness: latency relative to its route's mean
- * @slowness_us: when @slowness was last changed
  * @failure_rate: share of recent requests that it failed, 0 to 1
+ * @evidence_us: when @slowness and @failure_rate were last changed
  * @failures: consecutive failures or silences
  * @ejected_until_us: left alone until then
  * @running: requests of this process there
@@ -103,8 +103,8 @@
 	int64_t cold_until_us;
 	int references;
 	double slowness;
-	int64_t slowness_us;
 	double failure_rate;
+	int64_t evidence_us;
 	uint32_t failures;
 	int64_t ejected_until_us;
 	uint32_t running;
--- /dev/null
+++ b/tests/suite.h
@@ -0,0 +1,13 @@
+/**
+ * DOC: Runs the tests of one file
+ */
+#ifndef TEST_SUITE_H
+#define TEST_SUITE_H
+
+#include <check.h>
+#include <stddef.h>
+
+/* Runs @tests in order; returns the exit status of the program. */
+int suite_run(const char *name, const TTest *const *tests, size_t count);
+
+#endif
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,324 @@
+/**
+ * DOC: Formats of the platform and of the feed: configurations, entries, HTTP messages, records
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "catalog.h"
+#include "feed_message.h"
+#include "headers.h"
+#include "http.h"
+#include "merge.h"
+#include "objects.h"
+#include "settings_file.h"
+#include "suite.h"
+
+static struct pd_catalog *read_config(const char *text, struct pd_error *err)
+{
+	json_t *json = json_loads(text, 0, NULL);
+	struct pd_catalog *catalog;
+
+	ck_assert_ptr_nonnull(json);
+	catalog = pd_object_read_config(json, err);
+	json_decref(json);
+	return catalog;
+}
+
+START_TEST(routes_match_by_host_and_longest_prefix)
+{
+	/* A request on the shorter prefix must not get to the service of the longer one. */
+	struct pd_error err;
+	struct pd_catalog *catalog = read_config(
+		"{\"version\":3,\"services\":[{\"name\":\"a\"},{\"name\":\"b\"}],\"routes\":["
+		"{\"name\":\"short\",\"host\":\"one.example\",\"path_prefix\":\"/x/"
+		"\",\"service\":\"a\"},"
+		"{\"name\":\"long\",\"host\":\"one.example\",\"path_prefix\":\"/x/y/"
+		"\",\"service\":\"b\"},"
+		"{\"name\":\"other\",\"host\":\"two.example\",\"path_prefix\":\"/"
+		"\",\"service\":\"b\"}]}",
+		&err);
+
+	ck_assert_ptr_nonnull(catalog);
+	ck_assert(pd_str_is(pd_catalog_match(catalog, PD_STR("one.example"), PD_STR("/x/1"))->name,
+			    "short"));
+	ck_assert(pd_str_is(
+		pd_catalog_match(catalog, PD_STR("One.Example:80"), PD_STR("/x/y/1"))->name,
+		"long"));
+	ck_assert(pd_str_is(pd_catalog_match(catalog, PD_STR("two.example"), PD_STR("/q"))->name,
+			    "other"));
+	ck_assert_ptr_null(pd_catalog_match(catalog, PD_STR("one.example"), PD_STR("/x")));
+	ck_assert_ptr_null(pd_catalog_match(catalog, PD_STR("three.example"), PD_STR("/x/1")));
+	pd_catalog_release(catalog);
+}
+END_TEST
+
+START_TEST(route_kind_decides_what_may_be_repeated)
+{
+	/* A kind that isn't known runs at most once. */
+	struct pd_error err;
+	struct pd_catalog *catalog =
+		read_config("{\"version\":3,\"services\":[{\"name\":\"a\"}],\"routes\":["
+			    "{\"name\":\"i\",\"host\":\"h\",\"path_prefix\":\"/aaa/"
+			    "\",\"service\":\"a\",\"route_kind\":\"idempotent\"},"
+			    "{\"name\":\"n\",\"host\":\"h\",\"path_prefix\":\"/bb/"
+			    "\",\"service\":\"a\",\"route_kind\":\"non_idempotent\"},"
+			    "{\"name\":\"q\",\"host\":\"h\",\"path_prefix\":\"/c/"
+			    "\",\"service\":\"a\",\"route_kind\":\"new\"}]}",
+			    &err);
+
+	ck_assert(catalog->routes[0].idempotent);
+	ck_assert(!catalog->routes[1].idempotent);
+	ck_assert(!catalog->routes[2].idempotent);
+	pd_catalog_release(catalog);
+}
+END_TEST
+
+START_TEST(broken_configurations_change_nothing)
+{
+	static const char *const texts[] = {
+		"{}",
+		"{\"version\":\"3\",\"services\":[],\"routes\":[]}",
+		"{\"version\":3,\"services\":[{}],\"routes\":[]}",
+		"{\"version\":3,\"services\":[],\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_"
+		"prefix\":\"/\",\"service\":\"x\"}]}",
+		"{\"version\":3,\"services\":[],\"routes\":[{\"name\":\"r\"}]}",
+	};
+	struct pd_error err;
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++)
+		ck_assert_ptr_null(read_config(texts[i], &err));
+}
+END_TEST
+
+START_TEST(answers_tell_whether_the_request_ran)
+{
+	/* Only the platform's own marks prove that a request didn't run; a 503 without them
+	 * doesn't. */
+	static const struct {
+		const char *text;
+		enum pd_answer_run run;
+	} cases[] = {
+		{"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		 PD_ANSWER_NOT_RUN},
+		{"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", PD_ANSWER_RAN},
+		{"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", PD_ANSWER_WRONG_INSTANCE},
+		{"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", PD_ANSWER_RAN},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct pd_answer_fields fields;
+		struct pd_http_message msg;
+		size_t used;
+
+		pd_http_message_init(&msg, PD_HTTP_RESPONSE, 1000, 1000);
+		ck_assert_int_eq(
+			pd_http_message_read(&msg, cases[i].text, strlen(cases[i].text), &used),
+			PD_HTTP_COMPLETE);
+		pd_platform_read_answer(&msg, &fields);
+		ck_assert_int_eq(fields.run, cases[i].run);
+		pd_http_message_finish(&msg);
+	}
+}
+END_TEST
+
+START_TEST(messages_end_where_they_end)
+{
+	/* Bytes of a second answer must not become part of the first, whatever the reads are. */
+	const char *text =
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-A: b\r\n\r\nabcHTTP/1.1 404 N";
+	size_t first = strlen(text) - strlen("HTTP/1.1 404 N");
+
+	for (size_t cut = 1; cut < first; cut++) {
+		struct pd_http_message msg;
+		struct pd_str value;
+		size_t used;
+
+		pd_http_message_init(&msg, PD_HTTP_RESPONSE, 1000, 1000);
+		ck_assert_int_eq(pd_http_message_read(&msg, text, cut, &used), PD_HTTP_MORE);
+		ck_assert_int_eq(pd_http_message_read(&msg, text + cut, strlen(text) - cut, &used),
+				 PD_HTTP_COMPLETE);
+		ck_assert_uint_eq(used, first - cut);
+		ck_assert(pd_str_is(pd_buf_str(&msg.body), "abc"));
+		ck_assert(pd_http_message_field(&msg, "x-a", &value) && pd_str_is(value, "b"));
+		pd_http_message_finish(&msg);
+	}
+}
+END_TEST
+
+START_TEST(ambiguous_requests_are_malformed)
+{
+	/* Two lengths, or a length beside chunks, could hide a request inside another one. */
+	static const char *const texts[] = {
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+		"chunked\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+		"POST / HTTP/1.1\r\nContent-Length: 3x\r\n\r\nabc",
+		"GET / HTTP/1.1\r\nBad Name: x\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+		struct pd_http_message msg;
+		size_t used;
+
+		pd_http_message_init(&msg, PD_HTTP_REQUEST, 1000, 1000);
+		ck_assert_int_eq(pd_http_message_read(&msg, texts[i], strlen(texts[i]), &used),
+				 PD_HTTP_MALFORMED);
+		pd_http_message_finish(&msg);
+	}
+}
+END_TEST
+
+START_TEST(unframed_answers_end_with_the_connection)
+{
+	const char *text = "HTTP/1.1 200 OK\r\n\r\nabc";
+	struct pd_http_message msg;
+	size_t used;
+
+	pd_http_message_init(&msg, PD_HTTP_RESPONSE, 1000, 1000);
+	ck_assert_int_eq(pd_http_message_read(&msg, text, strlen(text), &used), PD_HTTP_MORE);
+	ck_assert_int_eq(pd_http_message_end(&msg), PD_HTTP_COMPLETE);
+	ck_assert(!msg.framed);
+	pd_http_message_reset(&msg);
+	text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc";
+	ck_assert_int_eq(pd_http_message_read(&msg, text, strlen(text), &used), PD_HTTP_MORE);
+	ck_assert_int_eq(pd_http_message_end(&msg), PD_HTTP_MALFORMED);
+	pd_http_message_finish(&msg);
+}
+END_TEST
+
+START_TEST(forwarded_head_drops_what_concerns_one_connection)
+{
+	const char *text =
+		"POST /a?b=%20 HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Request-Id: 7\r\n"
+		"X-Deadline-Ms: 5\r\nX-Expect-Instance: evil\r\nContent-Length: 2\r\nX-Own: "
+		"v\r\n\r\nhi";
+	struct pd_http_message msg;
+	struct pd_buf out = {0};
+	size_t used;
+
+	pd_http_message_init(&msg, PD_HTTP_REQUEST, 1000, 1000);
+	ck_assert_int_eq(pd_http_message_read(&msg, text, strlen(text), &used), PD_HTTP_COMPLETE);
+	pd_platform_write_head(&msg, &out);
+	ck_assert_str_eq(out.data,
+			 "POST /a?b=%20 HTTP/1.1\r\nHost: h\r\nX-Request-Id: 7\r\nX-Own: v\r\n"
+			 "Content-Length: 2\r\n");
+	pd_buf_finish(&out);
+	pd_http_message_finish(&msg);
+}
+END_TEST
+
+static int compare_records(const void *a, const void *b)
+{
+	return memcmp(b, a, PD_RECORD_BYTES);
+}
+
+START_TEST(merge_equals_sorting_everything)
+{
+	/* Differential: the greatest records of all parts, equal ones counted, remainders dropped.
+	 */
+	srand(11);
+	for (int round = 0; round < 300; round++) {
+		char data[12][40 * PD_RECORD_BYTES + 7], all[12 * 40 * PD_RECORD_BYTES];
+		struct pd_str parts[12];
+		size_t total = 0, top = (size_t)(rand() % 60);
+		struct pd_buf out = {0};
+
+		for (int p = 0; p < 12; p++) {
+			size_t records = (size_t)(rand() % 40);
+
+			for (size_t i = 0; i < sizeof(data[p]); i++)
+				data[p][i] = (char)(rand() % 3);
+			parts[p] = (struct pd_str){data[p], records * PD_RECORD_BYTES +
+								    (size_t)(rand() % 7)};
+			memcpy(all + total * PD_RECORD_BYTES, data[p], records * PD_RECORD_BYTES);
+			total += records;
+		}
+		qsort(all, total, PD_RECORD_BYTES, compare_records);
+		ck_assert(pd_merge_top(parts, 12, top, &out));
+		if (top > total)
+			top = total;
+		ck_assert_uint_eq(out.len, top * PD_RECORD_BYTES);
+		ck_assert(!out.len || !memcmp(out.data, all, out.len));
+		pd_buf_finish(&out);
+	}
+}
+END_TEST
+
+static struct pd_str payload(const struct pd_buf *frame)
+{
+	return (struct pd_str){frame->data + 4, frame->len - 4};
+}
+
+START_TEST(feed_messages_survive_the_way)
+{
+	struct pd_feed_message in = {.kind = PD_FEED_UPSTREAM}, out;
+	struct pd_buf frame = {0};
+	struct pd_error err;
+
+	pd_name_set(&in.upstream.id, PD_STR("i-1"));
+	pd_name_set(&in.upstream.service, PD_STR("s"));
+	pd_name_set(&in.upstream.zone, PD_STR("z"));
+	strcpy(in.upstream.address.text, "10.1.2.3:80");
+	in.upstream.draining = true;
+	in.upstream.slots = 7;
+	in.upstream.cold_ms = 1234;
+	in.upstream.born_ms = 1700000000000;
+	pd_feed_message_encode(&in, &frame);
+	ck_assert_int_eq(pd_feed_message_decode(payload(&frame), &out, &err), PD_OK);
+	ck_assert_str_eq(out.upstream.id.text, "i-1");
+	ck_assert_str_eq(out.upstream.address.text, "10.1.2.3:80");
+	ck_assert(out.upstream.draining);
+	ck_assert_int_eq(out.upstream.born_ms, 1700000000000);
+	pd_feed_message_finish(&out);
+	/* Every cut of a frame is refused, none crashes. */
+	for (size_t len = 0; len + 4 < frame.len; len++)
+		ck_assert_int_ne(
+			pd_feed_message_decode((struct pd_str){frame.data + 4, len}, &out, &err),
+			PD_OK);
+	pd_buf_finish(&frame);
+}
+END_TEST
+
+START_TEST(settings_errors_name_the_key)
+{
+	char path[] = "/tmp/pd-settings-XXXXXX";
+	struct pd_ingress_settings settings;
+	struct pd_error err;
+	int fd = mkstemp(path);
+	FILE *file = fdopen(fd, "w");
+
+	fputs("{\"platform\":{\"node_name\":\"n\",\"zone\":\"z\",\"listen_addresses\":{\"front\":"
+	      "\"1.2.3.4\"}}}",
+	      file);
+	fclose(file);
+	ck_assert_int_eq(pd_settings_file_read(path, &settings, &err), PD_INVALID);
+	ck_assert_ptr_nonnull(strstr(err.text, "listen_addresses.front"));
+	file = fopen(path, "w");
+	fputs("{\n\"platform\": nonsense", file);
+	fclose(file);
+	ck_assert_int_eq(pd_settings_file_read(path, &settings, &err), PD_INVALID);
+	ck_assert_ptr_nonnull(strstr(err.text, ":2:"));
+	remove(path);
+	ck_assert_int_eq(pd_settings_file_read(path, &settings, &err), PD_SYSTEM);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		routes_match_by_host_and_longest_prefix,
+		route_kind_decides_what_may_be_repeated,
+		broken_configurations_change_nothing,
+		answers_tell_whether_the_request_ran,
+		messages_end_where_they_end,
+		ambiguous_requests_are_malformed,
+		unframed_answers_end_with_the_connection,
+		forwarded_head_drops_what_concerns_one_connection,
+		merge_equals_sorting_everything,
+		feed_messages_survive_the_way,
+		settings_errors_name_the_key,
+	};
+
+	return suite_run("platform", tests, sizeof(tests) / sizeof(tests[0]));
+}
--- a/tests/test_query.c
+++ b/tests/test_query.c
@@ -318,7 +318,7 @@
 		pd_index_table_learn(&table, PD_STR("c"), snapshot, BUCKETS);
 		fake.only = rand_r(&fake.seed) % 8 ? 0 : snapshot - rand_r(&fake.seed) % 2;
 		fake.refusing = rand_r(&fake.seed);
-		ck_assert(run_line(&fake, "query c \"x\" kind urgent deadline 5ms", 0, &answer) ==
+		ck_assert(run_line(&fake, "query c \"x\" kind urgent deadline 20ms", 0, &answer) ==
 			  PD_OK);
 		if (answer.outcome != PD_OUTCOME_REFUSED)
 			check_hits(&answer);
@@ -363,7 +363,7 @@
 	ck_assert_uint_gt(pd_count_get(PD_COUNT_snapshot_restarts), 100);
 	ck_assert_uint_gt(pd_count_get(PD_COUNT_replies_late), 100);
 	ck_assert_uint_gt(pd_count_get(PD_COUNT_replies_mismatched), 100);
-	ck_assert_int_gt(complete, QUERIES / 20);
+	ck_assert_int_gt(complete, QUERIES / 2);
 }
 END_TEST
 
