--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -216,7 +216,7 @@
 		stats->high_us *= 1 - HIGH_STEP * (1 - HIGH_QUANTILE);
 }
 
-static void heard_locked(struct pd_upstream *upstream, int64_t now_us)
+void pd_registry_heard_locked(struct pd_upstream *upstream, int64_t now_us)
 {
 	struct pd_zone *zone = upstream->zone;
 
@@ -233,7 +233,7 @@
 void pd_registry_heard(struct pd_registry *registry, struct pd_upstream *upstream, int64_t now_us)
 {
 	pthread_mutex_lock(&registry->lock);
-	heard_locked(upstream, now_us);
+	pd_registry_heard_locked(upstream, now_us);
 	pthread_mutex_unlock(&registry->lock);
 }
 
@@ -365,7 +365,7 @@
 {
 	pthread_mutex_lock(&registry->lock);
 	if (report->kind == PD_REPORT_ANSWER || report->kind == PD_REPORT_REJECTED)
-		heard_locked(upstream, now_us);
+		pd_registry_heard_locked(upstream, now_us);
 	take_evidence(upstream, report, now_us);
 	upstream->running--;
 	pd_registry_drop_locked(upstream);
--- a/ingress/pool.c
+++ b/ingress/pool.c
@@ -274,7 +274,7 @@
 	DRAIN_BROKEN,
 };
 
-static enum drain_result drain_some(struct pd_conn *conn)
+static enum drain_result drain_some(struct pd_conn *conn, int64_t now_us)
 {
 	char bytes[READ_BYTES];
 	ssize_t n = recv(conn->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
@@ -285,6 +285,8 @@
 										 : DRAIN_BROKEN;
 	if (n == 0)
 		return DRAIN_BROKEN;
+	/* A late answer shows that the zone is in reach. */
+	pd_registry_heard_locked(conn->upstream, now_us);
 	switch (pd_http_message_read(&conn->msg, bytes, (size_t)n, &used)) {
 	case PD_HTTP_MORE:
 		return DRAIN_MORE;
@@ -306,7 +308,7 @@
 
 	while (*link) {
 		struct pd_conn *conn = *link;
-		enum drain_result result = drain_some(conn);
+		enum drain_result result = drain_some(conn, now_us);
 
 		if (result == DRAIN_MORE && now_us < conn->drain_until_us) {
 			link = &conn->next;
