--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -1,5 +1,6 @@
 #include "directory.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,6 +16,7 @@
 	memset(directory, 0, sizeof(*directory));
 	directory->registry = registry;
 	directory->store_in_touch = true;
+	pd_crashes_init(&directory->crashes);
 	pthread_mutex_init(&directory->lock, NULL);
 	pd_os_cond_init(&directory->changed);
 }
@@ -24,6 +26,7 @@
 	for (size_t i = 0; i < PD_DIRECTORY_LOG; i++)
 		pd_buf_finish(&directory->frames[i]);
 	pd_buf_finish(&directory->config);
+	pd_crashes_finish(&directory->crashes);
 	pthread_cond_destroy(&directory->changed);
 	pthread_mutex_destroy(&directory->lock);
 }
@@ -129,6 +132,21 @@
 	pthread_mutex_unlock(&directory->lock);
 }
 
+bool pd_directory_add_crash(struct pd_directory *directory, uint64_t fingerprint,
+			    const struct pd_name *event)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_CRASH};
+
+	if (!pd_crashes_add(&directory->crashes, fingerprint, event, pd_os_boot_us()))
+		return false;
+	pd_log(PD_LOG_WARNING, "crash_noted", "fingerprint=%016" PRIx64 " crash=%s", fingerprint,
+	       event->text);
+	msg.crash.fingerprint = fingerprint;
+	msg.crash.event = *event;
+	log_change(directory, &msg);
+	return true;
+}
+
 void pd_directory_set_in_touch(struct pd_directory *directory, bool in_touch)
 {
 	int64_t now = pd_os_boot_us(), lost_us;
@@ -192,6 +210,26 @@
 	free(entries);
 }
 
+static void append_crashes(struct pd_directory *directory, struct pd_buf *out)
+{
+	struct pd_crash *table = calloc(PD_CRASHES_MAX, sizeof(*table));
+	size_t count;
+
+	if (!table)
+		return;
+	count = pd_crashes_copy(&directory->crashes, table, pd_os_boot_us());
+	for (size_t i = 0; i < count; i++) {
+		struct pd_feed_message msg = {.kind = PD_FEED_CRASH};
+
+		msg.crash.fingerprint = table[i].fingerprint;
+		for (uint32_t u = 0; u < table[i].count; u++) {
+			msg.crash.event = table[i].events[u];
+			pd_feed_message_encode(&msg, out);
+		}
+	}
+	free(table);
+}
+
 uint64_t pd_directory_snapshot(struct pd_directory *directory, struct pd_buf *out)
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_CONFIG};
@@ -209,6 +247,7 @@
 	pd_feed_message_encode(&msg, out);
 	pthread_mutex_unlock(&directory->lock);
 	append_upstreams(directory, out);
+	append_crashes(directory, out);
 	return next;
 }
 
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -12,6 +12,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "crashes.h"
 #include "feed_message.h"
 #include "registry.h"
 
@@ -20,6 +21,7 @@
 /**
  * struct pd_directory - directory
  * @registry: what requests are served by
+ * @crashes: requests that crash upstreams
  * @lock: guards the rest
  * @changed: a change was logged
  * @frames: encoded changes, a ring
@@ -33,6 +35,7 @@
  */
 struct pd_directory {
 	struct pd_registry *registry;
+	struct pd_crashes crashes;
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
 	struct pd_buf frames[PD_DIRECTORY_LOG];
@@ -60,6 +63,9 @@
 				     struct pd_error *err);
 void pd_directory_set_evacuated(struct pd_directory *directory, const struct pd_name *zones,
 				size_t count);
+/* Takes in a crash; false when it was known. */
+bool pd_directory_add_crash(struct pd_directory *directory, uint64_t fingerprint,
+			    const struct pd_name *event);
 /* Notes whether the store is in reach; removals are held while it isn't, and for a while after. */
 void pd_directory_set_in_touch(struct pd_directory *directory, bool in_touch);
 
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -264,6 +264,9 @@
 		bool stale = exchange->stale;
 
 		log_break(fanout, leg, exchange, "connection_broken", now_us);
+		if (!exchange->received)
+			pd_reporter_crash(fanout->reporter, fanout->fingerprint,
+					  &exchange->upstream->id);
 		leg->runs++;
 		fanout->broken += !stale;
 		end_exchange(fanout, exchange, stale ? PD_REPORT_ABANDONED : PD_REPORT_FAILURE,
@@ -330,6 +333,21 @@
 	}
 }
 
+/* Handles exchanges that ended while they were started, as refused connections do. */
+static void settle_ended(struct pd_fanout *fanout, struct pd_leg *leg, int64_t now_us)
+{
+	for (int i = 0; i < PD_LEG_EXCHANGES && leg->state == PD_LEG_OPEN;) {
+		struct pd_exchange *exchange = &leg->exchanges[i];
+
+		if (exchange->state == PD_EXCHANGE_UNUSED || pd_exchange_is_live(exchange)) {
+			i++;
+			continue;
+		}
+		/* The next try may take the same place. */
+		settle(fanout, leg, exchange, now_us);
+	}
+}
+
 static void check_timers(struct pd_fanout *fanout, int64_t now_us)
 {
 	for (size_t i = 0; i < fanout->leg_count; i++) {
@@ -340,6 +358,7 @@
 		check_connects(fanout, leg, now_us);
 		if (leg->state == PD_LEG_OPEN && leg->hedge_us && now_us >= leg->hedge_us)
 			hedge_leg(fanout, leg, now_us);
+		settle_ended(fanout, leg, now_us);
 	}
 }
 
@@ -521,9 +540,8 @@
 		if (!send_leg(fanout, &fanout->legs[i], now))
 			fail_leg(fanout, &fanout->legs[i], "no_upstream");
 	}
-	/* An exchange may have ended while it was started. */
 	for (size_t i = 0; i < fanout->leg_count; i++)
-		settle(fanout, &fanout->legs[i], &fanout->legs[i].exchanges[0], now);
+		settle_ended(fanout, &fanout->legs[i], now);
 	wait_for_legs(fanout, &set);
 	end_open_legs(fanout);
 	poll_set_finish(&set);
--- a/ingress/fanout.h
+++ b/ingress/fanout.h
@@ -14,6 +14,7 @@
 
 #include "exchange.h"
 #include "policy.h"
+#include "reporter.h"
 
 #define PD_LEG_EXCHANGES 2 /* open sub-requests of one leg at a time */
 #define PD_LEG_TRIED	 4 /* sub-requests of one leg altogether */
@@ -69,6 +70,8 @@
  * @route: route
  * @stats: latency of the route
  * @request: common part of the sub-requests
+ * @reporter: is told of upstreams that crash
+ * @fingerprint: of the request, for @reporter
  * @client_fd: watched for the client leaving; -1 for none
  * @arrived_us: when the request arrived
  * @deadline_us: when the final answer is due
@@ -88,6 +91,8 @@
 	const struct pd_route *route;
 	struct pd_route_stats *stats;
 	struct pd_exchange_request request;
+	struct pd_reporter *reporter;
+	uint64_t fingerprint;
 	int client_fd;
 	int64_t arrived_us;
 	int64_t deadline_us;
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -39,6 +39,7 @@
 	case PD_FEED_EVACUATIONS:
 		return msg->evacuations.count;
 	case PD_FEED_BEAT:
+	case PD_FEED_CRASH:
 		return 2;
 	case PD_FEED_HELLO:
 	case PD_FEED_REMOVED:
@@ -83,6 +84,10 @@
 		msgpack_pack_uint32(&packer, msg->beat.store_in_touch);
 		msgpack_pack_uint32(&packer, msg->beat.instances);
 		break;
+	case PD_FEED_CRASH:
+		msgpack_pack_uint64(&packer, msg->crash.fingerprint);
+		pack_str(&packer, pd_name_str(&msg->crash.event));
+		break;
 	case PD_FEED_LIST_BEGIN:
 	case PD_FEED_LIST_END:
 		break;
@@ -178,6 +183,9 @@
 		msg->beat.store_in_touch = in_touch != 0;
 		msg->beat.instances = (uint32_t)instances;
 		return true;
+	case PD_FEED_CRASH:
+		return count == 2 && to_number(&fields[0], UINT64_MAX, &msg->crash.fingerprint) &&
+		       to_name(&fields[1], &msg->crash.event);
 	}
 	return false;
 }
@@ -203,7 +211,7 @@
 	root = &msg->unpacked.data;
 	if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size < 2 ||
 	    !to_number(&root->via.array.ptr[0], UINT32_MAX, &version) ||
-	    !to_number(&root->via.array.ptr[1], PD_FEED_BEAT, &kind))
+	    !to_number(&root->via.array.ptr[1], PD_FEED_CRASH, &kind))
 		return invalid(msg, PD_INVALID, "no version and kind", err);
 	if (version != VERSION)
 		return invalid(msg, PD_UNSUPPORTED_VERSION, "unknown version", err);
--- a/ingress/feed_message.h
+++ b/ingress/feed_message.h
@@ -27,6 +27,7 @@
 	PD_FEED_CONFIG = 6,
 	PD_FEED_EVACUATIONS = 7,
 	PD_FEED_BEAT = 8, /* the source is alive */
+	PD_FEED_CRASH = 9, /* an upstream crashed while it had a request */
 };
 
 /**
@@ -37,6 +38,7 @@
  * @removed: id of an upstream whose entry is gone
  * @config: the configuration as JSON; a view into @unpacked after decoding
  * @evacuations: all evacuated zones
+ * @crash: fingerprint of the request, and name of the crash
  * @beat: whether the source is in touch with the store, and how many instances there are
  * @unpacked: memory of a decoded message
  */
@@ -55,6 +57,10 @@
 			bool store_in_touch;
 			uint32_t instances;
 		} beat;
+		struct {
+			uint64_t fingerprint;
+			struct pd_name event;
+		} crash;
 	};
 	msgpack_unpacked unpacked;
 };
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -48,6 +48,7 @@
 	pd_directory_init(&ingress->directory, &ingress->registry);
 	pd_sync_init(&ingress->sync, &ingress->directory, &settings->store);
 	pd_membership_init(&ingress->membership, &ingress->directory, &ingress->sync, &self);
+	pd_reporter_init(&ingress->reporter, &ingress->directory, &ingress->sync);
 	pd_feed_init(&ingress->feed, &ingress->directory, &settings->peer);
 	pthread_mutex_init(&ingress->lock, NULL);
 	for (size_t i = 0; i < PD_LISTENERS; i++) {
@@ -223,6 +224,8 @@
 		code = pd_sync_start(&ingress->sync, err);
 	if (code == PD_OK)
 		code = pd_membership_start(&ingress->membership, err);
+	if (code == PD_OK)
+		code = pd_reporter_start(&ingress->reporter, err);
 	return code;
 }
 
--- a/ingress/ingress_private.h
+++ b/ingress/ingress_private.h
@@ -12,6 +12,7 @@
 #include "membership.h"
 #include "pool.h"
 #include "registry.h"
+#include "reporter.h"
 #include "sync.h"
 
 /** enum pd_listener_kind - who connects to a listener. */
@@ -47,6 +48,7 @@
  * @directory: what the platform says
  * @sync: hears it in the store
  * @membership: hears it from another instance
+ * @reporter: tells other instances of requests that crash upstreams
  * @feed: passes it on to other instances
  * @listeners: front, ready, metrics
  * @lock: guards the fields below
@@ -66,6 +68,7 @@
 	struct pd_directory directory;
 	struct pd_sync sync;
 	struct pd_membership membership;
+	struct pd_reporter reporter;
 	struct pd_feed feed;
 	struct pd_listener listeners[PD_LISTENERS];
 	pthread_mutex_t lock;
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -246,6 +246,9 @@
 	case PD_FEED_BEAT:
 		take_beat(membership, pursuit, msg);
 		break;
+	case PD_FEED_CRASH:
+		pd_directory_add_crash(directory, msg->crash.fingerprint, &msg->crash.event);
+		break;
 	case PD_FEED_HELLO:
 		break;
 	}
--- a/ingress/policy.c
+++ b/ingress/policy.c
@@ -29,6 +29,9 @@
 	return route->target_latency_ms * PD_USEC_PER_MSEC;
 }
 
+/* The same request is refused for a minute after its last crash. */
+#define CRASHES_RETRY_MS 60000
+
 int64_t pd_policy_hedge_delay(const struct pd_route *route, double high_us)
 {
 	double objective = (double)objective_us(route);
@@ -96,6 +99,8 @@
 		return 20;
 	case PD_REFUSAL_FULL:
 		return 100;
+	case PD_REFUSAL_CRASHES:
+		return CRASHES_RETRY_MS;
 	case PD_REFUSAL_NOT_CONFIGURED:
 	case PD_REFUSAL_NO_UPSTREAM:
 		return 300;
--- a/ingress/policy.h
+++ b/ingress/policy.h
@@ -79,6 +79,7 @@
 	PD_REFUSAL_NO_UPSTREAM, /* too few services have an upstream */
 	PD_REFUSAL_FULL, /* the upstreams reject work */
 	PD_REFUSAL_BUSY, /* this instance has too much work */
+	PD_REFUSAL_CRASHES, /* the upstreams that had the same request crashed */
 };
 
 /**
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -246,6 +246,11 @@
 		.request_id = request->fields.request_id,
 		.head_only = is_head(request),
 	};
+	fanout->reporter = &request->ingress->reporter;
+	fanout->fingerprint = pd_crash_fingerprint(
+		pd_str_from(http_method_str((enum http_method)client->msg.parser.method)),
+		request->fields.host, pd_http_message_target(&client->msg),
+		pd_buf_str(&client->msg.body));
 	/* A request that may run once goes on when its caller leaves: its work can't be undone. */
 	fanout->client_fd = request->route->idempotent ? client->fd : -1;
 	fanout->arrived_us = client->arrived_us;
@@ -319,6 +324,9 @@
 		written = refuse(request, PD_REFUSAL_BUSY, "memory");
 	} else if (count_in_reach(request, &fanout) < fanout.needed) {
 		written = refuse_unreachable(request);
+	} else if (pd_crashes_is_refused(&request->ingress->directory.crashes, fanout.fingerprint,
+					 pd_os_boot_us())) {
+		written = refuse(request, PD_REFUSAL_CRASHES, "the request crashed its upstreams");
 	} else if (!is_admitted(request, &fanout)) {
 		written = refuse(request, PD_REFUSAL_FULL, "upstreams are busy");
 	} else {
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -25,7 +25,7 @@
 		  const struct sockaddr_in *address)
 {
 	static const enum pd_object_kind kinds[PD_SYNC_TASKS] = {
-		PD_OBJECT_CONFIG, PD_OBJECT_UPSTREAMS, PD_OBJECT_EVACUATIONS};
+		PD_OBJECT_CONFIG, PD_OBJECT_UPSTREAMS, PD_OBJECT_EVACUATIONS, PD_OBJECT_CRASHES};
 
 	memset(sync, 0, sizeof(*sync));
 	sync->directory = directory;
@@ -160,6 +160,15 @@
 		sync->evacuated[sync->evacuated_count++] = zone;
 }
 
+static void put_crash(struct pd_sync *sync, const struct pd_object *object)
+{
+	struct pd_name event;
+	uint64_t fingerprint;
+
+	if (!object->removed && pd_object_read_crash(object->name, &fingerprint, &event))
+		pd_directory_add_crash(sync->directory, fingerprint, &event);
+}
+
 static void put_page(struct pd_sync_task *task, const struct pd_object_page *page)
 {
 	struct pd_object object;
@@ -177,8 +186,10 @@
 		case PD_OBJECT_EVACUATIONS:
 			put_evacuation(task->sync, &object);
 			break;
+		case PD_OBJECT_CRASHES:
+			put_crash(task->sync, &object);
+			break;
 		case PD_OBJECT_INSTANCES:
-		case PD_OBJECT_SUSPECTS:
 			break;
 		}
 	}
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -55,7 +55,7 @@
 	int wake[2];
 };
 
-#define PD_SYNC_TASKS 3
+#define PD_SYNC_TASKS 4
 
 struct pd_sync {
 	struct pd_directory *directory;
