--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -512,6 +512,7 @@
 
 			if (!pd_exchange_is_live(exchange))
 				continue;
+			log_break(fanout, &fanout->legs[i], exchange, "leg_given_up", now);
 			if (pd_exchange_was_sent(exchange))
 				fanout->legs[i].runs++;
 			pd_exchange_abandon(exchange, fanout->pool, close,
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -289,6 +289,21 @@
 		      isolated ? "out of reach" : "too few services have an upstream");
 }
 
+/* The inputs of a refusal: how long the parts would take. */
+static void log_expected(const struct request *request, const struct pd_fanout *fanout,
+			 const int64_t *expected)
+{
+	int64_t longest = 0;
+
+	for (size_t i = 0; i < fanout->leg_count; i++)
+		longest = expected[i] > longest ? expected[i] : longest;
+	pd_log(PD_LOG_INFO, "not_admitted",
+	       "id=%.*s longest_expected_ms=%" PRId64 " cutoff_in_ms=%" PRId64
+	       " parts=%zu needed=%zu",
+	       PD_STR_ARG(request->fields.request_id), longest / 1000,
+	       (fanout->cutoff_us - fanout->arrived_us) / 1000, fanout->leg_count, fanout->needed);
+}
+
 /* Whether the queues at the upstreams leave time to answer. */
 static bool is_admitted(struct request *request, const struct pd_fanout *fanout)
 {
@@ -303,6 +318,8 @@
 						      fanout->legs[i].service, now);
 	admitted = pd_policy_admit(request->route, expected, fanout->leg_count, now,
 				   fanout->cutoff_us, fanout->deadline_us);
+	if (!admitted)
+		log_expected(request, fanout, expected);
 	free(expected);
 	return admitted;
 }
