--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -89,6 +89,7 @@
 	candidate->usable = usable_locked(upstream) && !was_tried(upstream, tried, tried_count);
 	candidate->cold = now_us < upstream->cold_until_us;
 	candidate->ejected = now_us < upstream->ejected_until_us;
+	candidate->connected = upstream->idle != NULL;
 	candidate->full = !upstream->idle && pd_pool_is_full_locked(upstream);
 	candidate->same_zone = pd_name_equal(&upstream->zone->name, &registry->options.zone);
 	candidate->slowness = slowness_now(upstream, now_us) *
--- a/ingress/pick.c
+++ b/ingress/pick.c
@@ -2,7 +2,9 @@
 
 /* Cost of another zone, in units of an idle upstream's cost: the round trip between zones is about
  * a tenth of a typical sub-request, and bytes between zones are paid for. */
-#define OTHER_ZONE_COST	  0.35
+#define OTHER_ZONE_COST 0.35
+/* Cost of a new connection: its set-up takes some milliseconds and a slot of the upstream. */
+#define CONNECT_COST	  0.8
 #define FULL_COST	  3.0
 #define COLD_COST	  100.0
 #define EJECTED_COST	  1000.0
@@ -17,6 +19,8 @@
 
 	if (!candidate->same_zone)
 		cost += OTHER_ZONE_COST;
+	if (!candidate->connected)
+		cost += CONNECT_COST;
 	if (candidate->full)
 		cost += FULL_COST;
 	if (candidate->cold)
--- a/ingress/pick.h
+++ b/ingress/pick.h
@@ -17,6 +17,7 @@
  * @cold: started a short time ago
  * @ejected: failed or stayed silent repeatedly and is left alone for a while
  * @full: a further connection would exceed this process's share of those that it accepts
+ * @connected: an idle connection to it is open
  * @same_zone: in the zone of this process
  * @slowness: recent latency relative to the usual one of the same route; 1 is usual
  * @running: requests of this process at the upstream
@@ -29,6 +30,7 @@
 	bool cold;
 	bool ejected;
 	bool full;
+	bool connected;
 	bool same_zone;
 	double slowness;
 	double running;
