--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -174,7 +174,6 @@
 	struct pd_feed_message beat = {.kind = PD_FEED_BEAT};
 
 	beat.beat.store_in_touch = directory->store_in_touch;
-	beat.beat.instances = directory->registry->instances;
 	pd_feed_message_encode(&beat, out);
 }
 
--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -76,8 +76,11 @@
 
 static bool usable_locked(const struct pd_upstream *upstream)
 {
-	return !upstream->removed && !upstream->draining && !upstream->replaced &&
-	       !upstream->zone->evacuated && !upstream->zone->unreachable;
+	if (upstream->removed || upstream->draining || upstream->replaced)
+		return false;
+	/* Zones are evacuated for upstreams, not for instances. */
+	return upstream->service->internal ||
+	       (!upstream->zone->evacuated && !upstream->zone->unreachable);
 }
 
 static void describe(struct pd_registry *registry, const struct pd_upstream *upstream,
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -62,6 +62,8 @@
 		return "deadline";
 	case PD_FANOUT_CLIENT_GONE:
 		return "client_gone";
+	case PD_FANOUT_SILENT:
+		return "silent";
 	}
 	return "unlisted";
 }
@@ -209,7 +211,7 @@
 	pd_platform_read_answer(&exchange->conn->msg, &fields);
 	status = (int)exchange->conn->msg.parser.status_code;
 	/* Without its signature an answer can't be told from a garbled one. */
-	whole = is_success(status) && fields.stamp.len;
+	whole = fanout->relay || (is_success(status) && fields.stamp.len);
 	leg->runs++;
 	if (!whole) {
 		pd_log(PD_LOG_INFO, "upstream_failure",
@@ -264,7 +266,7 @@
 		bool stale = exchange->stale;
 
 		log_break(fanout, leg, exchange, "connection_broken", now_us);
-		if (!exchange->received)
+		if (!exchange->received && !fanout->relay)
 			pd_reporter_crash(fanout->reporter, fanout->fingerprint,
 					  &exchange->upstream->id);
 		leg->runs++;
@@ -319,6 +321,14 @@
 	       (long long)waited / 1000, leg->tried[leg->tried_count - 1]->id.text);
 }
 
+/* An instance of the zone takes less than a millisecond, and the request may be served here. */
+#define RELAY_CONNECT_LIMIT_US 30000
+
+static int64_t connect_limit_us(const struct pd_fanout *fanout)
+{
+	return fanout->relay ? RELAY_CONNECT_LIMIT_US : CONNECT_LIMIT_US;
+}
+
 /* Gives up connections that take too long; nothing was sent on them. */
 static void check_connects(struct pd_fanout *fanout, struct pd_leg *leg, int64_t now_us)
 {
@@ -326,7 +336,7 @@
 		struct pd_exchange *exchange = &leg->exchanges[i];
 
 		if (exchange->state != PD_EXCHANGE_CONNECTING ||
-		    now_us - exchange->started_us < CONNECT_LIMIT_US)
+		    now_us - exchange->started_us < connect_limit_us(fanout))
 			continue;
 		exchange->state = PD_EXCHANGE_UNREACHED;
 		settle(fanout, leg, exchange, now_us);
@@ -362,6 +372,17 @@
 	}
 }
 
+static bool has_received(const struct pd_fanout *fanout)
+{
+	for (size_t i = 0; i < fanout->leg_count; i++) {
+		for (int e = 0; e < PD_LEG_EXCHANGES; e++) {
+			if (fanout->legs[i].exchanges[e].received)
+				return true;
+		}
+	}
+	return false;
+}
+
 static bool is_over(struct pd_fanout *fanout, int64_t now_us)
 {
 	if (fanout->answered + fanout->failed == fanout->leg_count)
@@ -372,6 +393,8 @@
 		fanout->end = PD_FANOUT_CUTOFF;
 	else if (now_us >= fanout->deadline_us)
 		fanout->end = PD_FANOUT_DEADLINE;
+	else if (fanout->silence_us && now_us >= fanout->silence_us && !has_received(fanout))
+		fanout->end = PD_FANOUT_SILENT;
 	else
 		return false;
 	return true;
@@ -388,6 +411,8 @@
 
 	if (fanout->cutoff_us > now_us)
 		next = earlier(next, fanout->cutoff_us);
+	if (fanout->silence_us > now_us)
+		next = earlier(next, fanout->silence_us);
 	for (size_t i = 0; i < fanout->leg_count; i++) {
 		const struct pd_leg *leg = &fanout->legs[i];
 
@@ -397,8 +422,8 @@
 			next = earlier(next, leg->hedge_us);
 		for (int e = 0; e < PD_LEG_EXCHANGES; e++) {
 			if (leg->exchanges[e].state == PD_EXCHANGE_CONNECTING)
-				next = earlier(next,
-					       leg->exchanges[e].started_us + CONNECT_LIMIT_US);
+				next = earlier(next, leg->exchanges[e].started_us +
+							     connect_limit_us(fanout));
 		}
 	}
 	return next;
@@ -482,6 +507,17 @@
 	return (int)((until_us - now_us + PD_USEC_PER_MSEC - 1) / PD_USEC_PER_MSEC);
 }
 
+/* An interim answer tells the instance that passed the request on that this one lives. */
+static void tell_waiting(struct pd_fanout *fanout)
+{
+	static const char interim[] = "HTTP/1.1 102 Processing\r\n\r\n";
+
+	fanout->tell_waiting = false;
+	if (send(fanout->client_fd, interim, sizeof(interim) - 1, MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+		pd_log(PD_LOG_INFO, "interim_not_sent", "id=%.*s",
+		       PD_STR_ARG(fanout->request.request_id));
+}
+
 static void wait_for_legs(struct pd_fanout *fanout, struct poll_set *set)
 {
 	int64_t now = pd_os_boot_us();
@@ -496,6 +532,8 @@
 			return;
 		}
 		check_timers(fanout, now);
+		if (fanout->tell_waiting && now >= fanout->cutoff_us && !is_over(fanout, now))
+			tell_waiting(fanout);
 	}
 }
 
@@ -503,7 +541,8 @@
 static void end_open_legs(struct pd_fanout *fanout)
 {
 	/* Work whose result nobody takes is ended at the upstreams. */
-	bool close = fanout->end == PD_FANOUT_CLIENT_GONE || fanout->end == PD_FANOUT_HOPELESS;
+	bool close = fanout->relay || fanout->end == PD_FANOUT_CLIENT_GONE ||
+		     fanout->end == PD_FANOUT_HOPELESS;
 	int64_t now = pd_os_boot_us();
 
 	for (size_t i = 0; i < fanout->leg_count; i++) {
--- a/ingress/fanout.h
+++ b/ingress/fanout.h
@@ -62,6 +62,7 @@
 	PD_FANOUT_HOPELESS, /* too few parts can still come in */
 	PD_FANOUT_DEADLINE,
 	PD_FANOUT_CLIENT_GONE,
+	PD_FANOUT_SILENT, /* nothing was received by the time given */
 };
 
 /**
@@ -78,6 +79,9 @@
  * @cutoff_us: when an answer with parts missing goes out
  * @legs: one for each service
  * @leg_count: number of @legs
+ * @relay: the leg leads to another instance, whose answer is kept whatever it is
+ * @silence_us: when an upstream that has sent nothing is given up; 0 for the deadline
+ * @tell_waiting: the client is an instance, which is told at the cut-off that parts are waited for
  * @needed: least number of answered legs of a success
  * @answered: answered legs
  * @failed: failed legs
@@ -99,6 +103,9 @@
 	int64_t cutoff_us;
 	struct pd_leg *legs;
 	size_t leg_count;
+	bool relay;
+	int64_t silence_us;
+	bool tell_waiting;
 	size_t needed;
 	size_t answered;
 	size_t failed;
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -38,12 +38,12 @@
 		return UPSTREAM_FIELDS;
 	case PD_FEED_EVACUATIONS:
 		return msg->evacuations.count;
-	case PD_FEED_BEAT:
 	case PD_FEED_CRASH:
 		return 2;
 	case PD_FEED_HELLO:
 	case PD_FEED_REMOVED:
 	case PD_FEED_CONFIG:
+	case PD_FEED_BEAT:
 		return 1;
 	case PD_FEED_LIST_BEGIN:
 	case PD_FEED_LIST_END:
@@ -82,7 +82,6 @@
 		break;
 	case PD_FEED_BEAT:
 		msgpack_pack_uint32(&packer, msg->beat.store_in_touch);
-		msgpack_pack_uint32(&packer, msg->beat.instances);
 		break;
 	case PD_FEED_CRASH:
 		msgpack_pack_uint64(&packer, msg->crash.fingerprint);
@@ -153,7 +152,7 @@
 
 static bool decode_fields(const msgpack_object *fields, size_t count, struct pd_feed_message *msg)
 {
-	uint64_t in_touch, instances;
+	uint64_t in_touch;
 
 	switch (msg->kind) {
 	case PD_FEED_HELLO:
@@ -177,11 +176,9 @@
 		}
 		return true;
 	case PD_FEED_BEAT:
-		if (count != 2 || !to_number(&fields[0], 1, &in_touch) ||
-		    !to_number(&fields[1], UINT32_MAX, &instances))
+		if (count != 1 || !to_number(&fields[0], 1, &in_touch))
 			return false;
 		msg->beat.store_in_touch = in_touch != 0;
-		msg->beat.instances = (uint32_t)instances;
 		return true;
 	case PD_FEED_CRASH:
 		return count == 2 && to_number(&fields[0], UINT64_MAX, &msg->crash.fingerprint) &&
--- a/ingress/feed_message.h
+++ b/ingress/feed_message.h
@@ -39,7 +39,7 @@
  * @config: the configuration as JSON; a view into @unpacked after decoding
  * @evacuations: all evacuated zones
  * @crash: fingerprint of the request, and name of the crash
- * @beat: whether the source is in touch with the store, and how many instances there are
+ * @beat: whether the source is in touch with the store
  * @unpacked: memory of a decoded message
  */
 struct pd_feed_message {
@@ -55,7 +55,6 @@
 		} evacuations;
 		struct {
 			bool store_in_touch;
-			uint32_t instances;
 		} beat;
 		struct {
 			uint64_t fingerprint;
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -7,6 +7,7 @@
 #include "ingress_private.h"
 #include "log.h"
 #include "os.h"
+#include "relay.h"
 
 /* Descriptors that aren't for connections to upstreams: files, listeners, the store, callers. */
 #define DESCRIPTORS_RESERVED 500
@@ -32,8 +33,11 @@
 	};
 	const struct pd_address *addresses[PD_LISTENERS] = {&settings->front, &settings->ready,
 							    &settings->metrics};
-	const struct pd_instance_entry self = {
-		.name = settings->node, .zone = settings->zone, .address = settings->peer};
+	const struct pd_instance_entry self = {.name = settings->node,
+					       .zone = settings->zone,
+					       .address = settings->peer,
+					       .front = settings->front,
+					       .cpu_share = settings->cpu_share};
 	uint32_t open_max = DESCRIPTORS_MIN;
 
 	if (!ingress) {
@@ -45,6 +49,7 @@
 		open_max = settings->max_descriptors - DESCRIPTORS_RESERVED;
 	pd_registry_init(&ingress->registry, &options);
 	pd_pool_init(&ingress->pool, &ingress->registry, open_max);
+	ingress->relays = pd_registry_service(&ingress->registry, PD_STR(PD_RELAY_SERVICE));
 	pd_directory_init(&ingress->directory, &ingress->registry);
 	pd_sync_init(&ingress->sync, &ingress->directory, &settings->store);
 	pd_membership_init(&ingress->membership, &ingress->directory, &ingress->sync, &self);
--- a/ingress/ingress_private.h
+++ b/ingress/ingress_private.h
@@ -45,6 +45,7 @@
  * @settings: settings at the start
  * @registry: what is known of services and upstreams
  * @pool: connections to upstreams
+ * @relays: larger instances of the zone, to which gathered requests are passed on
  * @directory: what the platform says
  * @sync: hears it in the store
  * @membership: hears it from another instance
@@ -65,6 +66,7 @@
 	struct pd_ingress_settings settings;
 	struct pd_registry registry;
 	struct pd_pool pool;
+	struct pd_service *relays;
 	struct pd_directory directory;
 	struct pd_sync sync;
 	struct pd_membership membership;
--- a/ingress/ingress_settings.h
+++ b/ingress/ingress_settings.h
@@ -21,6 +21,7 @@
  * @peer: where other instances of the zone connect
  * @metrics: where counters and histograms are served
  * @store: the platform's store
+ * @cpu_share: processor share of this machine, in cores
  * @max_descriptors: most open descriptors
  * @retry_ratio: further arrivals allowed for each request, over all instances
  * @retry_slack: further arrivals allowed besides in each window, over all instances
@@ -35,6 +36,7 @@
 	struct pd_address peer;
 	struct pd_address metrics;
 	struct sockaddr_in store;
+	double cpu_share;
 	uint32_t max_descriptors;
 	double retry_ratio;
 	double retry_slack;
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -6,6 +6,7 @@
 #include "feed.h"
 #include "log.h"
 #include "os.h"
+#include "relay.h"
 
 /* How often an instance that watches the store checks whether it is in reach, with a stale read: a
  * drain must be noticed within three seconds, also when the store is lost and regained. */
@@ -25,6 +26,10 @@
 #define RETRY_US (4000 * PD_USEC_PER_MSEC)
 /* While its source has lost the store, an instance tries the store itself at this interval. */
 #define OWN_CHECK_US (1000 * PD_USEC_PER_MSEC)
+/* How often a follower lists the instances, and how soon for the first time, when all have
+ * registered. The lists are stale reads. */
+#define LIST_FIRST_US (2500 * PD_USEC_PER_MSEC)
+#define LIST_US	      (12 * PD_USEC_PER_SEC)
 /* How long the lists after an outage are waited for; they take some milliseconds. */
 #define CURRENT_US	(600 * PD_USEC_PER_MSEC)
 #define CURRENT_POLL_US (20 * PD_USEC_PER_MSEC)
@@ -76,8 +81,42 @@
 	membership->source_count++;
 }
 
+static void add_larger(struct pd_membership *membership, const struct pd_instance_entry *entry)
+{
+	if (membership->larger_count < PD_MEMBERSHIP_LARGER &&
+	    pd_name_equal(&entry->zone, &membership->self.zone) &&
+	    pd_relay_is_larger(membership->self.cpu_share, entry->cpu_share))
+		membership->larger[membership->larger_count++] = *entry;
+}
+
+/* The load that an instance of that size carries, relative to others: larger ones serve gathered
+ * requests of smaller ones besides their own. */
+static double weight_of(const struct pd_instance_entry *entry)
+{
+	return entry->cpu_share * entry->cpu_share;
+}
+
+/**
+ * struct listing - one reading of the list of instances
+ * @before: the sources known before, with their times of retry
+ * @before_count: number of @before
+ * @weight: weight of all instances but this one
+ */
+struct listing {
+	struct pd_source before[PD_MEMBERSHIP_SOURCES];
+	size_t before_count;
+	double weight;
+};
+
+static bool is_own_entry(const struct pd_membership *membership,
+			 const struct pd_instance_entry *entry)
+{
+	return entry->address.port == membership->self.address.port &&
+	       !strcmp(entry->address.ip, membership->self.address.ip);
+}
+
 static void take_page(struct pd_membership *membership, const struct pd_object_page *page,
-		      const struct pd_source *before, size_t before_count)
+		      struct listing *listing)
 {
 	struct pd_instance_entry entry;
 	struct pd_object object;
@@ -87,26 +126,37 @@
 		    !pd_object_read_instance(&object, &entry))
 			continue;
 		if (pd_name_equal(&entry.name, &membership->self.name)) {
-			membership->registered =
-				entry.address.port == membership->self.address.port &&
-				!strcmp(entry.address.ip, membership->self.address.ip);
+			membership->registered = is_own_entry(membership, &entry);
+			membership->outdated = !membership->registered;
 			continue;
 		}
-		add_source(membership, &entry, known_retry_us(before, before_count, &entry.name));
+		listing->weight += weight_of(&entry);
+		add_larger(membership, &entry);
+		add_source(membership, &entry,
+			   known_retry_us(listing->before, listing->before_count, &entry.name));
 	}
 }
 
+static void take_listing(struct pd_membership *membership, const struct listing *listing)
+{
+	struct pd_registry *registry = membership->directory->registry;
+	double own = weight_of(&membership->self);
+
+	if (own + listing->weight > 0)
+		pd_registry_set_share(registry, own / (own + listing->weight));
+	pd_relay_set_instances(registry, membership->larger, membership->larger_count);
+}
+
 /* Lists all instances; the list may be some seconds old. */
 static enum pd_code list_instances(struct pd_membership *membership, struct pd_error *err)
 {
-	struct pd_source before[PD_MEMBERSHIP_SOURCES];
-	size_t before_count = membership->source_count;
+	struct listing listing = {.before_count = membership->source_count};
 	struct pd_buf after = {0};
-	uint32_t count = 0;
-	bool more = true;
+	bool first = true, more = true;
 	enum pd_code code = PD_OK;
 
-	memcpy(before, membership->sources, before_count * sizeof(before[0]));
+	memcpy(listing.before, membership->sources,
+	       listing.before_count * sizeof(listing.before[0]));
 	while (more) {
 		struct pd_object_page page;
 
@@ -114,28 +164,35 @@
 				     true, &page, err);
 		if (code != PD_OK)
 			break;
-		if (!count)
+		if (first) {
 			membership->source_count = 0;
-		count += (uint32_t)pd_object_page_count(&page);
-		take_page(membership, &page, before, before_count);
+			membership->larger_count = 0;
+		}
+		first = false;
+		take_page(membership, &page, &listing);
 		more = page.more && pd_object_page_last_name(&page, &after);
 		pd_object_page_finish(&page);
 	}
 	pd_buf_finish(&after);
 	if (code == PD_OK)
-		pd_registry_set_instances(membership->directory->registry, count);
+		take_listing(membership, &listing);
 	return code;
 }
 
 static void register_self(struct pd_membership *membership)
 {
+	struct pd_str name = pd_name_str(&membership->self.name);
+	json_t *spec = pd_object_write_instance(&membership->self);
 	struct pd_error err;
-	enum pd_code code = pd_store_create(&membership->store, PD_OBJECT_INSTANCES,
-					    pd_name_str(&membership->self.name),
-					    pd_object_write_instance(&membership->self), &err);
+	enum pd_code code;
 
-	membership->registered = code == PD_OK || code == PD_CONFLICT;
-	if (!membership->registered)
+	if (membership->outdated)
+		code = pd_store_replace(&membership->store, PD_OBJECT_INSTANCES, name, spec, &err);
+	else
+		code = pd_store_create(&membership->store, PD_OBJECT_INSTANCES, name, spec, &err);
+	membership->registered = code == PD_OK;
+	membership->outdated = code == PD_CONFLICT;
+	if (code != PD_OK && code != PD_CONFLICT)
 		pd_log_failure(PD_LOG_WARNING, "register_failed", &err);
 }
 
@@ -183,12 +240,14 @@
  * @frame: memory of the last frame
  * @lost_us: since when the source has lost the store; 0 while it is in touch
  * @check_us: when the store is to be tried next meanwhile
+ * @list_us: when the instances are to be listed next
  */
 struct pursuit {
 	int fd;
 	struct pd_buf frame;
 	int64_t lost_us;
 	int64_t check_us;
+	int64_t list_us;
 };
 
 static void take_config(struct pd_directory *directory, struct pd_str text)
@@ -206,7 +265,6 @@
 {
 	int64_t now = pd_os_boot_us();
 
-	pd_registry_set_instances(membership->directory->registry, msg->beat.instances);
 	pd_directory_set_in_touch(membership->directory, msg->beat.store_in_touch);
 	if (msg->beat.store_in_touch) {
 		pursuit->lost_us = 0;
@@ -254,6 +312,19 @@
 	}
 }
 
+/* Now and then, looks which instances there are: requests may be passed on to them. */
+static void refresh_instances(struct pd_membership *membership, struct pursuit *pursuit)
+{
+	int64_t now = pd_os_boot_us();
+	struct pd_error err;
+
+	if (pursuit->lost_us || now < pursuit->list_us)
+		return;
+	pursuit->list_us = now + LIST_US;
+	if (list_instances(membership, &err) != PD_OK)
+		pd_log_failure(PD_LOG_INFO, "instances_not_listed", &err);
+}
+
 /* While the source has lost the store: true when this instance reaches it. */
 static bool reaches_store(struct pd_membership *membership, struct pursuit *pursuit)
 {
@@ -316,6 +387,7 @@
 			pd_sync_set_mode(membership->sync, PD_SYNC_PAUSED);
 		if (reaches_store(membership, pursuit))
 			return "source_lost_store";
+		refresh_instances(membership, pursuit);
 		first = false;
 	}
 	return pd_strerror(code);
@@ -324,7 +396,7 @@
 /* Follows a source for as long as it serves; false when it can't be reached. */
 static bool follow(struct pd_membership *membership, struct pd_source *source)
 {
-	struct pursuit pursuit = {.fd = -1};
+	struct pursuit pursuit = {.fd = -1, .list_us = pd_os_boot_us() + LIST_FIRST_US};
 	struct pd_name name = source->entry.name;
 	struct pd_error err;
 	const char *reason;
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -22,6 +22,7 @@
 #include "sync.h"
 
 #define PD_MEMBERSHIP_SOURCES 128 /* instances of the own zone that are kept */
+#define PD_MEMBERSHIP_LARGER  16 /* larger instances of the own zone that are used */
 
 /**
  * struct pd_source - an instance of the own zone that could be followed
@@ -33,17 +34,36 @@
 	int64_t retry_us;
 };
 
+/**
+ * struct pd_membership - membership
+ * @directory: where changes go
+ * @sync: hears them in the store
+ * @self: what this instance says of itself
+ * @store: connection for the list of instances
+ * @thread: its thread
+ * @sources: instances of the own zone that rank before this one, in order
+ * @source_count: number of @sources
+ * @larger: instances of the own zone to which requests may be passed on
+ * @larger_count: number of @larger
+ * @registered: the store lists this instance as it is
+ * @outdated: the store lists it with another address
+ * @started_us: start of the task
+ * @lost_us: since when the store can't be reached; 0 while it can
+ */
 struct pd_membership {
 	struct pd_directory *directory;
 	struct pd_sync *sync;
 	struct pd_instance_entry self;
 	struct pd_store store;
 	pthread_t thread;
-	struct pd_source sources[PD_MEMBERSHIP_SOURCES]; /* ranked before this one */
+	struct pd_source sources[PD_MEMBERSHIP_SOURCES];
 	size_t source_count;
+	struct pd_instance_entry larger[PD_MEMBERSHIP_LARGER];
+	size_t larger_count;
 	bool registered;
+	bool outdated;
 	int64_t started_us;
-	int64_t lost_us; /* since when the store can't be reached; 0 while it can */
+	int64_t lost_us;
 };
 
 void pd_membership_init(struct pd_membership *membership, struct pd_directory *directory,
--- a/ingress/policy.c
+++ b/ingress/policy.c
@@ -74,7 +74,9 @@
 bool pd_policy_admit(const struct pd_route *route, const int64_t *expected_us, size_t legs,
 		     int64_t now_us, int64_t cutoff_us, int64_t deadline_us)
 {
-	int64_t until = route->kind == PD_ROUTE_GATHER ? cutoff_us : deadline_us;
+	/* A request that is late already is worth its answer as long as the caller waits. */
+	bool in_objective = route->kind == PD_ROUTE_GATHER && now_us < cutoff_us;
+	int64_t until = in_objective ? cutoff_us : deadline_us;
 	size_t in_time = 0;
 
 	for (size_t i = 0; i < legs; i++)
--- a/ingress/pool.c
+++ b/ingress/pool.c
@@ -31,7 +31,7 @@
 static uint32_t connection_share(const struct pd_upstream *upstream)
 {
 	const struct pd_service *service = upstream->service;
-	double share = service->max_connections * CONNECTION_SHARE / service->registry->instances;
+	double share = service->max_connections * CONNECTION_SHARE * service->registry->share;
 
 	if (!service->max_connections)
 		return UINT32_MAX;
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -15,9 +15,9 @@
  * a later window than its arrivals. */
 #define RETRY_RATIO_USED 0.85
 #define RETRY_SLACK_USED 0.7
-/* Instances assumed until the platform's list of them was read: the largest fleet expected. */
-#define INSTANCES_ASSUMED 64
-#define RETRY_BUCKET_MIN  1.0
+/* Share assumed until the list of instances was read: that in a fleet of 64. */
+#define SHARE_ASSUMED	 (1.0 / 64)
+#define RETRY_BUCKET_MIN 1.0
 /* Positions of a weighted round-robin at which an instance may start; a multiple of no usual sum of
  * weights. */
 #define SPREAD_STEPS 997
@@ -27,7 +27,7 @@
 	memset(registry, 0, sizeof(*registry));
 	pthread_mutex_init(&registry->lock, NULL);
 	registry->options = *options;
-	registry->instances = INSTANCES_ASSUMED;
+	registry->share = SHARE_ASSUMED;
 	registry->random = pd_os_random_seed();
 }
 
@@ -102,7 +102,7 @@
 
 static double retry_bucket_size(const struct pd_registry *registry)
 {
-	double size = registry->options.retry_slack * RETRY_SLACK_USED / registry->instances;
+	double size = registry->options.retry_slack * RETRY_SLACK_USED * registry->share;
 
 	return size < RETRY_BUCKET_MIN ? RETRY_BUCKET_MIN : size;
 }
@@ -122,23 +122,21 @@
 		return NULL;
 	}
 	service->registry = registry;
+	service->internal = name.data[0] == '.';
 	pd_budget_init(&service->budget, registry->options.retry_ratio * RETRY_RATIO_USED,
 		       retry_bucket_size(registry));
 	HASH_ADD_KEYPTR(hh, registry->services, service->name.text, service->name.len, service);
 	return service;
 }
 
-void pd_registry_set_instances(struct pd_registry *registry, uint32_t instances)
+void pd_registry_set_share(struct pd_registry *registry, double share)
 {
 	struct pd_service *service, *next;
 
-	if (!instances)
-		return;
 	pthread_mutex_lock(&registry->lock);
-	if (instances != registry->instances) {
-		pd_log(PD_LOG_INFO, "instances_known", "before=%" PRIu32 " now=%" PRIu32,
-		       registry->instances, instances);
-		registry->instances = instances;
+	if (share != registry->share) {
+		pd_log(PD_LOG_INFO, "share_known", "before=%.4f now=%.4f", registry->share, share);
+		registry->share = share;
 		HASH_ITER(hh, registry->services, service, next)
 		{
 			pd_budget_resize(&service->budget,
@@ -149,6 +147,32 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
+struct pd_service *pd_registry_service(struct pd_registry *registry, struct pd_str name)
+{
+	struct pd_service *service;
+
+	pthread_mutex_lock(&registry->lock);
+	service = service_of(registry, name);
+	pthread_mutex_unlock(&registry->lock);
+	return service;
+}
+
+void pd_registry_isolate(struct pd_registry *registry, const struct pd_name *own_zone)
+{
+	struct pd_zone *zone, *next;
+
+	pthread_mutex_lock(&registry->lock);
+	HASH_ITER(hh, registry->zones, zone, next)
+	{
+		if (zone->unreachable || pd_name_equal(&zone->name, own_zone))
+			continue;
+		zone->unreachable = true;
+		pd_log(PD_LOG_WARNING, "zone_unreachable", "zone=%s reason=relay_is_isolated",
+		       zone->name.text);
+	}
+	pthread_mutex_unlock(&registry->lock);
+}
+
 static void unlink_from_service(struct pd_upstream *upstream)
 {
 	struct pd_upstream **link = &upstream->service->upstreams;
@@ -274,7 +298,7 @@
 	pthread_mutex_lock(&registry->lock);
 	HASH_ITER(hh, registry->upstreams, upstream, next)
 	{
-		upstream->listed = false;
+		upstream->listed = upstream->service->internal;
 	}
 	pthread_mutex_unlock(&registry->lock);
 }
@@ -322,7 +346,7 @@
 	if (*entries && listed) {
 		HASH_ITER(hh, registry->upstreams, upstream, next)
 		{
-			if (!upstream->remove_pending)
+			if (!upstream->remove_pending && !upstream->service->internal)
 				export_upstream(upstream, &(*entries)[(*count)++]);
 		}
 	}
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -121,6 +121,7 @@
  * struct pd_service - a service
  * @name: key
  * @registry: registry that holds it
+ * @internal: its upstreams are instances; the platform doesn't list them
  * @upstreams: its upstreams
  * @count: number of them
  * @budget: retry budget of this process for the service
@@ -131,6 +132,7 @@
 struct pd_service {
 	struct pd_name name;
 	struct pd_registry *registry;
+	bool internal;
 	struct pd_upstream *upstreams;
 	size_t count;
 	struct pd_budget budget;
@@ -157,7 +159,7 @@
 struct pd_registry {
 	pthread_mutex_t lock;
 	struct pd_registry_options options;
-	uint32_t instances; /* entry instances that share the budgets, as far as known */
+	double share; /* of this instance in what all may send and open, as far as known */
 	struct pd_zone *zones;
 	struct pd_service *services;
 	struct pd_upstream *upstreams;
@@ -212,7 +214,13 @@
 /* Replaces the set of evacuated zones. */
 void pd_registry_set_evacuated(struct pd_registry *registry, const struct pd_name *zones,
 			       size_t count);
-void pd_registry_set_instances(struct pd_registry *registry, uint32_t instances);
+/* Sets this instance's share in retry budgets and connections, from 0 to 1. */
+void pd_registry_set_share(struct pd_registry *registry, double share);
+/* The record of a service, made when it is new; NULL without memory or for a name that isn't one.
+ */
+struct pd_service *pd_registry_service(struct pd_registry *registry, struct pd_str name);
+/* Marks all zones but one as out of reach, until something is heard from them. */
+void pd_registry_isolate(struct pd_registry *registry, const struct pd_name *own_zone);
 /* All upstreams whose entries stand, in an array to be freed; false before a complete list was
  * read, or without memory. */
 bool pd_registry_export(struct pd_registry *registry, struct pd_upstream_entry **entries,
--- /dev/null
+++ b/ingress/relay.c
@@ -0,0 +1,88 @@
+#include "relay.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#define FIELD_REQUEST "X-Peridot-Relay"
+#define FIELD_ANSWER  "X-Peridot-Relayed"
+
+/* A larger instance has at least this many times the processor share: passing a request on costs
+ * about as much as two of its parts. */
+#define LARGER_BY 2.0
+/* Gathered requests that a larger instance is taken to serve at once, for the choice between them.
+ */
+#define RELAY_SLOTS 8
+
+void pd_relay_write_request(const struct pd_relay_fields *fields, struct pd_buf *out)
+{
+	pd_buf_printf(out, FIELD_REQUEST ": %" PRIu64 ",%" PRIu64 "\r\n", fields->wait_ms,
+		      fields->version);
+}
+
+bool pd_relay_read_request(const struct pd_http_message *msg, struct pd_relay_fields *fields)
+{
+	struct pd_str text;
+	char copy[48];
+
+	return pd_http_message_field(msg, FIELD_REQUEST, &text) &&
+	       pd_str_copy(text, copy, sizeof(copy)) &&
+	       sscanf(copy, "%" SCNu64 ",%" SCNu64, &fields->wait_ms, &fields->version) == 2;
+}
+
+void pd_relay_write_answer(enum pd_relay_verdict verdict, struct pd_buf *out)
+{
+	pd_buf_printf(out, FIELD_ANSWER ": %d\r\n", (int)verdict);
+}
+
+enum pd_relay_verdict pd_relay_read_answer(const struct pd_http_message *msg)
+{
+	struct pd_str text;
+
+	if (!pd_http_message_field(msg, FIELD_ANSWER, &text))
+		return PD_RELAY_UNABLE;
+	if (pd_str_is(text, "0"))
+		return PD_RELAY_ANSWERED;
+	return pd_str_is(text, "2") ? PD_RELAY_ISOLATED : PD_RELAY_UNABLE;
+}
+
+static bool same_name(struct pd_str a, const char *b)
+{
+	return a.len == strlen(b) && !strncasecmp(a.data, b, a.len);
+}
+
+bool pd_relay_is_field(struct pd_str name)
+{
+	return same_name(name, FIELD_REQUEST) || same_name(name, FIELD_ANSWER);
+}
+
+bool pd_relay_is_larger(double own, double other)
+{
+	return other >= own * LARGER_BY;
+}
+
+static bool to_upstream(const struct pd_instance_entry *instance, struct pd_upstream_entry *entry)
+{
+	memset(entry, 0, sizeof(*entry));
+	entry->id = instance->name;
+	entry->zone = instance->zone;
+	entry->slots = RELAY_SLOTS;
+	entry->address.in.sin_family = AF_INET;
+	entry->address.in.sin_port = htons(instance->front.port);
+	pd_address_format(&instance->front, entry->address.text, sizeof(entry->address.text));
+	return pd_name_set(&entry->service, PD_STR(PD_RELAY_SERVICE)) &&
+	       inet_pton(AF_INET, instance->front.ip, &entry->address.in.sin_addr) == 1;
+}
+
+void pd_relay_set_instances(struct pd_registry *registry, const struct pd_instance_entry *instances,
+			    size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		struct pd_upstream_entry entry;
+
+		if (to_upstream(&instances[i], &entry))
+			pd_registry_put(registry, &entry);
+	}
+}
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -13,9 +13,14 @@
 #include "merge.h"
 #include "os.h"
 #include "policy.h"
+#include "relay.h"
 
 /* Requests that are served at a time; each holds a thread and a connection for each service. */
 #define REQUESTS_MAX 200
+/* Time for the way to a larger instance of the zone and back, off the time to wait for parts. */
+#define RELAY_TRAVEL_US (2 * PD_USEC_PER_MSEC)
+/* A larger instance that is silent this long after the cut-off is given up. */
+#define RELAY_SILENCE_US (40 * PD_USEC_PER_MSEC)
 
 /**
  * struct request - one request while it is served
@@ -24,6 +29,9 @@
  * @fields: what its header says
  * @catalog: configuration that it is served by
  * @route: its route
+ * @relayed: another instance passed the request on, and says @relay
+ * @relay: what that instance says
+ * @verdict: what is said to that instance
  * @close: the connection ends after the answer
  * @status: status of the answer
  * @reason: for the log
@@ -34,6 +42,9 @@
 	struct pd_request_fields fields;
 	struct pd_catalog *catalog;
 	struct pd_route *route;
+	bool relayed;
+	struct pd_relay_fields relay;
+	enum pd_relay_verdict verdict;
 	bool close;
 	int status;
 	const char *reason;
@@ -56,6 +67,11 @@
 
 	request->close =
 		request->close || (request->ingress && pd_ingress_is_stopping(request->ingress));
+	if (request->relayed) {
+		pd_buf_printf(head, "X-Request-Id: %.*s\r\n",
+			      PD_STR_ARG(request->fields.request_id));
+		pd_relay_write_answer(request->verdict, head);
+	}
 	pd_buf_printf(head, "Content-Length: %zu\r\n%s\r\n", body.len,
 		      request->close ? "Connection: close\r\n" : "");
 	if (is_head(request))
@@ -76,6 +92,23 @@
 	return write_answer(request, &head, pd_str_from(reason));
 }
 
+/* What a refusal means to an instance that passed the request on. */
+static enum pd_relay_verdict relay_verdict(enum pd_refusal refusal)
+{
+	switch (refusal) {
+	case PD_REFUSAL_OUT_OF_REACH:
+		return PD_RELAY_ISOLATED;
+	case PD_REFUSAL_NOT_CONFIGURED:
+	case PD_REFUSAL_BUSY:
+		return PD_RELAY_UNABLE;
+	case PD_REFUSAL_NO_UPSTREAM:
+	case PD_REFUSAL_FULL:
+	case PD_REFUSAL_CRASHES:
+		return PD_RELAY_ANSWERED;
+	}
+	return PD_RELAY_UNABLE;
+}
+
 /* Refuses a request that hasn't run and never will. */
 static bool refuse(struct request *request, enum pd_refusal refusal, const char *reason)
 {
@@ -86,6 +119,7 @@
 	request->reason = reason;
 	/* Another instance may serve it: the next request shall come over a new connection. */
 	request->close = request->close || refusal == PD_REFUSAL_OUT_OF_REACH;
+	request->verdict = relay_verdict(refusal);
 	begin_answer(&head, request->status);
 	pd_buf_printf(&head, "Retry-After: %u.%03u\r\n", retry_ms / 1000, retry_ms % 1000);
 	return write_answer(request, &head, pd_str_from(reason));
@@ -126,7 +160,7 @@
 	for (uint32_t i = 0; i < leg->answer.field_count; i++) {
 		struct pd_str name = pd_http_message_name(&leg->answer, i);
 
-		if (pd_http_is_hop_field(name))
+		if (pd_http_is_hop_field(name) || pd_relay_is_field(name))
 			continue;
 		pd_buf_append_str(&head, name);
 		pd_buf_append_str(&head, PD_STR(": "));
@@ -260,6 +294,11 @@
 								request->fields.deadline_ms));
 	fanout->cutoff_us =
 		pd_policy_cutoff(request->route, client->arrived_us, pd_client_travel_us(client));
+	if (request->relayed) {
+		fanout->cutoff_us =
+			client->arrived_us + (int64_t)request->relay.wait_ms * PD_USEC_PER_MSEC;
+		fanout->tell_waiting = true;
+	}
 	fanout->needed = pd_policy_parts_needed(request->route);
 }
 
@@ -324,6 +363,95 @@
 	return admitted;
 }
 
+/* The route of a request that is passed on: to one instance, once. */
+static struct pd_route relay_route(const struct pd_route *route)
+{
+	return (struct pd_route){.name = route->name,
+				 .kind = PD_ROUTE_FORWARD,
+				 .idempotent = true,
+				 .timeout_ms = route->timeout_ms,
+				 .target_latency_ms = route->target_latency_ms,
+				 .max_attempts = 1,
+				 .target_count = 1};
+}
+
+static void write_relay_head(const struct request *request, const struct pd_fanout *fanout,
+			     struct pd_buf *head)
+{
+	int64_t wait_us = fanout->cutoff_us - pd_os_boot_us() - RELAY_TRAVEL_US;
+	struct pd_relay_fields fields = {
+		.wait_ms = wait_us > 0 ? (uint64_t)(wait_us / PD_USEC_PER_MSEC) : 0,
+		.version = request->catalog->version,
+	};
+
+	pd_platform_write_head(&request->client->msg, head);
+	pd_relay_write_request(&fields, head);
+}
+
+/* Takes the answer of a larger instance; false when the request has to be served here. */
+static bool take_relay_answer(struct request *request, struct pd_fanout *fanout, bool *written)
+{
+	struct pd_leg *leg = &fanout->legs[0];
+	enum pd_relay_verdict verdict;
+
+	if (fanout->end == PD_FANOUT_CLIENT_GONE) {
+		request->reason = "client_gone";
+		*written = false;
+		return true;
+	}
+	if (leg->state != PD_LEG_ANSWERED)
+		return false;
+	verdict = pd_relay_read_answer(&leg->answer);
+	if (verdict == PD_RELAY_UNABLE)
+		return false;
+	if (verdict == PD_RELAY_ISOLATED) {
+		pd_registry_isolate(&request->ingress->registry, &request->ingress->settings.zone);
+		request->close = true;
+	}
+	request->reason = "relayed";
+	*written = pass_on(request, leg);
+	return true;
+}
+
+/* Has a larger instance serve a gathered request; false when it has to be served here. */
+static bool serve_by_relay(struct request *request, bool *written)
+{
+	struct pd_service *relays = request->ingress->relays;
+	struct pd_route route = relay_route(request->route);
+	struct pd_route *own_route = request->route;
+	struct pd_buf head = {0};
+	struct pd_fanout fanout;
+	bool served = false;
+
+	if (request->relayed || own_route->kind != PD_ROUTE_GATHER || !relays ||
+	    !pd_registry_available(&request->ingress->registry, relays, NULL, 0))
+		return false;
+	if (!pd_fanout_init(&fanout, 1))
+		return false;
+	describe_fanout(request, &fanout, &head);
+	fanout.route = &route;
+	fanout.stats = NULL;
+	fanout.relay = true;
+	fanout.needed = 1;
+	fanout.silence_us = fanout.cutoff_us + RELAY_SILENCE_US;
+	fanout.legs[0].service = relays;
+	write_relay_head(request, &fanout, &head);
+	fanout.request.head = pd_buf_str(&head);
+	if (!head.failed) {
+		pd_fanout_run(&fanout);
+		served = take_relay_answer(request, &fanout, written);
+	}
+	if (served)
+		log_outcome(request, &fanout);
+	else
+		pd_log(PD_LOG_INFO, "relay_failed", "id=%.*s end=%s status=%d",
+		       PD_STR_ARG(request->fields.request_id), pd_fanout_end_name(fanout.end),
+		       fanout.legs[0].status);
+	pd_fanout_finish(&fanout);
+	pd_buf_finish(&head);
+	return served;
+}
+
 static bool serve_routed(struct request *request)
 {
 	struct pd_route *route = request->route;
@@ -370,6 +498,13 @@
 	       request->catalog ? request->catalog->version : 0);
 }
 
+static bool answer_no_route(struct request *request)
+{
+	/* The instance that passed it on knows a route. */
+	request->verdict = PD_RELAY_UNABLE;
+	return answer_plain(request, HTTP_STATUS_NOT_FOUND, "no route");
+}
+
 static bool serve_known(struct request *request)
 {
 	struct pd_str target = pd_http_message_target(&request->client->msg);
@@ -384,7 +519,11 @@
 		written = refuse(request, PD_REFUSAL_BUSY, "too many requests");
 	else if (!(request->route = pd_catalog_match(request->catalog, request->fields.host,
 						     path_of(target))))
-		written = answer_plain(request, HTTP_STATUS_NOT_FOUND, "no route");
+		written = answer_no_route(request);
+	else if (request->relayed && request->catalog->version < request->relay.version)
+		written = refuse(request, PD_REFUSAL_NOT_CONFIGURED, "configuration is older");
+	else if (serve_by_relay(request, &written))
+		return written;
 	else
 		return serve_routed(request);
 	log_refusal(request);
@@ -397,6 +536,7 @@
 	bool written;
 
 	pd_platform_read_request(&client->msg, &request.fields);
+	request.relayed = pd_relay_read_request(&client->msg, &request.relay);
 	request.catalog = pd_registry_catalog(&ingress->registry);
 	request.close = !client->msg.keep_alive;
 	written = serve_known(&request);
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -38,6 +38,7 @@
  * @metrics: where it serves counters
  * @peer: where other instances connect
  * @settings: path of its settings file
+ * @cpu_share: processor share that it is told
  * @pid: process, 0 while there is none
  */
 struct instance {
@@ -47,6 +48,7 @@
 	struct pd_address metrics;
 	struct pd_address peer;
 	char settings[160];
+	double cpu_share;
 	pid_t pid;
 };
 
@@ -240,15 +242,26 @@
 	print("%zu", platform_store_count(&world.store, words[1]));
 }
 
+/* A free port that wasn't chosen before: the kernel may offer the same one twice. */
 static void choose_address(struct pd_address *address)
 {
-	int fd;
+	static uint16_t chosen[INSTANCES_MAX * 4];
+	static size_t count;
+	bool taken;
 
-	memset(address, 0, sizeof(*address));
-	memcpy(address->ip, "127.0.0.1", sizeof("127.0.0.1"));
-	if (pd_os_listen(address, &fd, NULL) != PD_OK)
-		abort();
-	pd_os_close(&fd);
+	do {
+		int fd;
+
+		memset(address, 0, sizeof(*address));
+		memcpy(address->ip, "127.0.0.1", sizeof("127.0.0.1"));
+		if (pd_os_listen(address, &fd, NULL) != PD_OK)
+			abort();
+		pd_os_close(&fd);
+		taken = false;
+		for (size_t i = 0; i < count; i++)
+			taken = taken || chosen[i] == address->port;
+	} while (taken);
+	chosen[count++] = address->port;
 }
 
 static void write_settings(const struct instance *instance, uint16_t store_port)
@@ -261,11 +274,12 @@
 		"{\"platform\":{\"node_name\":\"%s\",\"zone\":\"here\",\"ip\":\"127.0.0.1\","
 		"\"internal_port_range\":[%u,%u],\"listen_addresses\":"
 		"{\"front\":\"127.0.0.1:%u\",\"ready\":\"127.0.0.1:%u\"},\"platform\":{\"address\":"
-		"\"127.0.0.1:%u\"},\"limits\":{\"max_file_descriptors\":1024},\"bounds\":"
+		"\"127.0.0.1:%u\"},\"limits\":{\"max_file_descriptors\":1024,\"cpu_share\":%g},"
+		"\"bounds\":"
 		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6}},"
 		"\"ingress\":{\"metrics_address\":\"127.0.0.1:%u\",\"log_lines_per_s\":500}}\n",
 		instance->name, instance->peer.port, instance->peer.port, instance->front.port,
-		instance->ready.port, store_port, instance->metrics.port);
+		instance->ready.port, store_port, instance->cpu_share, instance->metrics.port);
 	fclose(file);
 }
 
@@ -289,6 +303,7 @@
 	choose_address(&instance->ready);
 	choose_address(&instance->metrics);
 	choose_address(&instance->peer);
+	instance->cpu_share = 1;
 	world.used = instance;
 }
 
@@ -300,7 +315,15 @@
 	do_use(words, count);
 	pd_address_format(&world.used->peer, address, sizeof(address));
 	platform_store_put(&world.store, "instances", words[1],
-			   json_pack("{s:s,s:s}", "zone", "here", "address", address));
+			   json_pack("{s:s,s:s,s:s,s:f}", "zone", "here", "address", address,
+				     "front", address, "cpu_share", 1.0));
+}
+
+/* size NAME CORES: processor share of an instance that is started later */
+static void do_size(char **words, int count)
+{
+	do_use(words, count);
+	world.used->cpu_share = atof(words[2]);
 }
 
 /* start [NAME [dark]]: an ingress process, with its log in a file; dark: it can't reach the store
@@ -627,11 +650,11 @@
 	{"store", 2, do_store},	      {"objects", 2, do_objects},   {"start", 1, do_start},
 	{"term", 1, do_signal},	      {"hup", 1, do_signal},	    {"kill", 1, do_signal},
 	{"pause", 1, do_signal},      {"resume", 1, do_signal},	    {"use", 2, do_use},
-	{"instance", 2, do_instance}, {"exit", 1, do_exit},	    {"sleep", 2, do_sleep},
-	{"request", 3, do_request},   {"kept", 3, do_request},	    {"leave", 4, do_leave},
-	{"raw", 2, do_raw},	      {"ready", 1, do_ready},	    {"metric", 2, do_metric},
-	{"runs", 2, do_ask},	      {"arrivals", 2, do_ask},	    {"last", 2, do_ask},
-	{"logged", 2, do_logged},
+	{"instance", 2, do_instance}, {"size", 3, do_size},	    {"exit", 1, do_exit},
+	{"sleep", 2, do_sleep},	      {"request", 3, do_request},   {"kept", 3, do_request},
+	{"leave", 4, do_leave},	      {"raw", 2, do_raw},	    {"ready", 1, do_ready},
+	{"metric", 2, do_metric},     {"runs", 2, do_ask},	    {"arrivals", 2, do_ask},
+	{"last", 2, do_ask},	      {"logged", 2, do_logged},
 };
 
 static void run_command(char **words, int count)
--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -211,6 +211,9 @@
 	/* Nothing known is no reason to refuse. */
 	memset(expected, 0, sizeof(expected));
 	ck_assert(pd_policy_admit(&route, expected, 20, 0, 180000, 1185000));
+	/* So is a request that comes here late, from an instance that didn't answer. */
+	expected[0] = expected[1] = expected[2] = 500000;
+	ck_assert(pd_policy_admit(&route, expected, 20, 200000, 180000, 1185000));
 	/* A forwarded request is worth something also when it is late. */
 	route.kind = PD_ROUTE_FORWARD;
 	route.target_count = 1;
