--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -8,9 +8,6 @@
 #include "objects.h"
 #include "os.h"
 
-/* Entries lapse after some seconds without contact; shorter losses need no hold of removals. */
-#define LAPSE_US (1500 * PD_USEC_PER_MSEC)
-
 void pd_directory_init(struct pd_directory *directory, struct pd_registry *registry)
 {
 	memset(directory, 0, sizeof(*directory));
@@ -147,24 +144,20 @@
 	return true;
 }
 
-void pd_directory_set_in_touch(struct pd_directory *directory, bool in_touch)
+void pd_directory_set_in_touch(struct pd_directory *directory, bool in_touch, bool lapsed)
 {
-	int64_t now = pd_os_boot_us(), lost_us;
 	bool changed;
 
 	pthread_mutex_lock(&directory->lock);
 	changed = directory->store_in_touch != in_touch;
 	directory->store_in_touch = in_touch;
-	lost_us = now - directory->lost_us;
-	if (changed) {
-		directory->lost_us = now;
+	if (changed)
 		pthread_cond_broadcast(&directory->changed);
-	}
 	pthread_mutex_unlock(&directory->lock);
 	if (!changed)
 		return;
 	if (in_touch)
-		pd_registry_release_removals(directory->registry, lost_us > LAPSE_US);
+		pd_registry_release_removals(directory->registry, lapsed);
 	else
 		pd_registry_hold_removals(directory->registry);
 }
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -30,7 +30,6 @@
  * @evacuated: evacuated zones
  * @evacuated_count: number of @evacuated
  * @store_in_touch: this instance, or the one it follows, is in touch with the store
- * @lost_us: since when the store is out of reach, if it is
  * @followers: instances that follow this one
  */
 struct pd_directory {
@@ -44,7 +43,6 @@
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
 	size_t evacuated_count;
 	bool store_in_touch;
-	int64_t lost_us;
 	uint32_t followers;
 };
 
@@ -66,8 +64,15 @@
 /* Takes in a crash; false when it was known. */
 bool pd_directory_add_crash(struct pd_directory *directory, uint64_t fingerprint,
 			    const struct pd_name *event);
-/* Notes whether the store is in reach; removals are held while it isn't, and for a while after. */
-void pd_directory_set_in_touch(struct pd_directory *directory, bool in_touch);
+/**
+ * pd_directory_set_in_touch() - notes whether the store is in reach
+ * @directory: directory
+ * @in_touch: it is, and everything that it holds is known
+ * @lapsed: it was away for so long that entries of living upstreams may have lapsed
+ *
+ * Removals are held while it isn't, and for a while after when entries may have lapsed.
+ */
+void pd_directory_set_in_touch(struct pd_directory *directory, bool in_touch, bool lapsed);
 
 /**
  * pd_directory_snapshot() - everything, as frames
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -13,7 +13,7 @@
 #define DESCRIPTORS_RESERVED 500
 #define DESCRIPTORS_MIN	     64
 #define CONNECTIONS_MAX	     256 /* callers' connections; one thread each */
-#define REMOVAL_HOLD_US	     (2200 * PD_USEC_PER_MSEC) /* lapsed entries are back in two seconds */
+#define REMOVAL_HOLD_US	     (2000 * PD_USEC_PER_MSEC) /* lapsed entries are back in two seconds */
 /* Less than this share of the gathered services in reach: callers are served better elsewhere. */
 #define REACH_LEAST 0.7
 /* Answers of a stopping process leave this long before it would be killed. */
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -26,6 +26,8 @@
 #define RETRY_US (4000 * PD_USEC_PER_MSEC)
 /* While its source has lost the store, an instance tries the store itself at this interval. */
 #define OWN_CHECK_US (1000 * PD_USEC_PER_MSEC)
+/* Entries lapse after some seconds without contact; shorter losses need no hold of removals. */
+#define LAPSE_US (1500 * PD_USEC_PER_MSEC)
 /* How often a follower lists the instances, and how soon for the first time, when all have
  * registered. The lists are stale reads. */
 #define LIST_FIRST_US (2500 * PD_USEC_PER_MSEC)
@@ -214,13 +216,16 @@
 static void note_in_touch(struct pd_membership *membership)
 {
 	if (membership->lost_us) {
+		int64_t lost_us = pd_os_boot_us() - membership->lost_us;
+
 		pd_log(PD_LOG_INFO, "store_regained", "kind=instances lost_ms=%" PRId64,
-		       (pd_os_boot_us() - membership->lost_us) / 1000);
+		       lost_us / 1000);
 		membership->lost_us = 0;
+		membership->lapsed = lost_us > LAPSE_US;
 		pd_sync_renew(membership->sync);
 	}
 	if (!membership->directory->store_in_touch && wait_until_current(membership))
-		pd_directory_set_in_touch(membership->directory, true);
+		pd_directory_set_in_touch(membership->directory, true, membership->lapsed);
 }
 
 static void note_lost(struct pd_membership *membership, const struct pd_error *err)
@@ -230,7 +235,7 @@
 		pd_log(PD_LOG_WARNING, "store_lost", "kind=instances code=%s",
 		       pd_strerror(err->code));
 		pd_log_failure(PD_LOG_WARNING, "store_failure", err);
-		pd_directory_set_in_touch(membership->directory, false);
+		pd_directory_set_in_touch(membership->directory, false, false);
 	}
 }
 
@@ -265,7 +270,8 @@
 {
 	int64_t now = pd_os_boot_us();
 
-	pd_directory_set_in_touch(membership->directory, msg->beat.store_in_touch);
+	pd_directory_set_in_touch(membership->directory, msg->beat.store_in_touch,
+				  pursuit->lost_us && now - pursuit->lost_us > LAPSE_US);
 	if (msg->beat.store_in_touch) {
 		pursuit->lost_us = 0;
 	} else if (!pursuit->lost_us) {
@@ -478,7 +484,7 @@
 			continue;
 		}
 		pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
-		pd_os_sleep_us(membership->lost_us ? LOST_CHECK_US : CHECK_US);
+		pd_os_sleep_us(membership->directory->store_in_touch ? CHECK_US : LOST_CHECK_US);
 	}
 	return NULL;
 }
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -49,6 +49,7 @@
  * @outdated: the store lists it with another address
  * @started_us: start of the task
  * @lost_us: since when the store can't be reached; 0 while it can
+ * @lapsed: the last loss was long enough for entries to lapse
  */
 struct pd_membership {
 	struct pd_directory *directory;
@@ -64,6 +65,7 @@
 	bool outdated;
 	int64_t started_us;
 	int64_t lost_us;
+	bool lapsed;
 };
 
 void pd_membership_init(struct pd_membership *membership, struct pd_directory *directory,
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -291,7 +291,7 @@
 	task->quick = waited_us < QUICK_US ? task->quick + 1 : 0;
 	for (uint32_t i = 0; i < task->quick && pause < PAUSE_MAX_US; i++)
 		pause *= 2;
-	pd_os_sleep_us(pause < PAUSE_MAX_US ? pause : PAUSE_MAX_US);
+	pause_or_wake(task, pause < PAUSE_MAX_US ? pause : PAUSE_MAX_US);
 }
 
 static enum pd_code watch_once(struct pd_sync_task *task, struct pd_error *err)
--- a/tests/test_store_client.c
+++ b/tests/test_store_client.c
@@ -5,6 +5,7 @@
 #include <check.h>
 #include <fcntl.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "platform_store.h"
@@ -89,6 +90,17 @@
 }
 END_TEST
 
+START_TEST(closed_idle_connection_is_replaced)
+{
+	/* Connections are reset while they are idle; taken for an outage, that held back removals for
+	 * seconds. */
+	uint64_t revision = list_revision();
+
+	ck_assert_int_eq(shutdown(client.fd, SHUT_RDWR), 0);
+	ck_assert_uint_eq(list_revision(), revision);
+}
+END_TEST
+
 START_TEST(creates_once)
 {
 	/* A second registration of the same instance is a conflict, no error of the store. */
@@ -132,6 +144,7 @@
 	tcase_add_test(tcase, lists_although_woken);
 	tcase_add_test(tcase, watch_ends_when_woken);
 	tcase_add_test(tcase, watch_sees_changes_and_lost_history);
+	tcase_add_test(tcase, closed_idle_connection_is_replaced);
 	tcase_add_test(tcase, creates_once);
 	tcase_add_test(tcase, tells_how_a_call_failed);
 	suite_add_tcase(suite, tcase);
