--- a/ingress/feed.c
+++ b/ingress/feed.c
@@ -56,8 +56,8 @@
 
 static bool read_hello(int fd, struct pd_name *name)
 {
+	struct pd_feed_message msg = {.kind = PD_FEED_BEAT};
 	struct pd_buf buffer = {0};
-	struct pd_feed_message msg;
 	struct pd_error err;
 	bool read;
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -74,20 +74,23 @@
 }
 END_TEST
 
+#define UNKNOWN_SERVICE                                                                            \
+	"{\"version\":3,\"services\":[],\"routes\":[{\"name\":\"r\",\"host\":\"h\","               \
+	"\"path_prefix\":\"/\",\"service\":\"x\"}]}"
+
 START_TEST(broken_configurations_change_nothing)
 {
 	static const char *const texts[] = {
 		"{}",
 		"{\"version\":\"3\",\"services\":[],\"routes\":[]}",
 		"{\"version\":3,\"services\":[{}],\"routes\":[]}",
-		"{\"version\":3,\"services\":[],\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_"
-		"prefix\":\"/\",\"service\":\"x\"}]}",
 		"{\"version\":3,\"services\":[],\"routes\":[{\"name\":\"r\"}]}",
 	};
 	struct pd_error err;
 
 	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++)
 		ck_assert_ptr_null(read_config(texts[i], &err));
+	ck_assert_ptr_null(read_config(UNKNOWN_SERVICE, &err));
 }
 END_TEST
 
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -79,6 +79,7 @@
 		struct pd_report report = {.kind = PD_REPORT_FAILURE};
 
 		HASH_FIND(hh, registry.upstreams, "a", 1, upstream);
+		ck_assert_ptr_nonnull(upstream);
 		upstream->references++;
 		upstream->running++;
 		pd_registry_report(&registry, upstream, &report, now);
--- a/tests/test_store_client.c
+++ b/tests/test_store_client.c
@@ -92,8 +92,8 @@
 
 START_TEST(closed_idle_connection_is_replaced)
 {
-	/* Connections are reset while they are idle; taken for an outage, that held back removals for
-	 * seconds. */
+	/* Connections are reset while they are idle; taken for an outage, that held back removals
+	 * for seconds. */
 	uint64_t revision = list_revision();
 
 	ck_assert_int_eq(shutdown(client.fd, SHUT_RDWR), 0);
