--- a/deploy/ingress.mk
+++ b/deploy/ingress.mk
@@ -6,7 +6,7 @@
 CFLAGS := -std=gnu11 -O2 -g -pthread $(WARN)
 LDLIBS := -Wl,--as-needed -lhttp_parser -ljansson -lxxhash -lmsgpackc -lm -pthread
 
-BASE := str error log counters os
+BASE := str error log counters os msgpack_check
 SOURCES := $(wildcard ingress/*.c platform/*.c) $(BASE:%=src/%.c) bin/peridot-ingress.c
 OBJECTS := $(SOURCES:%.c=target/obj/%.o)
 
--- /dev/null
+++ b/fuzz/platform.c
@@ -0,0 +1,71 @@
+/* Bytes from outside: HTTP messages, the platform's objects, and frames of the feed. */
+#include <jansson.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "feed_message.h"
+#include "headers.h"
+#include "http.h"
+#include "objects.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void read_http(struct pd_str bytes, enum pd_http_kind kind)
+{
+	struct pd_answer_fields answer;
+	struct pd_http_message msg;
+	size_t used;
+
+	pd_http_message_init(&msg, kind, 2048, 4096);
+	if (pd_http_message_read(&msg, bytes.data, bytes.len, &used) == PD_HTTP_MORE)
+		pd_http_message_end(&msg);
+	if (msg.complete)
+		pd_platform_read_answer(&msg, &answer);
+	pd_http_message_finish(&msg);
+}
+
+static void read_objects(struct pd_str bytes)
+{
+	json_t *json = json_loadb(bytes.data, bytes.len, 0, NULL);
+	struct pd_object_page page;
+	struct pd_error err;
+
+	pd_catalog_release(pd_object_read_config(json, &err));
+	json_decref(json);
+	if (pd_object_page_read(bytes, bytes.len % 2, &page, &err) != PD_OK)
+		return;
+	for (size_t i = 0; i < pd_object_page_count(&page); i++) {
+		struct pd_upstream_entry entry;
+		struct pd_object object;
+
+		if (pd_object_page_get(&page, i, &object))
+			pd_object_read_upstream(&object, &entry, &err);
+	}
+	pd_object_page_finish(&page);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct pd_str bytes = {(const char *)data + 1, size ? size - 1 : 0};
+	struct pd_feed_message msg;
+	struct pd_error err;
+
+	if (!size)
+		return 0;
+	switch (data[0] % 4) {
+	case 0:
+		read_http(bytes, PD_HTTP_REQUEST);
+		break;
+	case 1:
+		read_http(bytes, PD_HTTP_RESPONSE);
+		break;
+	case 2:
+		read_objects(bytes);
+		break;
+	default:
+		if (pd_feed_message_decode(bytes, &msg, &err) == PD_OK)
+			pd_feed_message_finish(&msg);
+		break;
+	}
+	return 0;
+}
--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -261,9 +261,23 @@
 	return kept;
 }
 
-void pd_directory_count_follower(struct pd_directory *directory, int change)
+bool pd_directory_is_in_touch(struct pd_directory *directory)
 {
+	bool in_touch;
+
+	pthread_mutex_lock(&directory->lock);
+	in_touch = directory->store_in_touch;
+	pthread_mutex_unlock(&directory->lock);
+	return in_touch;
+}
+
+uint32_t pd_directory_count_follower(struct pd_directory *directory, int change)
+{
+	uint32_t followers;
+
 	pthread_mutex_lock(&directory->lock);
 	directory->followers = (uint32_t)((int)directory->followers + change);
+	followers = directory->followers;
 	pthread_mutex_unlock(&directory->lock);
+	return followers;
 }
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -95,6 +95,8 @@
  */
 bool pd_directory_wait(struct pd_directory *directory, uint64_t *from, int64_t wait_us,
 		       struct pd_buf *out);
-void pd_directory_count_follower(struct pd_directory *directory, int change);
+bool pd_directory_is_in_touch(struct pd_directory *directory);
+/* Adds to the number of followers; returns the new one. */
+uint32_t pd_directory_count_follower(struct pd_directory *directory, int change);
 
 #endif
--- a/ingress/feed.c
+++ b/ingress/feed.c
@@ -119,7 +119,7 @@
 	struct pd_error err;
 	pthread_t thread;
 
-	if (follower && feed->directory->followers < FOLLOWERS_MAX) {
+	if (follower && pd_directory_count_follower(feed->directory, 0) < FOLLOWERS_MAX) {
 		*follower = (struct follower){.feed = feed, .fd = fd};
 		if (pd_os_thread_start(&thread, "follower", run_follower, follower, &err) ==
 		    PD_OK) {
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -3,10 +3,12 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include "msgpack_check.h"
 #include "os.h"
 
 #define VERSION		1
 #define UPSTREAM_FIELDS 8
+#define ITEMS_MAX	(PD_FEED_ZONES_MAX + 2)
 
 static int append(void *data, const char *bytes, size_t len)
 {
@@ -197,11 +199,14 @@
 enum pd_code pd_feed_message_decode(struct pd_str frame, struct pd_feed_message *msg,
 				    struct pd_error *err)
 {
+	const char *fault = pd_msgpack_check(frame.data, frame.len, ITEMS_MAX);
 	const msgpack_object *root;
 	uint64_t version, kind;
 
 	memset(msg, 0, sizeof(*msg));
 	msgpack_unpacked_init(&msg->unpacked);
+	if (fault)
+		return invalid(msg, PD_INVALID, fault, err);
 	if (msgpack_unpack_next(&msg->unpacked, frame.data ? frame.data : "", frame.len, NULL) !=
 	    MSGPACK_UNPACK_SUCCESS)
 		return invalid(msg, PD_INVALID, "no msgpack", err);
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -13,6 +13,7 @@
 #define DESCRIPTORS_RESERVED 500
 #define DESCRIPTORS_MIN	     64
 #define CONNECTIONS_MAX	     256 /* callers' connections; one thread each */
+#define REQUESTS_MAX	     200 /* requests at a time; each holds a connection for each service */
 #define REMOVAL_HOLD_US	     (2000 * PD_USEC_PER_MSEC) /* lapsed entries are back in two seconds */
 /* Less than this share of the gathered services in reach: callers are served better elsewhere. */
 #define REACH_LEAST 0.7
@@ -249,25 +250,43 @@
 	return stopping;
 }
 
-bool pd_ingress_is_ready(struct pd_ingress *ingress)
+/* Whether a configuration and a complete list of upstreams are known. */
+static bool is_known(struct pd_ingress *ingress)
 {
-	bool known, ready;
+	bool known;
 
 	pthread_mutex_lock(&ingress->registry.lock);
 	known = ingress->registry.listed && ingress->registry.catalog;
 	pthread_mutex_unlock(&ingress->registry.lock);
+	return known;
+}
+
+bool pd_ingress_is_ready(struct pd_ingress *ingress)
+{
+	bool known = is_known(ingress), ready;
+
 	pthread_mutex_lock(&ingress->lock);
 	ready = known && !ingress->stopping && !ingress->isolated;
 	pthread_mutex_unlock(&ingress->lock);
 	return ready;
 }
 
+bool pd_ingress_is_full(struct pd_ingress *ingress)
+{
+	bool full;
+
+	pthread_mutex_lock(&ingress->lock);
+	full = ingress->requests > REQUESTS_MAX;
+	pthread_mutex_unlock(&ingress->lock);
+	return full;
+}
+
 static void judge_reach(struct pd_ingress *ingress)
 {
 	double reach = pd_registry_reach(&ingress->registry);
 	bool isolated = reach < REACH_LEAST, changed;
 
-	if (!ingress->registry.listed)
+	if (!is_known(ingress))
 		return;
 
 	pthread_mutex_lock(&ingress->lock);
--- a/ingress/ingress_private.h
+++ b/ingress/ingress_private.h
@@ -93,5 +93,7 @@
 		     enum pd_listener_kind kind);
 bool pd_ingress_is_ready(struct pd_ingress *ingress);
 bool pd_ingress_is_stopping(struct pd_ingress *ingress);
+/* Whether it serves as many requests as it may. */
+bool pd_ingress_is_full(struct pd_ingress *ingress);
 
 #endif
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -224,7 +224,7 @@
 		membership->lapsed = lost_us > LAPSE_US;
 		pd_sync_renew(membership->sync);
 	}
-	if (!membership->directory->store_in_touch && wait_until_current(membership))
+	if (!pd_directory_is_in_touch(membership->directory) && wait_until_current(membership))
 		pd_directory_set_in_touch(membership->directory, true, membership->lapsed);
 }
 
@@ -484,7 +484,8 @@
 			continue;
 		}
 		pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
-		pd_os_sleep_us(membership->directory->store_in_touch ? CHECK_US : LOST_CHECK_US);
+		pd_os_sleep_us(pd_directory_is_in_touch(membership->directory) ? CHECK_US
+									       : LOST_CHECK_US);
 	}
 	return NULL;
 }
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -15,8 +15,6 @@
 #include "policy.h"
 #include "relay.h"
 
-/* Requests that are served at a time; each holds a thread and a connection for each service. */
-#define REQUESTS_MAX 200
 /* Time for the way to a larger instance of the zone and back, off the time to wait for parts. */
 #define RELAY_TRAVEL_US (2 * PD_USEC_PER_MSEC)
 /* A larger instance that is silent this long after the cut-off is given up. */
@@ -515,7 +513,7 @@
 				       "a path and a request id are needed");
 	else if (!request->catalog)
 		written = refuse(request, PD_REFUSAL_NOT_CONFIGURED, "no configuration is known");
-	else if (request->ingress->requests > REQUESTS_MAX)
+	else if (pd_ingress_is_full(request->ingress))
 		written = refuse(request, PD_REFUSAL_BUSY, "too many requests");
 	else if (!(request->route = pd_catalog_match(request->catalog, request->fields.host,
 						     path_of(target))))
--- a/src/message.c
+++ b/src/message.c
@@ -4,9 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "msgpack_check.h"
+
 #define LENGTH_BYTES	  4
 #define HEADER_FIELDS	  2 /* version and type */
-#define NESTING_MAX	  3 /* message, list of records, record */
 #define RECORD_FIELDS	  5
 #define DURATION_MAX_US	  (24 * 3600 * PD_USEC_PER_SEC)
 #define DURATION_MAX_MS	  (DURATION_MAX_US / PD_USEC_PER_MSEC)
@@ -302,142 +303,16 @@
 	return PD_OK;
 }
 
-/* Structure check, before msgpack-c allocates what array headers claim */
-
-struct scan {
-	const uint8_t *data;
-	size_t len;
-	size_t pos;
-	uint32_t items;
-};
-
-/**
- * struct item - header of one msgpack item
- * @skip: bytes of a string that follow the header
- * @children: items of an array
- */
-struct item {
-	bool is_array;
-	bool is_uint;
-	uint64_t value;
-	size_t skip;
-	uint32_t children;
-};
-
-static bool scan_number(struct scan *s, size_t bytes, uint64_t *value)
-{
-	*value = 0;
-	if (s->len - s->pos < bytes)
-		return false;
-	for (size_t i = 0; i < bytes; i++)
-		*value = *value << 8 | s->data[s->pos++];
-	return true;
-}
-
-static bool scan_sized(struct scan *s, size_t bytes, struct item *item, bool is_array)
-{
-	uint64_t n;
-
-	if (!scan_number(s, bytes, &n))
-		return false;
-	item->is_array = is_array;
-	if (is_array)
-		item->children = (uint32_t)n;
-	else
-		item->skip = n;
-	return true;
-}
-
-/* Only the msgpack formats that messages use pass: unsigned integers, bool, str, array. */
-static bool scan_header(struct scan *s, struct item *item)
-{
-	uint8_t tag;
-
-	memset(item, 0, sizeof(*item));
-	if (s->pos == s->len)
-		return false;
-	tag = s->data[s->pos++];
-	if (tag <= 0x7f) {
-		item->is_uint = true;
-		item->value = tag;
-		return true;
-	}
-	if (tag >= 0x90 && tag <= 0x9f) {
-		item->is_array = true;
-		item->children = tag & 0xf;
-		return true;
-	}
-	if (tag >= 0xa0 && tag <= 0xbf) {
-		item->skip = tag & 0x1f;
-		return true;
-	}
-	if (tag == 0xc2 || tag == 0xc3)
-		return true;
-	if (tag >= 0xcc && tag <= 0xcf) {
-		item->is_uint = true;
-		return scan_number(s, (size_t)1 << (tag - 0xcc), &item->value);
-	}
-	if (tag >= 0xd9 && tag <= 0xdb)
-		return scan_sized(s, (size_t)1 << (tag - 0xd9), item, false);
-	if (tag == 0xdc || tag == 0xdd)
-		return scan_sized(s, tag == 0xdc ? 2 : 4, item, true);
-	return false;
-}
-
-static const char *scan_item(struct scan *s, uint32_t *open, int *depth)
-{
-	struct item item;
-
-	if (!scan_header(s, &item))
-		return "item is cut off or of a wrong type";
-	if (item.skip > s->len - s->pos)
-		return "string is longer than the message";
-	s->pos += item.skip;
-	if (!item.is_array)
-		return NULL;
-	if (*depth == NESTING_MAX)
-		return "arrays are nested too deeply";
-	if (item.children > ITEMS_MAX || s->items + item.children > ITEMS_MAX)
-		return "too many items";
-	s->items += item.children;
-	open[(*depth)++] = item.children;
-	return NULL;
-}
-
-/* Returns the fault, or NULL when @data is exactly one array that's safe to unpack. */
-static const char *scan_message(const void *data, size_t len)
-{
-	struct scan s = {.data = data, .len = len};
-	uint32_t open[NESTING_MAX];
-	int depth = 0;
-	const char *fault = scan_item(&s, open, &depth);
-
-	if (fault)
-		return fault;
-	if (!depth)
-		return "message is not an array";
-	while (depth) {
-		if (!open[depth - 1]) {
-			depth--;
-			continue;
-		}
-		open[depth - 1]--;
-		fault = scan_item(&s, open, &depth);
-		if (fault)
-			return fault;
-	}
-	return s.pos == s.len ? NULL : "bytes after the message";
-}
-
 /* The version comes first, since another version may be laid out differently. */
 static enum pd_code check_version(const void *data, size_t len, struct pd_error *err)
 {
-	struct scan s = {.data = data, .len = len};
-	struct item array;
-	struct item version;
+	struct pd_msgpack_scan s = {.data = data, .len = len};
+	struct pd_msgpack_item array;
+	struct pd_msgpack_item version;
 
-	if (!scan_header(&s, &array) || !array.is_array || array.children < HEADER_FIELDS ||
-	    !scan_header(&s, &version) || !version.is_uint)
+	if (!pd_msgpack_scan_header(&s, &array) || !array.is_array ||
+	    array.children < HEADER_FIELDS || !pd_msgpack_scan_header(&s, &version) ||
+	    !version.is_uint)
 		return pd_error_set(err, PD_LAYER_PROTOCOL, PD_INVALID,
 				    "message doesn't start with version and type");
 	if (version.value != PD_MESSAGE_VERSION)
@@ -785,7 +660,7 @@
 	code = check_version(data, len, err);
 	if (code)
 		return code;
-	fault = scan_message(data, len);
+	fault = pd_msgpack_check(data, len, ITEMS_MAX);
 	if (fault)
 		return pd_error_set(err, PD_LAYER_PROTOCOL, PD_INVALID, "%s", fault);
 	storage = malloc(sizeof(*storage) + len);
--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -97,9 +97,9 @@
 	return count;
 }
 
-static void reply(int fd, int status, json_t *body)
+/* Sends @text, which may be NULL. */
+static void reply(int fd, int status, const char *text)
 {
-	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
 	struct pd_buf out = {0};
 
 	pd_buf_printf(&out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", status,
@@ -108,8 +108,6 @@
 		      text ? text : "");
 	pd_os_write_full(fd, out.data, out.len, NULL);
 	pd_buf_finish(&out);
-	free(text);
-	json_decref(body);
 }
 
 /* Value of a number in the query; 0 when missing. */
@@ -204,6 +202,7 @@
 	char target[512], kind[64] = "";
 	json_t *body = NULL;
 	int status = 200;
+	char *text;
 
 	pd_str_copy(pd_http_message_target(msg), target, sizeof(target));
 	sscanf(target, "/api/objects/%63[^?/]", kind);
@@ -220,9 +219,13 @@
 				    (int64_t)query_number(target, "wait_ms"), &status);
 	else
 		body = list_locked(store, kind);
+	/* Objects are shared between threads, also their reference counts. */
+	text = body ? json_dumps(body, JSON_COMPACT) : NULL;
+	json_decref(body);
 	pthread_mutex_unlock(&store->lock);
 	if (status)
-		reply(fd, status, body);
+		reply(fd, status, text);
+	free(text);
 }
 
 static void *serve(void *arg)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -280,6 +280,8 @@
 			pd_feed_message_decode((struct pd_str){frame.data + 4, len}, &out, &err),
 			PD_OK);
 	pd_buf_finish(&frame);
+	/* An array that claims four billion items must not be allocated (found by the fuzzer). */
+	ck_assert_int_ne(pd_feed_message_decode(PD_STR("\xdd\xff\xff\xff\xff"), &out, &err), PD_OK);
 }
 END_TEST
 
