--- a/ingress/catalog.h
+++ b/ingress/catalog.h
@@ -66,7 +66,7 @@
  * @targets: services
  * @target_count: number of @targets
  * @top_k: records in a gathered answer
- * @min_shard_ratio: least share of the targets in a gathered answer
+ * @least_share: least share of the targets in a gathered answer
  */
 struct pd_route {
 	struct pd_str name;
@@ -81,7 +81,7 @@
 	struct pd_route_target *targets;
 	size_t target_count;
 	uint32_t top_k;
-	double min_shard_ratio;
+	double least_share;
 };
 
 /**
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -66,8 +66,7 @@
 	request->close =
 		request->close || (request->ingress && pd_ingress_is_stopping(request->ingress));
 	if (request->relayed) {
-		pd_buf_printf(head, "X-Request-Id: %.*s\r\n",
-			      PD_STR_ARG(request->fields.request_id));
+		pd_platform_write_request_id(request->fields.request_id, head);
 		pd_relay_write_answer(request->verdict, head);
 	}
 	pd_buf_printf(head, "Content-Length: %zu\r\n%s\r\n", body.len,
--- a/tests/suite.h
+++ b/tests/suite.h
@@ -7,6 +7,9 @@
 #include <check.h>
 #include <stddef.h>
 
+/* The same, with @setup before and @teardown after each test. */
+int suite_run_with(const char *name, SFun setup, SFun teardown, const TTest *const *tests,
+		   size_t count);
 /* Runs @tests in order; returns the exit status of the program. */
 int suite_run(const char *name, const TTest *const *tests, size_t count);
 
--- a/tests/test_store_client.c
+++ b/tests/test_store_client.c
@@ -10,6 +10,7 @@
 
 #include "platform_store.h"
 #include "store_client.h"
+#include "suite.h"
 
 static struct platform_store server;
 static struct pd_store client;
@@ -134,23 +135,15 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("store_client");
-	TCase *tcase = tcase_create("store_client");
-	SRunner *runner;
-	int failed;
-
-	tcase_add_checked_fixture(tcase, setup, teardown);
-	tcase_set_timeout(tcase, 20);
-	tcase_add_test(tcase, lists_although_woken);
-	tcase_add_test(tcase, watch_ends_when_woken);
-	tcase_add_test(tcase, watch_sees_changes_and_lost_history);
-	tcase_add_test(tcase, closed_idle_connection_is_replaced);
-	tcase_add_test(tcase, creates_once);
-	tcase_add_test(tcase, tells_how_a_call_failed);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	const TTest *const tests[] = {
+		lists_although_woken,
+		watch_ends_when_woken,
+		watch_sees_changes_and_lost_history,
+		closed_idle_connection_is_replaced,
+		creates_once,
+		tells_how_a_call_failed,
+	};
+
+	return suite_run_with("store_client", setup, teardown, tests,
+			      sizeof(tests) / sizeof(tests[0]));
 }
