--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -147,6 +147,17 @@
 	return found;
 }
 
+bool pd_registry_has_sound(struct pd_registry *registry, struct pd_service *service, int64_t now_us)
+{
+	bool found = false;
+
+	pthread_mutex_lock(&registry->lock);
+	for (struct pd_upstream *u = service->upstreams; u && !found; u = u->next)
+		found = usable_locked(u) && now_us >= u->ejected_until_us;
+	pthread_mutex_unlock(&registry->lock);
+	return found;
+}
+
 static double expected_at(const struct pd_upstream *upstream, double work_us, int64_t now_us)
 {
 	double age = (double)(now_us - upstream->reported_us);
@@ -317,6 +328,14 @@
 	service->work_us += WORK_WEIGHT * ((double)report->latency_us - service->work_us);
 }
 
+void pd_registry_suspect(struct pd_registry *registry, struct pd_upstream *upstream, int64_t now_us)
+{
+	pthread_mutex_lock(&registry->lock);
+	upstream->failures += FAILURES_TO_EJECT - 1;
+	fail(upstream, "silent", now_us);
+	pthread_mutex_unlock(&registry->lock);
+}
+
 static void take_evidence(struct pd_upstream *upstream, const struct pd_report *report,
 			  int64_t now_us)
 {
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -62,8 +62,6 @@
 		return "deadline";
 	case PD_FANOUT_CLIENT_GONE:
 		return "client_gone";
-	case PD_FANOUT_SILENT:
-		return "silent";
 	}
 	return "unlisted";
 }
@@ -372,17 +370,6 @@
 	}
 }
 
-static bool has_received(const struct pd_fanout *fanout)
-{
-	for (size_t i = 0; i < fanout->leg_count; i++) {
-		for (int e = 0; e < PD_LEG_EXCHANGES; e++) {
-			if (fanout->legs[i].exchanges[e].received)
-				return true;
-		}
-	}
-	return false;
-}
-
 static bool is_over(struct pd_fanout *fanout, int64_t now_us)
 {
 	if (fanout->answered + fanout->failed == fanout->leg_count)
@@ -393,8 +380,6 @@
 		fanout->end = PD_FANOUT_CUTOFF;
 	else if (now_us >= fanout->deadline_us)
 		fanout->end = PD_FANOUT_DEADLINE;
-	else if (fanout->silence_us && now_us >= fanout->silence_us && !has_received(fanout))
-		fanout->end = PD_FANOUT_SILENT;
 	else
 		return false;
 	return true;
@@ -507,6 +492,17 @@
 	return (int)((until_us - now_us + PD_USEC_PER_MSEC - 1) / PD_USEC_PER_MSEC);
 }
 
+/* An instance that is silent gets no further requests for a while; this one may still be answered.
+ */
+static void note_silence(struct pd_fanout *fanout, int64_t now_us)
+{
+	const struct pd_exchange *exchange = &fanout->legs[0].exchanges[0];
+
+	fanout->silence_us = 0;
+	if (pd_exchange_is_live(exchange) && !exchange->received)
+		pd_registry_suspect(fanout->pool->registry, exchange->upstream, now_us);
+}
+
 /* An interim answer tells the instance that passed the request on that this one lives. */
 static void tell_waiting(struct pd_fanout *fanout)
 {
@@ -532,6 +528,8 @@
 			return;
 		}
 		check_timers(fanout, now);
+		if (fanout->silence_us && now >= fanout->silence_us)
+			note_silence(fanout, now);
 		if (fanout->tell_waiting && now >= fanout->cutoff_us && !is_over(fanout, now))
 			tell_waiting(fanout);
 	}
--- a/ingress/fanout.h
+++ b/ingress/fanout.h
@@ -62,7 +62,6 @@
 	PD_FANOUT_HOPELESS, /* too few parts can still come in */
 	PD_FANOUT_DEADLINE,
 	PD_FANOUT_CLIENT_GONE,
-	PD_FANOUT_SILENT, /* nothing was received by the time given */
 };
 
 /**
@@ -80,7 +79,7 @@
  * @legs: one for each service
  * @leg_count: number of @legs
  * @relay: the leg leads to another instance, whose answer is kept whatever it is
- * @silence_us: when an upstream that has sent nothing is given up; 0 for the deadline
+ * @silence_us: when an instance that has sent nothing is taken for silent; 0 for never
  * @tell_waiting: the client is an instance, which is told at the cut-off that parts are waited for
  * @needed: least number of answered legs of a success
  * @answered: answered legs
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -253,6 +253,9 @@
 /* Whether an upstream of the service outside @tried could be picked now. */
 bool pd_registry_available(struct pd_registry *registry, struct pd_service *service,
 			   struct pd_upstream *const *tried, size_t tried_count);
+/* Whether some upstream of the service can be picked that didn't fail or fall silent lately. */
+bool pd_registry_has_sound(struct pd_registry *registry, struct pd_service *service,
+			   int64_t now_us);
 /* Time until a sub-request sent now would probably be answered, in microseconds, at the upstream of
  * the service with the shortest queue; 0 when nothing is known. */
 int64_t pd_registry_expected_us(struct pd_registry *registry, struct pd_service *service,
@@ -297,6 +300,10 @@
 /* The sub-request is late but still open; the upstream may be paused or its zone cut off. */
 void pd_registry_overdue(struct pd_registry *registry, struct pd_upstream *upstream,
 			 struct pd_route_stats *stats, int64_t waited_us, int64_t now_us);
+/* The upstream is silent although it should have shown that it lives: it is left alone for a while.
+ */
+void pd_registry_suspect(struct pd_registry *registry, struct pd_upstream *upstream,
+			 int64_t now_us);
 /* Something was received from the upstream. */
 void pd_registry_heard(struct pd_registry *registry, struct pd_upstream *upstream, int64_t now_us);
 
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -17,7 +17,8 @@
 
 /* Time for the way to a larger instance of the zone and back, off the time to wait for parts. */
 #define RELAY_TRAVEL_US (2 * PD_USEC_PER_MSEC)
-/* A larger instance that is silent this long after the cut-off is given up. */
+/* A larger instance that is silent this long after the cut-off gets no further requests for a
+ * while. */
 #define RELAY_SILENCE_US (40 * PD_USEC_PER_MSEC)
 
 /**
@@ -396,8 +397,13 @@
 		*written = false;
 		return true;
 	}
-	if (leg->state != PD_LEG_ANSWERED)
-		return false;
+	if (leg->state != PD_LEG_ANSWERED) {
+		/* What it may have sent counts towards the route's attempts. */
+		if (pd_fanout_not_run(fanout))
+			return false;
+		*written = answer_failed(request, fanout);
+		return true;
+	}
 	verdict = pd_relay_read_answer(&leg->answer);
 	if (verdict == PD_RELAY_UNABLE)
 		return false;
@@ -421,7 +427,7 @@
 	bool served = false;
 
 	if (request->relayed || own_route->kind != PD_ROUTE_GATHER || !relays ||
-	    !pd_registry_available(&request->ingress->registry, relays, NULL, 0))
+	    !pd_registry_has_sound(&request->ingress->registry, relays, pd_os_boot_us()))
 		return false;
 	if (!pd_fanout_init(&fanout, 1))
 		return false;
