Add a soak with random faults from outside the processes; count the whole outage when entries may have lapsed

Fifteen promises are judged as callers and upstreams see them.

Whether entries may have lapsed was decided by the time since the loss was noticed, which is up to 1.9 s late, and a follower that reached the store before its source, or lost its source in the outage, started from nothing. Ruled out: the store stand-in (entries are back 1.5 s after its return), the list itself (complete). Change: the time counts from the last contact, known directly or by the source's beats; 2.4 s and more (three heartbeats less one) may lapse entries. An instance that never failed to reach the store itself holds nothing, so that drains take effect in time where only the source was cut off.

--- a/Makefile
+++ b/Makefile
@@ -29,13 +29,15 @@
 STANDINS := $(patsubst standins/standin-%.c,$B/standin-%,$(wildcard standins/standin-*.c))
 TEST_LIB_OBJS := $(patsubst tests/%.c,$B/tests/%.o,$(filter-out tests/test_%.c,$(wildcard tests/*.c)))
 TESTS := $(patsubst tests/test_%.c,$B/test_%,$(wildcard tests/test_*.c))
-C_SOURCES := $(wildcard src/*.c ingress/*.c platform/*.c bin/*.c standins/*.c bench/*.c tests/*.c fuzz/*.c examples/*.c)
-C_HEADERS := $(wildcard src/*.h ingress/*.h platform/*.h standins/*.h bench/*.h tests/*.h)
+C_SOURCES := $(wildcard src/*.c ingress/*.c platform/*.c bin/*.c standins/*.c bench/*.c tests/*.c tests/soak/*.c fuzz/*.c examples/*.c)
+C_HEADERS := $(wildcard src/*.h ingress/*.h platform/*.h standins/*.h bench/*.h tests/*.h tests/soak/*.h)
 
 BENCH_LIB_OBJS := $(patsubst bench/%.c,$B/bench/%.o,$(filter-out bench/peridot-load.c bench/naive-entry.c,$(wildcard bench/*.c)))
 BENCH := $B/peridot-load $B/naive-entry
 
-all: $(BINS) $(STANDINS) $(BENCH)
+SOAK_OBJS := $(patsubst tests/soak/%.c,$B/tests/soak/%.o,$(wildcard tests/soak/*.c))
+
+all: $(BINS) $(STANDINS) $(BENCH) $B/soak
 tests: $(TESTS)
 
 $B/%.o: %.c
@@ -67,6 +69,9 @@
 $(TESTS): $B/test_%: $B/tests/test_%.o $(TEST_LIB_OBJS) $B/standins/platform_store.o $B/libperidot.a
 	$(CC) $(LDFLAGS) $< $(TEST_LIB_OBJS) $B/standins/platform_store.o $B/libperidot.a -lcheck -lsubunit $(LDLIBS) -lrt -o $@
 
+$B/soak: $(SOAK_OBJS) $(addprefix $B/standins/,platform_store.o platform_upstream.o pump.o) $B/libperidot.a
+	$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
+
 # libFuzzer needs clang; each target is one file in fuzz/.
 FUZZERS := $(patsubst fuzz/%.c,build/fuzz/%,$(wildcard fuzz/*.c))
 fuzzers: $(FUZZERS)
@@ -95,4 +100,4 @@
 
 .PHONY: all tests fuzzers format format-check lint clean
 .SECONDARY:
--include $(LIB_OBJS:.o=.d) $(wildcard $B/*/*.d)
+-include $(LIB_OBJS:.o=.d) $(wildcard $B/*/*.d $B/*/*/*.d)
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -26,8 +26,11 @@
 #define RETRY_US (4000 * PD_USEC_PER_MSEC)
 /* While its source has lost the store, an instance tries the store itself at this interval. */
 #define OWN_CHECK_US (1000 * PD_USEC_PER_MSEC)
-/* Entries lapse after some seconds without contact; shorter losses need no hold of removals. */
-#define LAPSE_US (1500 * PD_USEC_PER_MSEC)
+/* The store drops an entry that isn't renewed for three heartbeats of 1.2 s. The last renewal may
+ * be one heartbeat older than the outage; shorter ones need no hold of removals. */
+#define LAPSE_US (2400 * PD_USEC_PER_MSEC)
+/* A source notices a loss at its next check or when that check times out, 700 ms later. */
+#define UNSEEN_US (CHECK_US + 700 * PD_USEC_PER_MSEC)
 /* How often a follower lists the instances, and how soon for the first time, when all have
  * registered. The lists are stale reads. */
 #define LIST_FIRST_US (2500 * PD_USEC_PER_MSEC)
@@ -215,28 +218,30 @@
  */
 static void note_in_touch(struct pd_membership *membership)
 {
-	if (membership->lost_us) {
-		int64_t lost_us = pd_os_boot_us() - membership->lost_us;
+	int64_t now = pd_os_boot_us();
 
-		pd_log(PD_LOG_INFO, "store_regained", "kind=instances lost_ms=%" PRId64,
-		       lost_us / 1000);
+	if (membership->lost_us) {
+		membership->lapsed = now - membership->contact_us > LAPSE_US;
+		pd_log(PD_LOG_INFO, "store_regained",
+		       "kind=instances lost_ms=%" PRId64 " silent_ms=%" PRId64,
+		       (now - membership->lost_us) / 1000, (now - membership->contact_us) / 1000);
 		membership->lost_us = 0;
-		membership->lapsed = lost_us > LAPSE_US;
 		pd_sync_renew(membership->sync);
 	}
+	membership->contact_us = now;
 	if (!pd_directory_is_in_touch(membership->directory) && wait_until_current(membership))
 		pd_directory_set_in_touch(membership->directory, true, membership->lapsed);
 }
 
 static void note_lost(struct pd_membership *membership, const struct pd_error *err)
 {
-	if (!membership->lost_us) {
-		membership->lost_us = pd_os_boot_us();
-		pd_log(PD_LOG_WARNING, "store_lost", "kind=instances code=%s",
-		       pd_strerror(err->code));
-		pd_log_failure(PD_LOG_WARNING, "store_failure", err);
-		pd_directory_set_in_touch(membership->directory, false, false);
-	}
+	if (membership->lost_us)
+		return;
+	membership->lost_us = pd_os_boot_us();
+	membership->lapsed = false;
+	pd_log(PD_LOG_WARNING, "store_lost", "kind=instances code=%s", pd_strerror(err->code));
+	pd_log_failure(PD_LOG_WARNING, "store_failure", err);
+	pd_directory_set_in_touch(membership->directory, false, false);
 }
 
 /**
@@ -265,19 +270,28 @@
 	json_decref(spec);
 }
 
+/*
+ * Only an instance that itself failed to reach the store holds removals for entries that may have
+ * lapsed: where just the source was cut off, they take effect in time.
+ */
 static void take_beat(struct pd_membership *membership, struct pursuit *pursuit,
 		      const struct pd_feed_message *msg)
 {
 	int64_t now = pd_os_boot_us();
 
-	pd_directory_set_in_touch(membership->directory, msg->beat.store_in_touch,
-				  pursuit->lost_us && now - pursuit->lost_us > LAPSE_US);
 	if (msg->beat.store_in_touch) {
+		bool lapsed = membership->lost_us && now - membership->contact_us > LAPSE_US;
+
+		pd_directory_set_in_touch(membership->directory, true, lapsed);
+		membership->contact_us = now;
+		membership->lost_us = 0;
 		pursuit->lost_us = 0;
 	} else if (!pursuit->lost_us) {
+		pd_directory_set_in_touch(membership->directory, false, false);
 		pursuit->lost_us = now;
 		pursuit->check_us =
 			now + (int64_t)(pd_os_random_seed() % (uint64_t)OWN_CHECK_US) / 2;
+		membership->contact_us = now - UNSEEN_US;
 	}
 }
 
@@ -340,8 +354,10 @@
 	if (!pursuit->lost_us || now < pursuit->check_us)
 		return false;
 	pursuit->check_us = now + OWN_CHECK_US;
-	if (list_instances(membership, &err) != PD_OK)
+	if (list_instances(membership, &err) != PD_OK) {
+		note_lost(membership, &err);
 		return false;
+	}
 	pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
 	note_in_touch(membership);
 	return true;
@@ -473,6 +489,7 @@
 	struct pd_membership *membership = arg;
 
 	membership->started_us = pd_os_boot_us();
+	membership->contact_us = membership->started_us;
 	for (;;) {
 		int64_t age;
 
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -48,7 +48,8 @@
  * @registered: the store lists this instance as it is
  * @outdated: the store lists it with another address
  * @started_us: start of the task
- * @lost_us: since when the store can't be reached; 0 while it can
+ * @lost_us: since when this instance itself fails to reach the store; 0 while it doesn't
+ * @contact_us: when the store was last known to be in reach of this instance or of its source
  * @lapsed: the last loss was long enough for entries to lapse
  */
 struct pd_membership {
@@ -65,6 +66,7 @@
 	bool outdated;
 	int64_t started_us;
 	int64_t lost_us;
+	int64_t contact_us;
 	bool lapsed;
 };
 
--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -57,17 +57,22 @@
 	pthread_mutex_unlock(&store->lock);
 }
 
-void platform_store_remove(struct platform_store *store, const char *kind, const char *name)
+static bool remove_locked(struct platform_store *store, const char *kind, const char *name)
 {
-	json_t *object;
+	json_t *object = json_object_get(kind_of(store, kind), name);
+
+	if (!object)
+		return false;
+	store->revision++;
+	record_locked(store, kind, object, true);
+	json_object_del(kind_of(store, kind), name);
+	return true;
+}
 
+void platform_store_remove(struct platform_store *store, const char *kind, const char *name)
+{
 	pthread_mutex_lock(&store->lock);
-	object = json_object_get(kind_of(store, kind), name);
-	if (object) {
-		store->revision++;
-		record_locked(store, kind, object, true);
-		json_object_del(kind_of(store, kind), name);
-	}
+	remove_locked(store, kind, name);
 	pthread_mutex_unlock(&store->lock);
 }
 
@@ -180,6 +185,15 @@
 	return json_pack("{s:o,s:I}", "events", events, "at", (json_int_t)store->revision);
 }
 
+/* Stores what a call wrote. */
+static json_t *write_locked(struct platform_store *store, const char *kind, const char *name,
+			    json_t *spec)
+{
+	if (store->on_write)
+		store->on_write(kind, name, spec);
+	return put_locked(store, kind, name, json_incref(spec));
+}
+
 static json_t *create_locked(struct platform_store *store, const char *kind, const char *body,
 			     int *status)
 {
@@ -192,20 +206,33 @@
 	if (!name)
 		*status = 400;
 	else if (!object)
-		object = put_locked(store, kind, name, json_incref(json_object_get(json, "spec")));
+		object = write_locked(store, kind, name, json_object_get(json, "spec"));
+	json_decref(json);
+	return json_incref(object);
+}
+
+static json_t *replace_locked(struct platform_store *store, const char *kind, const char *name,
+			      const char *body, int *status)
+{
+	json_t *json = json_loads(body ? body : "", 0, NULL);
+	json_t *object = json_object_get(kind_of(store, kind), name);
+
+	*status = object ? 200 : 404;
+	if (object)
+		object = write_locked(store, kind, name, json_object_get(json, "spec"));
 	json_decref(json);
 	return json_incref(object);
 }
 
 static void answer(struct platform_store *store, int fd, const struct pd_http_message *msg)
 {
-	char target[512], kind[64] = "";
+	char target[512], kind[64] = "", name[128] = "";
 	json_t *body = NULL;
 	int status = 200;
 	char *text;
 
 	pd_str_copy(pd_http_message_target(msg), target, sizeof(target));
-	sscanf(target, "/api/objects/%63[^?/]", kind);
+	sscanf(target, "/api/objects/%63[^?/]/%127[^?/]", kind, name);
 	pthread_mutex_lock(&store->lock);
 	store->calls++;
 	if (store->mode == PLATFORM_STORE_BUSY)
@@ -214,6 +241,10 @@
 		status = 0;
 	else if (msg->parser.method == HTTP_POST)
 		body = create_locked(store, kind, msg->body.data, &status);
+	else if (msg->parser.method == HTTP_PUT)
+		body = replace_locked(store, kind, name, msg->body.data, &status);
+	else if (msg->parser.method == HTTP_DELETE)
+		status = remove_locked(store, kind, name) ? 200 : 404;
 	else if (strstr(target, "watch="))
 		body = watch_locked(store, kind, query_number(target, "watch"),
 				    (int64_t)query_number(target, "wait_ms"), &status);
@@ -271,7 +302,6 @@
 
 void platform_store_start(struct platform_store *store)
 {
-	memset(store, 0, sizeof(*store));
 	pthread_mutex_init(&store->lock, NULL);
 	pd_os_cond_init(&store->changed);
 	store->objects = json_object();
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -1,7 +1,7 @@
 /**
  * DOC: Stand-in of the users' platform: its store
  *
- * Objects by kind and name, lists, watches and creation over HTTP, with faults on demand. One
+ * Objects by kind and name, lists, watches and writes over HTTP, with faults on demand. One
  * thread for each connection.
  */
 #ifndef STANDIN_PLATFORM_STORE_H
@@ -35,8 +35,11 @@
 	enum platform_store_mode mode;
 	uint32_t calls;
 	uint32_t watches;
+	/* Called, if set, with the contents of an object that a call wrote, before it is stored. */
+	void (*on_write)(const char *kind, const char *name, json_t *spec);
 };
 
+/* Starts a store; @store is zero but for @on_write. */
 void platform_store_start(struct platform_store *store);
 /* Creates or replaces an object with @spec (taken over). */
 void platform_store_put(struct platform_store *store, const char *kind, const char *name,
--- a/standins/platform_upstream.c
+++ b/standins/platform_upstream.c
@@ -1,5 +1,6 @@
 #include "platform_upstream.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,11 +8,9 @@
 
 #include "http.h"
 
-#define HEAD_MAX     16384
-#define BODY_MAX     (1024 * 1024)
-#define RECORDS	     3
-#define RECORD_BYTES 16
-#define HANG_MS	     20000
+#define HEAD_MAX 16384
+#define BODY_MAX (1024 * 1024)
+#define HANG_MS	 20000
 
 static const char *const mode_names[PLATFORM_UPSTREAM_MODES] = {
 	[PLATFORM_UPSTREAM_OK] = "ok",
@@ -51,15 +50,28 @@
 	pd_os_write_full(fd, out->data, out->len, NULL);
 }
 
-/* Three records, whose order depends on the service only. */
-static void write_records(const struct platform_upstream *upstream, struct pd_buf *out)
+void platform_upstream_record(const char *service, struct pd_str id, int index, char *record)
 {
-	for (int i = 0; i < RECORDS; i++) {
-		char record[RECORD_BYTES + 1];
+	char text[PLATFORM_RECORD_BYTES + 1];
 
-		snprintf(record, sizeof(record), "%d-%-14.14s", (i * 2) % RECORDS,
-			 upstream->service);
-		pd_buf_append(out, record, RECORD_BYTES);
+	snprintf(text, sizeof(text), "%016" PRIx64,
+		 pd_str_hash(id, pd_str_hash(pd_str_from(service), (uint64_t)index)));
+	memcpy(record, text, PLATFORM_RECORD_BYTES);
+}
+
+/* Records whose order depends on the service, or on the request as well. */
+static void write_records(const struct platform_upstream *upstream, struct pd_str id,
+			  struct pd_buf *out)
+{
+	for (int i = 0; i < PLATFORM_RECORDS; i++) {
+		char record[PLATFORM_RECORD_BYTES + 1];
+
+		if (upstream->keyed)
+			platform_upstream_record(upstream->service, id, i, record);
+		else
+			snprintf(record, sizeof(record), "%d-%-14.14s", (i * 2) % PLATFORM_RECORDS,
+				 upstream->service);
+		pd_buf_append(out, record, PLATFORM_RECORD_BYTES);
 	}
 }
 
@@ -94,7 +106,7 @@
 	struct pd_buf out = {0}, body = {0};
 	bool more = true;
 
-	write_records(upstream, &body);
+	write_records(upstream, id, &body);
 	switch (mode) {
 	case PLATFORM_UPSTREAM_CHUNKED:
 		begin(&out, upstream, 200, id);
@@ -177,6 +189,10 @@
 		note_run(upstream, msg);
 	}
 	pthread_mutex_unlock(&upstream->lock);
+	if (upstream->observe)
+		upstream->observe(upstream,
+				  &(struct platform_arrival){
+					  msg, id, right && mode != PLATFORM_UPSTREAM_SHED});
 	if (!right) {
 		pd_buf_printf(&out,
 			      "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\n"
@@ -238,7 +254,6 @@
 void platform_upstream_start(struct platform_upstream *upstream, const char *id,
 			     const char *service)
 {
-	memset(upstream, 0, sizeof(*upstream));
 	pthread_mutex_init(&upstream->lock, NULL);
 	snprintf(upstream->id, sizeof(upstream->id), "%s", id);
 	snprintf(upstream->service, sizeof(upstream->service), "%s", service);
--- a/standins/platform_upstream.h
+++ b/standins/platform_upstream.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "http.h"
 #include "os.h"
 #include "str.h"
 
@@ -30,8 +31,20 @@
 	PLATFORM_UPSTREAM_MODES,
 };
 
+/**
+ * struct platform_arrival - one request as it reached an upstream
+ * @msg: request
+ * @id: its id; empty when missing
+ * @runs: the upstream begins to work on it
+ */
+struct platform_arrival {
+	const struct pd_http_message *msg;
+	struct pd_str id;
+	bool runs;
+};
+
 struct platform_upstream {
-	char id[32];
+	char id[40];
 	char service[32];
 	struct pd_address address;
 	int listener;
@@ -42,8 +55,18 @@
 	uint32_t arrivals;
 	uint32_t runs;
 	char last[1024]; /* method, target and body of the last request that it ran */
+	bool keyed; /* records depend on the request id, see platform_upstream_record() */
+	/* Called for each arrival, NULL for none; set before platform_upstream_start(). */
+	void (*observe)(struct platform_upstream *upstream, const struct platform_arrival *arrival);
 };
 
+#define PLATFORM_RECORDS      3 /* of one answer */
+#define PLATFORM_RECORD_BYTES 16
+
+/* Record @index of the answer of a keyed upstream of @service to the request @id. */
+void platform_upstream_record(const char *service, struct pd_str id, int index, char *record);
+
+/* Starts an upstream; @upstream is zero but for @observe and @keyed. */
 void platform_upstream_start(struct platform_upstream *upstream, const char *id,
 			     const char *service);
 /* False for an unknown name. */
--- a/standins/pump.c
+++ b/standins/pump.c
@@ -116,7 +116,7 @@
 }
 
 /* Reads once; false when the connection broke. */
-static bool read_some(struct direction *direction, int64_t delay_us)
+static bool read_some(struct direction *direction, int64_t delay_us, bool lost)
 {
 	char data[READ_BYTES];
 	ssize_t n = recv(direction->from, data, sizeof(data), MSG_DONTWAIT);
@@ -124,6 +124,8 @@
 	if (n < 0)
 		return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 	direction->ended = n == 0;
+	if (lost)
+		return true;
 	return push(direction, data, (size_t)n, pd_os_now_us() + delay_us);
 }
 
@@ -164,16 +166,24 @@
 		polled[0].revents = polled[1].revents = 0;
 }
 
+static bool relays(int mode)
+{
+	return mode == STANDIN_PUMP_NORMAL || mode == STANDIN_PUMP_ONE_WAY;
+}
+
 static bool relay_once(struct standin_pump *pump, struct direction directions[2])
 {
 	struct pollfd polled[2];
+	int mode;
 
 	wait_ready(directions, polled);
-	if (atomic_load(&pump->mode) != STANDIN_PUMP_NORMAL)
+	mode = atomic_load(&pump->mode);
+	if (!relays(mode))
 		return true;
 	for (int i = 0; i < 2; i++) {
 		if ((polled[i].revents & (POLLIN | POLLHUP | POLLERR)) && !directions[i].ended &&
-		    !read_some(&directions[i], atomic_load(pump->delay_us)))
+		    !read_some(&directions[i], atomic_load(pump->delay_us),
+			       i == 1 && mode == STANDIN_PUMP_ONE_WAY))
 			return false;
 	}
 	for (int i = 0; i < 2; i++) {
@@ -183,14 +193,21 @@
 	return true;
 }
 
+/* The end of a stream that is lost is never passed on. */
+static bool both_ended(struct standin_pump *pump, const struct direction directions[2])
+{
+	bool lost = atomic_load(&pump->mode) == STANDIN_PUMP_ONE_WAY;
+
+	return directions[0].done && (directions[1].done || (lost && directions[1].ended));
+}
+
 static void relay(struct standin_pump *pump)
 {
 	struct direction directions[2] = {{.from = pump->fds[0], .to = pump->fds[1]},
 					  {.from = pump->fds[1], .to = pump->fds[0]}};
 	bool good = true;
 
-	while (good && atomic_load(&pump->mode) == STANDIN_PUMP_NORMAL &&
-	       !(directions[0].done && directions[1].done))
+	while (good && relays(atomic_load(&pump->mode)) && !both_ended(pump, directions))
 		good = relay_once(pump, directions);
 	if (!good) {
 		standin_pump_reset_on_close(pump->fds[0]);
@@ -221,7 +238,7 @@
 
 void standin_pump_run(struct standin_pump *pump)
 {
-	if (atomic_load(&pump->mode) == STANDIN_PUMP_NORMAL)
+	if (relays(atomic_load(&pump->mode)))
 		relay(pump);
 	if (atomic_load(&pump->mode) == STANDIN_PUMP_SILENT)
 		hold(pump);
--- a/standins/pump.h
+++ b/standins/pump.h
@@ -11,6 +11,7 @@
 /** enum standin_pump_mode - what happens to the bytes. */
 enum standin_pump_mode {
 	STANDIN_PUMP_NORMAL,
+	STANDIN_PUMP_ONE_WAY, /* what the target sends doesn't get through */
 	STANDIN_PUMP_SILENT, /* neither bytes nor the end of a stream get through */
 	STANDIN_PUMP_CLOSE, /* both connections are closed */
 };
--- /dev/null
+++ b/tests/soak/fleet.c
@@ -0,0 +1,471 @@
+#include "fleet.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "ledger.h"
+
+#define FRONT_PORT    8104
+#define READY_PORT    8108
+#define PEER_PORT     7380
+#define PROXY_PORT    7400 /* of the proxy before the peers' port */
+#define METRICS_PORT  9464
+#define SERVICE_MS    5 /* of an upstream */
+#define RESTART_US    (300 * PD_USEC_PER_MSEC)
+#define READY_WAIT_US (500 * PD_USEC_PER_MSEC)
+
+struct fleet fleet = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+static const char *const zones[FLEET_ZONES] = {"here", "there"};
+
+void fleet_harm(struct fleet_health *health)
+{
+	pthread_mutex_lock(&fleet.lock);
+	health->faults++;
+	pthread_mutex_unlock(&fleet.lock);
+}
+
+void fleet_heal(struct fleet_health *health)
+{
+	pthread_mutex_lock(&fleet.lock);
+	health->faults--;
+	health->calm_us = pd_os_now_us();
+	pthread_mutex_unlock(&fleet.lock);
+}
+
+bool fleet_calm_locked(const struct fleet_health *health, int64_t now_us)
+{
+	return !health->faults && now_us - health->calm_us > FLEET_CONTACT_US;
+}
+
+bool fleet_sound_locked(const struct fleet_instance *instance, int64_t now_us)
+{
+	if (!instance->pid)
+		return false;
+	for (size_t i = 0; i < FLEET_INSTANCES; i++) {
+		const struct fleet_instance *other = &fleet.instances[i];
+		/* A small machine lets the large ones of its zone send. */
+		bool sends = other == instance || (other->zone == instance->zone &&
+						   other->cpu_share > instance->cpu_share);
+
+		if (sends && !(fleet_calm_locked(&other->unplanned, now_us) &&
+			       fleet_calm_locked(&other->planned, now_us)))
+			return false;
+	}
+	return true;
+}
+
+bool fleet_in_touch_locked(const struct fleet_instance *instance, int64_t now_us)
+{
+	return fleet_calm_locked(&fleet.core, now_us) && fleet_sound_locked(instance, now_us);
+}
+
+void fleet_service_name(uint32_t service, char *out, size_t size)
+{
+	if (service < FLEET_PLAIN)
+		snprintf(out, size, "%s-%u", service < 2 ? "reader" : "writer", service % 2);
+	else
+		snprintf(out, size, "part-%c%u",
+			 'a' + (int)((service - FLEET_PLAIN) / FLEET_SHARDS),
+			 (service - FLEET_PLAIN) % FLEET_SHARDS);
+}
+
+uint32_t fleet_service_of_stamp(struct pd_str stamp, struct pd_str *request_id)
+{
+	const char *dot = memchr(stamp.data, '.', stamp.len);
+	unsigned int service;
+	char text[64];
+
+	if (!dot || !pd_str_copy(stamp, text, sizeof(text)) ||
+	    sscanf(text, "i-%u-", &service) != 1 || service >= FLEET_SERVICES)
+		return FLEET_SERVICES;
+	request_id->data = dot + 1;
+	request_id->len = stamp.len - (size_t)(dot + 1 - stamp.data);
+	return service;
+}
+
+uint32_t fleet_allowed(const struct fleet_version *version, int kind)
+{
+	switch ((enum request_kind)kind) {
+	case REQUEST_READ:
+		return 1U << version->reader;
+	case REQUEST_WRITE:
+		return 1U << version->writer;
+	case REQUEST_GATHER:
+		break;
+	}
+	return ((1U << FLEET_SHARDS) - 1) << (FLEET_PLAIN + version->index * FLEET_SHARDS);
+}
+
+static json_t *route(const char *name, const char *kind)
+{
+	char prefix[32];
+
+	snprintf(prefix, sizeof(prefix), "/%s/", name);
+	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i}", "name", name, "host", "shop.example",
+			 "path_prefix", prefix, "route_kind", kind, "timeout_ms", FLEET_TIMEOUT_MS,
+			 "target_latency_ms", 300, "priority", 1, "max_attempts",
+			 FLEET_MAX_ATTEMPTS);
+}
+
+static json_t *plain_route(const char *name, const char *kind, uint32_t service)
+{
+	json_t *object = route(name, kind);
+	char text[32];
+
+	fleet_service_name(service, text, sizeof(text));
+	json_object_set_new(object, "service", json_string(text));
+	return object;
+}
+
+static json_t *gathered_route(uint32_t index)
+{
+	json_t *object = route("gather", "idempotent");
+	json_t *shards = json_array();
+	char text[32];
+
+	for (uint32_t i = 0; i < FLEET_SHARDS; i++) {
+		fleet_service_name(FLEET_PLAIN + index * FLEET_SHARDS + i, text, sizeof(text));
+		json_array_append_new(shards, json_string(text));
+	}
+	json_object_set_new(object, "fan_out_services", shards);
+	json_object_set_new(object, "top_k", json_integer(FLEET_TOP_K));
+	json_object_set_new(object, "min_shard_ratio", json_real(FLEET_MIN_RATIO));
+	return object;
+}
+
+static json_t *all_services(void)
+{
+	json_t *services = json_array();
+	char text[32];
+
+	for (uint32_t i = 0; i < FLEET_SERVICES; i++) {
+		fleet_service_name(i, text, sizeof(text));
+		json_array_append_new(services,
+				      json_pack("{s:s,s:s,s:i,s:f,s:f}", "name", text,
+						"health_check_path", "/health", "max_connections",
+						60, "cold_start_s", 3.0, "cold_per_s", 0.0));
+	}
+	return services;
+}
+
+void fleet_publish(uint32_t reader, uint32_t writer, uint32_t index)
+{
+	uint32_t number = fleet.version_count;
+	json_t *spec;
+
+	if (number == FLEET_VERSIONS_MAX)
+		return;
+	spec = json_pack("{s:i,s:[o,o,o],s:o,s:{s:i,s:i,s:i,s:i}}", "version", (int)number * 3 + 1,
+			 "routes", gathered_route(index), plain_route("read", "idempotent", reader),
+			 plain_route("write", "non_idempotent", writer), "services", all_services(),
+			 "limits", "max_header_bytes", 2048, "max_body_bytes", 4096,
+			 "header_timeout_ms", 2000, "idle_timeout_ms", 10000);
+	pthread_mutex_lock(&fleet.lock);
+	fleet.versions[number] =
+		(struct fleet_version){pd_os_now_us(), INT64_MAX, reader, writer, index};
+	fleet.version_count++;
+	pthread_mutex_unlock(&fleet.lock);
+	platform_store_put(&fleet.store, "config", "main", spec);
+	pthread_mutex_lock(&fleet.lock);
+	fleet.versions[number].acked_us = pd_os_now_us();
+	pthread_mutex_unlock(&fleet.lock);
+}
+
+void fleet_set_evacuated(uint32_t zone, bool evacuated)
+{
+	pthread_mutex_lock(&fleet.lock);
+	fleet.evacuated_us[zone] = 0;
+	pthread_mutex_unlock(&fleet.lock);
+	if (!evacuated) {
+		platform_store_remove(&fleet.store, "evacuations", zones[zone]);
+		return;
+	}
+	platform_store_put(&fleet.store, "evacuations", zones[zone], json_object());
+	pthread_mutex_lock(&fleet.lock);
+	fleet.evacuated_us[zone] = pd_os_now_us();
+	pthread_mutex_unlock(&fleet.lock);
+}
+
+void fleet_list(struct fleet_upstream *upstream, const char *state)
+{
+	char address[PD_ADDRESS_TEXT_MAX], service[32];
+
+	/* Before callers can be sent there, and only after the store's answer if it leaves. */
+	if (state && !strcmp(state, "ready")) {
+		pthread_mutex_lock(&fleet.lock);
+		upstream->left_us = 0;
+		pthread_mutex_unlock(&fleet.lock);
+	}
+	if (state) {
+		pd_address_format(&upstream->proxy.address, address, sizeof(address));
+		fleet_service_name(upstream->service, service, sizeof(service));
+		platform_store_put(&fleet.store, "servers", upstream->standin.id,
+				   json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service",
+					     service, "address", address, "zone",
+					     zones[upstream->zone], "version", "v1", "slots", 3,
+					     "state", state, "cold_remaining_ms", 0, "seq", 1,
+					     "born", (json_int_t)upstream->incarnation * 1000));
+	} else {
+		platform_store_remove(&fleet.store, "servers", upstream->standin.id);
+	}
+	if (state && !strcmp(state, "ready"))
+		return;
+	pthread_mutex_lock(&fleet.lock);
+	if (!upstream->left_us)
+		upstream->left_us = pd_os_now_us();
+	pthread_mutex_unlock(&fleet.lock);
+}
+
+static void name_upstream(struct fleet_upstream *upstream, uint32_t service)
+{
+	struct platform_upstream *standin = &upstream->standin;
+	char id[sizeof(standin->id)];
+
+	upstream->incarnation++;
+	snprintf(id, sizeof(id), "i-%u-%u-%u", service, (unsigned int)(upstream - fleet.upstreams),
+		 upstream->incarnation);
+	pthread_mutex_lock(&standin->lock);
+	memcpy(standin->id, id, sizeof(id));
+	fleet_service_name(service, standin->service, sizeof(standin->service));
+	pthread_mutex_unlock(&standin->lock);
+	pthread_mutex_lock(&fleet.lock);
+	upstream->service = service;
+	pthread_mutex_unlock(&fleet.lock);
+}
+
+void fleet_end_upstream(struct fleet_upstream *upstream)
+{
+	proxy_set(&upstream->proxy, PROXY_REFUSED);
+}
+
+void fleet_renew_upstream(struct fleet_upstream *upstream, uint32_t service)
+{
+	name_upstream(upstream, service);
+	proxy_set(&upstream->proxy, PROXY_OPEN);
+	fleet_list(upstream, "ready");
+}
+
+static void start_upstream(uint32_t number)
+{
+	struct fleet_upstream *upstream = &fleet.upstreams[number];
+	char service[32];
+
+	upstream->service = number / 2;
+	upstream->zone = number % 2;
+	upstream->standin.keyed = true;
+	upstream->standin.observe = ledger_note_arrival;
+	fleet_service_name(upstream->service, service, sizeof(service));
+	platform_upstream_start(&upstream->standin, "unnamed", service);
+	platform_upstream_set_mode(&upstream->standin, "late", SERVICE_MS);
+	memcpy(upstream->proxy.address.ip, "127.0.0.1", sizeof("127.0.0.1"));
+	proxy_start(&upstream->proxy, &upstream->standin.address);
+	name_upstream(upstream, upstream->service);
+	fleet_list(upstream, "ready");
+}
+
+/* Lets the peers of an instance connect through its proxy. */
+static void redirect_peers(const char *kind, const char *name, json_t *spec)
+{
+	char address[PD_ADDRESS_TEXT_MAX];
+
+	for (size_t i = 0; i < FLEET_INSTANCES; i++) {
+		if (strcmp(kind, "instances") != 0 || strcmp(name, fleet.instances[i].name) != 0)
+			continue;
+		pd_address_format(&fleet.instances[i].peer_proxy.address, address, sizeof(address));
+		json_object_set_new(spec, "address", json_string(address));
+	}
+}
+
+void fleet_write_settings(const struct fleet_instance *instance)
+{
+	FILE *file = fopen(instance->settings, "w");
+
+	if (!file)
+		abort();
+	fprintf(file,
+		"{\"platform\":{\"node_name\":\"%s\",\"zone\":\"%s\",\"ip\":\"%s\","
+		"\"internal_port_range\":[%u,%u],\"listen_addresses\":"
+		"{\"front\":\"%s:%u\",\"ready\":\"%s:%u\"},\"platform\":{\"address\":"
+		"\"%s:%u\"},\"limits\":{\"max_file_descriptors\":1024,\"cpu_share\":%g},"
+		"\"bounds\":{\"retry_budget_ratio\":%g,\"retry_budget_slack\":%d,"
+		"\"grace_period_s\":%d}},\"ingress\":{\"metrics_address\":\"%s:%u\","
+		"\"log_lines_per_s\":500}}\n",
+		instance->name, zones[instance->zone], instance->front.ip, PEER_PORT, PEER_PORT,
+		instance->front.ip, FRONT_PORT, instance->front.ip, READY_PORT,
+		instance->store_proxy.address.ip, instance->store_proxy.address.port,
+		instance->cpu_share, FLEET_BUDGET_RATIO, FLEET_BUDGET_SLACK,
+		(int)(FLEET_GRACE_US / PD_USEC_PER_SEC), instance->front.ip, METRICS_PORT);
+	fclose(file);
+}
+
+static void start_process(struct fleet_instance *instance)
+{
+	pid_t pid;
+
+	fflush(NULL);
+	pid = fork();
+	if (!pid) {
+		char log[200];
+
+		/* Doesn't outlive the soak, whatever ends it. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		snprintf(log, sizeof(log), "%s.log", instance->settings);
+		if (!freopen(log, "a", stdout) || !freopen(log, "a", stderr))
+			_exit(127);
+		execl(fleet.binary, fleet.binary, "--settings", instance->settings, (char *)NULL);
+		_exit(127);
+	}
+	if (pid < 0)
+		abort();
+	pthread_mutex_lock(&fleet.lock);
+	instance->pid = pid;
+	instance->killed = false;
+	instance->term_us = 0;
+	instance->start_us = 0;
+	instance->planned.calm_us = pd_os_now_us();
+	pthread_mutex_unlock(&fleet.lock);
+}
+
+/* An address of its own for each instance, away from ports that the kernel gives out. */
+static void place_instance(struct fleet_instance *instance, size_t number, const char *folder)
+{
+	struct pd_address address = {.port = FRONT_PORT};
+	unsigned int pid = (unsigned int)getpid();
+
+	snprintf(address.ip, sizeof(address.ip), "127.%u.%u.%zu", 1 + pid / 256 % 250, pid % 256,
+		 number + 1);
+	instance->front = address;
+	address.port = READY_PORT;
+	instance->ready = address;
+	address.port = PEER_PORT;
+	instance->peer = address;
+	address.port = PROXY_PORT;
+	instance->peer_proxy.address = address;
+	proxy_start(&instance->peer_proxy, &instance->peer);
+	memcpy(instance->store_proxy.address.ip, "127.0.0.1", sizeof("127.0.0.1"));
+	proxy_start(&instance->store_proxy, &fleet.store.address);
+	snprintf(instance->settings, sizeof(instance->settings), "%s/%s.json", folder,
+		 instance->name);
+}
+
+void fleet_start(const char *binary, const char *folder, bool unequal)
+{
+	fleet.binary = binary;
+	fleet.core.calm_us = pd_os_now_us();
+	fleet.store.on_write = redirect_peers;
+	platform_store_start(&fleet.store);
+	for (uint32_t i = 0; i < FLEET_UPSTREAMS; i++)
+		start_upstream(i);
+	fleet_publish(0, 2, 0);
+	for (size_t i = 0; i < FLEET_INSTANCES; i++) {
+		struct fleet_instance *instance = &fleet.instances[i];
+
+		instance->zone = (uint32_t)(i % FLEET_ZONES);
+		instance->cpu_share = unequal && i >= FLEET_ZONES ? 0.1 : 0.5;
+		snprintf(instance->name, sizeof(instance->name), "front-%zu", i + 1);
+		place_instance(instance, i, folder);
+		fleet_write_settings(instance);
+		start_process(instance);
+	}
+}
+
+static void check_end(const struct fleet_instance *instance, int status)
+{
+	if (instance->killed)
+		return;
+	if (!instance->term_us)
+		ledger_break(RULE_ENDED, "%s ended by itself, status %x", instance->name, status);
+	else if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
+		ledger_break(RULE_ENDED, "%s ended with status %x after SIGTERM", instance->name,
+			     status);
+}
+
+/* The platform kills what doesn't end within its grace. */
+static void check_grace(struct fleet_instance *instance, int64_t now_us)
+{
+	if (!instance->term_us || instance->killed || now_us - instance->term_us < FLEET_GRACE_US)
+		return;
+	pthread_mutex_lock(&fleet.lock);
+	if (fleet_calm_locked(&instance->unplanned, now_us))
+		ledger_break_locked(RULE_ENDED, "%s didn't end within its grace", instance->name);
+	instance->killed = true;
+	pthread_mutex_unlock(&fleet.lock);
+	kill(instance->pid, SIGKILL);
+}
+
+static void tend_instance(struct fleet_instance *instance)
+{
+	int64_t now_us = pd_os_now_us();
+	int status = 0;
+
+	if (!instance->pid) {
+		if (instance->start_us && now_us >= instance->start_us)
+			start_process(instance);
+		return;
+	}
+	if (waitpid(instance->pid, &status, WNOHANG) == instance->pid) {
+		check_end(instance, status);
+		pthread_mutex_lock(&fleet.lock);
+		instance->pid = 0;
+		instance->start_us = now_us + RESTART_US;
+		instance->planned.calm_us = now_us;
+		pthread_mutex_unlock(&fleet.lock);
+		return;
+	}
+	check_grace(instance, now_us);
+}
+
+void fleet_tend(void)
+{
+	for (size_t i = 0; i < FLEET_INSTANCES; i++)
+		tend_instance(&fleet.instances[i]);
+}
+
+bool fleet_stop(void)
+{
+	int64_t until = pd_os_now_us() + FLEET_GRACE_US + PD_USEC_PER_SEC;
+	bool running = true;
+
+	for (size_t i = 0; i < FLEET_INSTANCES; i++) {
+		pthread_mutex_lock(&fleet.lock);
+		fleet.instances[i].term_us = pd_os_now_us();
+		fleet.instances[i].start_us = 0;
+		pthread_mutex_unlock(&fleet.lock);
+		if (fleet.instances[i].pid)
+			kill(fleet.instances[i].pid, SIGTERM);
+	}
+	while (running && pd_os_now_us() < until) {
+		running = false;
+		for (size_t i = 0; i < FLEET_INSTANCES; i++) {
+			tend_instance(&fleet.instances[i]);
+			fleet.instances[i].start_us = 0;
+			running = running || fleet.instances[i].pid;
+		}
+		pd_os_sleep_us(20 * PD_USEC_PER_MSEC);
+	}
+	return !running;
+}
+
+bool fleet_is_ready(const struct fleet_instance *instance)
+{
+	static const char request[] = "GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n";
+	char reply[64] = "";
+	int fd = -1;
+
+	if (pd_os_connect(&instance->ready, READY_WAIT_US, &fd, NULL) != PD_OK)
+		return false;
+	pd_os_set_io_timeout(fd, READY_WAIT_US);
+	if (pd_os_write_full(fd, request, sizeof(request) - 1, NULL) == PD_OK &&
+	    recv(fd, reply, sizeof(reply) - 1, 0) < 0)
+		reply[0] = '\0';
+	pd_os_close(&fd);
+	return !strncmp(reply, "HTTP/1.1 200", 12);
+}
