Forget an estimate of a service's time that refuses every request

Ruled out: the upstreams (others served them in 5 ms), the queue that they report (decays), ejection (expires). Change: without an answer for a second, the usual time halves each 1.2 s, as other evidence does, and the more was forgotten, the more the next answer counts; with answers each second nothing changes.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -29,6 +29,9 @@
 #define QUEUE_HALF_LIFE_US 150000.0
 /* Weight of one answer in a service's usual time of answers. */
 #define WORK_WEIGHT 0.05
+/* Without an answer for longer than this, the usual time is forgotten as other evidence is: one
+ * that refuses every request would never be corrected. */
+#define WORK_FRESH_US 1000000
 /* A zone is out of reach when nothing was heard from it for this long and this many of its
  * upstreams are overdue; one paused upstream, or three, happen in normal operation. */
 #define ZONE_SILENCE_US 250000
@@ -171,18 +174,27 @@
 	return work_us * (1 + (ahead > 0 ? ahead / slots : 0));
 }
 
+/* What is left of a service's usual time of answers. */
+static double work_remembered(const struct pd_service *service, int64_t now_us)
+{
+	double stale = (double)(now_us - service->work_at_us - WORK_FRESH_US);
+
+	return stale <= 0 ? 1 : exp2(-stale / EVIDENCE_HALF_LIFE_US);
+}
+
 int64_t pd_registry_expected_us(struct pd_registry *registry, struct pd_service *service,
 				int64_t now_us)
 {
-	double best = 0;
+	double best = 0, work;
 
 	pthread_mutex_lock(&registry->lock);
-	for (struct pd_upstream *u = service->upstreams; u && service->work_us > 0; u = u->next) {
+	work = service->work_us * work_remembered(service, now_us);
+	for (struct pd_upstream *u = service->upstreams; u && work > 0; u = u->next) {
 		double expected;
 
 		if (!usable_locked(u) || now_us < u->ejected_until_us)
 			continue;
-		expected = expected_at(u, service->work_us, now_us);
+		expected = expected_at(u, work, now_us);
 		if (best <= 0 || expected < best)
 			best = expected;
 	}
@@ -319,13 +331,19 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
-static void add_work(struct pd_service *service, const struct pd_report *report)
+/* The more was forgotten, the more a new answer counts. */
+static void add_work(struct pd_service *service, const struct pd_report *report, int64_t now_us)
 {
+	double weight = 1 - work_remembered(service, now_us);
+
 	if (!report->has_load || report->waiting > 0)
 		return;
 	if (service->work_us <= 0)
-		service->work_us = (double)report->latency_us;
-	service->work_us += WORK_WEIGHT * ((double)report->latency_us - service->work_us);
+		weight = 1;
+	else if (weight < WORK_WEIGHT)
+		weight = WORK_WEIGHT;
+	service->work_us += weight * ((double)report->latency_us - service->work_us);
+	service->work_at_us = now_us;
 }
 
 void pd_registry_suspect(struct pd_registry *registry, struct pd_upstream *upstream, int64_t now_us)
@@ -346,7 +364,7 @@
 	switch (report->kind) {
 	case PD_REPORT_ANSWER:
 		succeed(upstream, now_us);
-		add_work(upstream->service, report);
+		add_work(upstream->service, report, now_us);
 		if (report->stats) {
 			add_latency(report->stats, (double)report->latency_us);
 			add_slowness(upstream, (double)report->latency_us / report->stats->mean_us,
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -128,6 +128,7 @@
  * @max_connections: connections that one upstream accepts; 0 when unknown
  * @cold_per_s: requests per second that one cold upstream tolerates; 0 when not stated
  * @work_us: usual time of an answer while no request waits at the upstream; 0 until known
+ * @work_at_us: when @work_us was last corrected
  */
 struct pd_service {
 	struct pd_name name;
@@ -139,6 +140,7 @@
 	uint32_t max_connections;
 	double cold_per_s;
 	double work_us;
+	int64_t work_at_us;
 	UT_hash_handle hh;
 };
 
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -296,6 +296,30 @@
 }
 END_TEST
 
+START_TEST(usual_time_that_refuses_all_is_forgotten)
+{
+	/* After a pause of this process the first answer seems to have taken seconds. Refused for
+	 * that, no request would ever show that the service is fast. */
+	int64_t now = pd_os_boot_us();
+	struct pd_upstream *upstream;
+	struct pd_report report = {
+		.kind = PD_REPORT_ANSWER, .latency_us = 3000000, .has_load = true, .load = 1};
+
+	init();
+	put("a", "here");
+	upstream = pd_registry_pick(&registry, service(), NULL, 0, now);
+	pd_registry_report(&registry, upstream, &report, now);
+	ck_assert_int_eq(pd_registry_expected_us(&registry, service(), now + 900000), 3000000);
+	now += 6000000;
+	ck_assert_int_lt(pd_registry_expected_us(&registry, service(), now), 300000);
+	report.latency_us = 5000;
+	upstream = pd_registry_pick(&registry, service(), NULL, 0, now);
+	pd_registry_report(&registry, upstream, &report, now);
+	ck_assert_int_lt(pd_registry_expected_us(&registry, service(), now), 300000);
+	pd_registry_finish(&registry);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -309,6 +333,7 @@
 		versions_never_go_back,
 		split_keeps_its_shares,
 		expected_time_grows_with_the_queue,
+		usual_time_that_refuses_all_is_forgotten,
 	};
 
 	return suite_run("registry", tests, sizeof(tests) / sizeof(tests[0]));
