Queue a diverted sub-request where the shorter queue is known to be

Change: the reported queues of both are compared; the one that refused takes the sub-request when work is known to wait longer at the other.

--- a/src/query.c
+++ b/src/query.c
@@ -448,9 +448,9 @@
 		q->next_extra_us = extra_at(part);
 }
 
-/* The owner has no free slot: queues the sub-request at another upstream, or there if it is the
- * only one. */
-static void handle_busy(struct query *q, uint32_t index, int64_t now)
+/* The owner of @busy has no free slot: queues the sub-request at another upstream, or there if that
+ * is expected to take less time or is the only one. */
+static void handle_busy(struct query *q, uint32_t index, uint32_t busy, int64_t now)
 {
 	struct pd_part *part = &q->gather->parts[index];
 	uint32_t upstream;
@@ -462,6 +462,8 @@
 		return;
 	}
 	upstream = choose_retry(q, part, now);
+	if (upstream != PD_CONFIG_NONE)
+		upstream = pd_router_shorter_queue(q->c->router, q->config, upstream, busy, now);
 	pd_count(PD_COUNT_diverted);
 	if (!send_to(q, index, upstream, false, now)) {
 		part->status = PD_SUB_BUSY;
@@ -496,7 +498,7 @@
 		q->may_have_run = true;
 		handle_good(q, part, attempt, now);
 	} else if (status == PD_SUB_BUSY) {
-		handle_busy(q, attempt->part, now);
+		handle_busy(q, attempt->part, attempt->upstream, now);
 	} else {
 		handle_failure(q, attempt->part, status, now);
 	}
--- a/src/router.c
+++ b/src/router.c
@@ -677,6 +677,22 @@
 	pthread_mutex_unlock(&router->mutex);
 }
 
+uint32_t pd_router_shorter_queue(struct pd_router *router, const struct pd_config *config,
+				 uint32_t other, uint32_t busy, int64_t now_us)
+{
+	const struct upstream_node *there, *here;
+	uint32_t chosen = other;
+
+	pthread_mutex_lock(&router->mutex);
+	there = upstream_get(router, config, other);
+	here = upstream_get(router, config, busy);
+	if (there && here && there->queue_us > 0 &&
+	    expected_us(here, now_us) < expected_us(there, now_us))
+		chosen = busy;
+	pthread_mutex_unlock(&router->mutex);
+	return chosen;
+}
+
 static struct admit_cell *admit_cell(struct pd_router *r, int64_t now_us)
 {
 	int64_t number = now_us / ADMIT_CELL_US;
--- a/src/router.h
+++ b/src/router.h
@@ -63,6 +63,9 @@
  * stragglers use theirs up, and a lost sub-request would then stay missing with time to spare.
  */
 bool pd_router_take_retry(struct pd_router *router);
+/* @other, unless work is known to wait there for longer than at @busy: then @busy. */
+uint32_t pd_router_shorter_queue(struct pd_router *router, const struct pd_config *config,
+				 uint32_t other, uint32_t busy, int64_t now_us);
 /* Outcome of a sub-request; @total_us as seen by the coordinator. */
 void pd_router_reply(struct pd_router *router, const struct pd_config *config, uint32_t upstream,
 		     enum pd_substatus status, int64_t total_us, int64_t queue_us, int64_t now_us);
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -223,6 +223,25 @@
 }
 END_TEST
 
+/* Guards against queueing behind a cold upstream's work while the one that refused is free sooner.
+ */
+START_TEST(busy_upstream_takes_work_that_would_wait_longer_elsewhere)
+{
+	uint32_t here = config->services[0].upstreams[0];
+	uint32_t there = config->services[0].upstreams[1];
+	int64_t t = PD_USEC_PER_SEC;
+
+	pd_router_reply(router, config, here, PD_SUB_BUSY, 1000, 20000, t);
+	ck_assert_uint_eq(pd_router_shorter_queue(router, config, there, here, t), there);
+	pd_router_reply(router, config, there, PD_SUB_OK, 1000, 80000, t);
+	ck_assert_uint_eq(pd_router_shorter_queue(router, config, there, here, t), here);
+	/* What was reported a while ago has been worked off. */
+	t += 20 * PD_USEC_PER_SEC;
+	pd_router_reply(router, config, here, PD_SUB_BUSY, 1000, 20000, t + 20 * PD_USEC_PER_SEC);
+	ck_assert_uint_eq(pd_router_shorter_queue(router, config, there, here, t), there);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("router");
@@ -242,6 +261,7 @@
 	tcase_add_test(single, zone_gets_nothing_while_out_and_ramps_when_in);
 	tcase_add_test(single, extra_requests_stay_in_the_budget);
 	tcase_add_test(single, admission_follows_refusals_and_recovers);
+	tcase_add_test(single, busy_upstream_takes_work_that_would_wait_longer_elsewhere);
 	suite_add_tcase(suite, sim);
 	suite_add_tcase(suite, single);
 	srunner_run_all(runner, CK_NORMAL);
