--- a/tests/soak/ledger.c
+++ b/tests/soak/ledger.c
@@ -154,6 +154,8 @@
 {
 	uint32_t wanted = 0;
 
+	if (!request->instance->informed)
+		return false;
 	for (uint32_t i = 0; i < fleet.version_count; i++) {
 		if (i + 1 == fleet.version_count ||
 		    fleet.versions[i + 1].acked_us > now_us - FLEET_CONTACT_US)
