Read a route's usual time under its lock; run the soak against a build with the thread sanitizer

Cause: fanout read a route's 92nd percentile without the registry's lock while other threads wrote it. Change: the value is read with the statistics, under the lock, once for a request.

--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -111,8 +111,7 @@
 		pd_registry_count_request(registry, leg->service);
 	leg->tried[leg->tried_count++] = upstream;
 	leg->arrivals++;
-	leg->hedge_us = now_us + pd_policy_hedge_delay(fanout->route,
-						       fanout->stats ? fanout->stats->high_us : 0);
+	leg->hedge_us = now_us + pd_policy_hedge_delay(fanout->route, fanout->high_us);
 	pd_exchange_start(exchange, fanout->pool, upstream, &fanout->request, fanout->deadline_us,
 			  fanout->route->idempotent ? REUSE_IDLE_US : REUSE_IDLE_ONCE_US, now_us);
 	pd_count(PD_COUNT_subrequests_sent);
--- a/ingress/fanout.h
+++ b/ingress/fanout.h
@@ -69,6 +69,7 @@
  * @pool: connections
  * @route: route
  * @stats: latency of the route
+ * @high_us: its 92nd percentile when the request came; 0 when it isn't known
  * @request: common part of the sub-requests
  * @reporter: is told of upstreams that crash
  * @fingerprint: of the request, for @reporter
@@ -93,6 +94,7 @@
 	struct pd_pool *pool;
 	const struct pd_route *route;
 	struct pd_route_stats *stats;
+	double high_us;
 	struct pd_exchange_request request;
 	struct pd_reporter *reporter;
 	uint64_t fingerprint;
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -414,11 +414,13 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
-struct pd_route_stats *pd_registry_route_stats(struct pd_registry *registry, struct pd_str name)
+struct pd_route_stats *pd_registry_route_stats(struct pd_registry *registry, struct pd_str name,
+					       double *high_us)
 {
 	struct pd_route_stats *stats;
 	struct pd_name key;
 
+	*high_us = 0;
 	if (!pd_name_set(&key, name))
 		return NULL;
 	pthread_mutex_lock(&registry->lock);
@@ -431,6 +433,7 @@
 					stats);
 		}
 	}
+	*high_us = stats ? stats->high_us : 0;
 	pthread_mutex_unlock(&registry->lock);
 	return stats;
 }
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -229,8 +229,10 @@
 bool pd_registry_install(struct pd_registry *registry, struct pd_catalog *catalog);
 /* The version in force with a reference of its own, or NULL. */
 struct pd_catalog *pd_registry_catalog(struct pd_registry *registry);
-/* Statistics of a route; they live as long as the registry. */
-struct pd_route_stats *pd_registry_route_stats(struct pd_registry *registry, struct pd_str name);
+/* Statistics of a route; they live as long as the registry, whose lock guards them. Stores the 92nd
+ * percentile of now, 0 when it isn't known. */
+struct pd_route_stats *pd_registry_route_stats(struct pd_registry *registry, struct pd_str name,
+					       double *high_us);
 /* Next target of a route that distributes its requests by weight. */
 uint32_t pd_registry_next_target(struct pd_registry *registry, struct pd_route *route);
 
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -271,7 +271,8 @@
 
 	fanout->pool = &request->ingress->pool;
 	fanout->route = request->route;
-	fanout->stats = pd_registry_route_stats(&request->ingress->registry, request->route->name);
+	fanout->stats = pd_registry_route_stats(&request->ingress->registry, request->route->name,
+						&fanout->high_us);
 	fanout->request = (struct pd_exchange_request){
 		.head = pd_buf_str(head),
 		.body = pd_buf_str(&client->msg.body),
@@ -434,6 +435,7 @@
 	describe_fanout(request, &fanout, &head);
 	fanout.route = &route;
 	fanout.stats = NULL;
+	fanout.high_us = 0;
 	fanout.relay = true;
 	fanout.needed = 1;
 	fanout.silence_us = fanout.cutoff_us + RELAY_SILENCE_US;
--- a/tests/run_soak.sh
+++ b/tests/run_soak.sh
@@ -5,6 +5,7 @@
 set -u
 cd "$(dirname "$0")/.." || exit 1
 bin=${BIN:-build/release}
+ingress=${INGRESS:-$bin/peridot-ingress} # another build of it, with a sanitizer
 seconds=${3:-10}
 jobs=${JOBS:-3} # each runs four ingress processes and some hundred threads
 if [ $# -ge 2 ]; then
@@ -16,7 +17,7 @@
 	local folder=build/soak/$1
 	rm -rf "$folder"
 	mkdir -p "$folder"
-	if "$bin/soak" --seed "$1" --seconds "$seconds" --ingress "$bin/peridot-ingress" --folder "$folder" >"$folder/output" 2>&1; then
+	if "$bin/soak" --seed "$1" --seconds "$seconds" --ingress "$ingress" --folder "$folder" >"$folder/output" 2>&1; then
 		tail -n 1 "$folder/output"
 		rm -rf "$folder"
 		return 0
@@ -26,6 +27,6 @@
 	return 1
 }
 export -f play
-export bin seconds
+export bin ingress seconds
 # xargs ends with 123 when a run fails.
 tr " " "\n" <<<"$seeds" | xargs -P "$jobs" -I{} bash -c 'play {}'
