Soak: free an upstream when its fault is over

Cause (reading the diff): an upstream whose link or mode was harmed stayed marked as busy for good: no further fault came to it, its entry never lapsed, and SERVING wasn't judged for its service. Ruled out: membership faults, which freed it.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -264,6 +264,20 @@
 	fleet_heal(&upstream->health);
 }
 
+/* How long an upstream that drains still serves, or one that has ended is still listed. */
+static int64_t first_pause_ms(enum fault_kind kind)
+{
+	switch (kind) {
+	case FAULT_REUSE:
+		/* An address is used again long before the entry of a dead upstream goes. */
+		return FLEET_REUSE_US / PD_USEC_PER_MSEC + draw(1000);
+	case FAULT_CRASH:
+		return SILENCE_MS;
+	default:
+		return FLEET_DRAIN_US / PD_USEC_PER_MSEC + draw(2000);
+	}
+}
+
 /* Membership faults; true when the last step is done. */
 static bool step_membership(struct fault *fault)
 {
@@ -280,10 +294,7 @@
 			fleet_list(upstream, "draining");
 		if (fault->kind == FAULT_REMOVE)
 			fleet_list(upstream, NULL);
-		/* An address is used again long before the entry of a dead upstream goes. */
-		next_step(fault, fault->kind == FAULT_REUSE   ? FLEET_REUSE_US / 1000 + draw(1000)
-				 : fault->kind == FAULT_CRASH ? SILENCE_MS
-							      : FLEET_DRAIN_US / 1000 + draw(2000));
+		next_step(fault, first_pause_ms(fault->kind));
 		return false;
 	case 1:
 		if (fault->kind == FAULT_REUSE) {
@@ -303,7 +314,8 @@
 	}
 }
 
-static bool end_membership(struct fault *fault)
+/* The upstreams of a fault that is over are free for others. */
+static bool release(struct fault *fault)
 {
 	fault->upstream->busy = false;
 	if (fault->other)
@@ -454,7 +466,7 @@
 		break;
 	}
 	fleet_set_evacuated(fault->zone, fault->step == 0);
-	next_step(fault, FLEET_EVACUATION_US / 1000 + draw(3000));
+	next_step(fault, FLEET_EVACUATION_US / PD_USEC_PER_MSEC + draw(3000));
 	return fault->step > 0;
 }
 
@@ -469,9 +481,9 @@
 	case GROUP_STORE:
 		return step_store(fault);
 	case GROUP_UPSTREAM:
-		return step_upstream(fault);
+		return step_upstream(fault) && release(fault);
 	case GROUP_MEMBERSHIP:
-		return step_membership(fault) && end_membership(fault);
+		return step_membership(fault) && release(fault);
 	default:
 		return step_config(fault);
 	}
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -94,7 +94,7 @@
  * @service: index of its service
  * @zone: index of its availability zone
  * @incarnation: number of its starts
- * @busy: a membership fault acts on it
+ * @busy: a fault of its own acts on it
  * @left_us: when the store took note that it drains or is gone; 0 if it didn't
  * @health: crashes, failing modes and harm to its link
  */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -137,7 +137,7 @@
 		ledger_window(&ended, &served);
 		if (ended >= WINDOW_LEAST && ended == served) {
 			printf("recovered within %lld ms\n",
-			       (long long)(window_us - start_us) / 1000);
+			       (long long)((window_us - start_us) / PD_USEC_PER_MSEC));
 			return;
 		}
 	}
