Wait anew for lapsed entries when a second outage is short

A second outage that began within the two seconds of the hold and lasted less than 2.4 s in all ended the hold at once, before the entries of the first one were due. Ruled out: a long second outage (store_lapse_twice). Before: script store_lapse_short answers 503. After: 200, the upstream is never removed.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -228,6 +228,7 @@
 	if (!wait_until_current(membership))
 		return;
 	membership->hold_until_us = 0;
+	membership->lapsed = false;
 	pd_directory_set_in_touch(membership->directory, true, false);
 }
 
@@ -238,7 +239,8 @@
 	int64_t now = pd_os_boot_us();
 
 	if (membership->lost_us) {
-		membership->lapsed = now - membership->contact_us > LAPSE_US;
+		if (now - membership->contact_us > LAPSE_US)
+			membership->lapsed = true;
 		pd_log(PD_LOG_INFO, "store_regained",
 		       "kind=instances lost_ms=%" PRId64 " silent_ms=%" PRId64,
 		       (now - membership->lost_us) / 1000, (now - membership->contact_us) / 1000);
@@ -258,7 +260,6 @@
 	if (membership->lost_us)
 		return;
 	membership->lost_us = pd_os_boot_us();
-	membership->lapsed = false;
 	membership->hold_until_us = 0;
 	pd_log(PD_LOG_WARNING, "store_lost", "kind=instances code=%s", pd_strerror(err->code));
 	pd_log_failure(PD_LOG_WARNING, "store_failure", err);
@@ -298,6 +299,7 @@
 
 	if (msg->beat.store_in_touch) {
 		pd_directory_set_in_touch(membership->directory, true, msg->beat.holding);
+		membership->lapsed = msg->beat.holding;
 		membership->hold_until_us = 0;
 		membership->contact_us = now;
 		membership->lost_us = 0;
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -50,7 +50,7 @@
  * @started_us: start of the task
  * @lost_us: since when this instance itself fails to reach the store; 0 while it doesn't
  * @contact_us: when the store was last known to be in reach of this instance or of its source
- * @lapsed: the last loss was long enough for entries to lapse
+ * @lapsed: entries may have lapsed in a loss, and weren't waited for yet
  * @hold_until_us: when entries that lapsed are to be back; 0 when none are waited for
  */
 struct pd_membership {
