test_upstream: the stand-in server counts a stopped request as running no more

Ruled out: the owner, which sends the next request only after that answer. Change: the answer waits until the request runs no more. The check is as strict: one request at a time.

--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -48,6 +48,7 @@
 	bool arrived;
 	uint32_t order; /* of arrival */
 	bool cancel_seen;
+	bool ended;
 	bool done;
 	struct pd_msg_subreply reply;
 	char body[32];
@@ -189,6 +190,8 @@
 	while ((action = call->action ? call->action : t.otherwise) == ACT_WAIT)
 		pthread_cond_wait(&t.changed, &t.mutex);
 	t.running--;
+	call->ended = true;
+	pthread_cond_broadcast(&t.changed);
 	pthread_mutex_unlock(&t.mutex);
 	return act(connection, action);
 }
@@ -206,6 +209,9 @@
 		call->action = ACT_CANCELLED;
 	fails = t.cancel_fails;
 	pthread_cond_broadcast(&t.changed);
+	/* A request counts as stopped once it runs no more, as at a real upstream. */
+	while (stops && !call->ended)
+		pthread_cond_wait(&t.changed, &t.mutex);
 	pthread_mutex_unlock(&t.mutex);
 	if (fails)
 		return MHD_NO;
