--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -1,5 +1,6 @@
 #include "faults.h"
 
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -60,6 +61,31 @@
 static const char *const group_names[GROUPS] = {"processes", "links",	   "store",
 						"upstreams", "membership", "configuration"};
 
+static const char *const kind_names[FAULT_KINDS] = {
+	[FAULT_TERM] = "term",
+	[FAULT_KILL] = "kill",
+	[FAULT_HERD] = "herd",
+	[FAULT_ROLL] = "roll",
+	[FAULT_PAUSE] = "pause",
+	[FAULT_HUP] = "hup",
+	[FAULT_STORE_LINK] = "store_link",
+	[FAULT_PEER_LINK] = "peer_link",
+	[FAULT_STORE_BUSY] = "store_busy",
+	[FAULT_STORE_SILENT] = "store_silent",
+	[FAULT_STORE_LAPSE] = "store_lapse",
+	[FAULT_STORE_COMPACT] = "store_compact",
+	[FAULT_UPSTREAM_LINK] = "upstream_link",
+	[FAULT_UPSTREAM_MODE] = "upstream_mode",
+	[FAULT_SHARD_MODE] = "shard_mode",
+	[FAULT_CRASH] = "crash",
+	[FAULT_DRAIN] = "drain",
+	[FAULT_REMOVE] = "remove",
+	[FAULT_REUSE] = "reuse",
+	[FAULT_MOVE] = "move",
+	[FAULT_RESHARD] = "reshard",
+	[FAULT_EVACUATE] = "evacuate",
+};
+
 static const enum fault_group group_of[FAULT_KINDS] = {
 	[FAULT_TERM] = GROUP_PROCESS,		[FAULT_KILL] = GROUP_PROCESS,
 	[FAULT_HERD] = GROUP_PROCESS,		[FAULT_ROLL] = GROUP_PROCESS,
@@ -470,9 +496,18 @@
 	return fault->step > 0;
 }
 
+/* One line for each step, for tracing what a break of a promise came from. */
+static void print_step(const struct fault *fault)
+{
+	printf("step %u of %s at %" PRId64 " ms: %s, %s, zone %u\n", fault->step,
+	       kind_names[fault->kind], pd_os_now_us() / PD_USEC_PER_MSEC, fault->instance->name,
+	       fault->upstream->standin.id, fault->zone);
+}
+
 /* Runs the next step; true when it was the last. */
 static bool step(struct fault *fault)
 {
+	print_step(fault);
 	switch (group_of[fault->kind]) {
 	case GROUP_PROCESS:
 		return step_process(fault);
