Feed: measure how long versions of the configuration take to each instance

The log line config_in_force gets age_ms, the metrics get the histogram config_delay_ms. A watch that returns at once stamps its changes with the end of the previous one, so that the pause in between counts. Sources count configurations and bytes sent to followers (feed_configs_out, feed_bytes_out) and log writes that take longer than a second (follower_slow, feed_slow_writes).

No change of behaviour is intended.

--- a/ingress/catalog.c
+++ b/ingress/catalog.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "os.h"
+
 struct pd_catalog *pd_catalog_new(size_t services, size_t routes, size_t text)
 {
 	struct pd_catalog *catalog = calloc(1, sizeof(*catalog));
@@ -35,6 +37,15 @@
 	return (struct pd_str){at, s.len};
 }
 
+int64_t pd_catalog_age_ms(const struct pd_catalog *catalog)
+{
+	int64_t age = pd_os_unix_ms() - catalog->received_unix_ms;
+
+	if (!catalog->received_unix_ms)
+		return -1;
+	return age < 0 ? 0 : age;
+}
+
 struct pd_catalog *pd_catalog_acquire(struct pd_catalog *catalog)
 {
 	if (catalog)
--- a/ingress/catalog.h
+++ b/ingress/catalog.h
@@ -110,6 +110,8 @@
 /**
  * struct pd_catalog - one version of the configuration
  * @version: version number that the operators assigned
+ * @received_unix_ms: Unix time in milliseconds at which the instance of the zone that watches the
+ *	store received this version; 0 if unknown
  * @services: configured services, sorted by name
  * @service_count: number of entries in @services
  * @routes: configured routes, sorted by host and then from the longest prefix to the shortest
@@ -122,6 +124,7 @@
  */
 struct pd_catalog {
 	uint64_t version;
+	int64_t received_unix_ms;
 	struct pd_catalog_service *services;
 	size_t service_count;
 	struct pd_route *routes;
@@ -139,6 +142,10 @@
 struct pd_catalog *pd_catalog_new(size_t services, size_t routes, size_t text);
 /* Copies @s into the catalog's string storage; returns an empty view if it doesn't fit. */
 struct pd_str pd_catalog_copy(struct pd_catalog *catalog, struct pd_str s);
+/* Returns the time since the zone received the version, in milliseconds by the wall clocks of the
+ * two instances; 0 if those differ by more than that, -1 if it is unknown.
+ */
+int64_t pd_catalog_age_ms(const struct pd_catalog *catalog);
 /* Adds a reference; returns @catalog, which may be NULL. */
 struct pd_catalog *pd_catalog_acquire(struct pd_catalog *catalog);
 /* Drops a reference and frees the catalog with the last one; NULL is allowed. */
--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "counters.h"
 #include "log.h"
 #include "objects.h"
 #include "os.h"
@@ -21,7 +22,7 @@
 void pd_directory_finish(struct pd_directory *directory)
 {
 	for (size_t i = 0; i < PD_DIRECTORY_LOG_SIZE; i++)
-		pd_buf_finish(&directory->frames[i]);
+		pd_buf_finish(&directory->log[i].frame);
 	pd_buf_finish(&directory->config);
 	pd_crashes_finish(&directory->crashes);
 	pthread_cond_destroy(&directory->changed);
@@ -31,11 +32,12 @@
 /* Adds a change to the log. It isn't encoded while there are no followers. */
 static void log_locked(struct pd_directory *directory, const struct pd_feed_message *msg)
 {
-	struct pd_buf *frame = &directory->frames[directory->next_change % PD_DIRECTORY_LOG_SIZE];
+	struct pd_change *change = &directory->log[directory->next_change % PD_DIRECTORY_LOG_SIZE];
 
-	pd_buf_finish(frame);
+	pd_buf_finish(&change->frame);
+	change->kind = msg->kind;
 	if (directory->followers)
-		pd_feed_message_encode(msg, frame);
+		pd_feed_message_encode(msg, &change->frame);
 	directory->next_change++;
 	pthread_cond_broadcast(&directory->changed);
 }
@@ -82,8 +84,16 @@
 	log_change(directory, &msg);
 }
 
+static void set_config_message_locked(const struct pd_directory *directory,
+				      struct pd_feed_message *msg)
+{
+	msg->config.text = pd_buf_str(&directory->config);
+	msg->config.received_unix_ms = directory->config_received_unix_ms;
+}
+
 /* Stores the text of the configuration that became current, and logs the change. */
-static enum pd_code store_config(struct pd_directory *directory, json_t *spec, struct pd_error *err)
+static enum pd_code store_config(struct pd_directory *directory, json_t *spec,
+				 int64_t received_unix_ms, struct pd_error *err)
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_CONFIG};
 	char *text = json_dumps(spec, JSON_COMPACT);
@@ -93,7 +103,8 @@
 	pthread_mutex_lock(&directory->lock);
 	pd_buf_finish(&directory->config);
 	pd_buf_append_str(&directory->config, pd_str_from(text));
-	msg.config = pd_buf_str(&directory->config);
+	directory->config_received_unix_ms = received_unix_ms;
+	set_config_message_locked(directory, &msg);
 	log_locked(directory, &msg);
 	pthread_mutex_unlock(&directory->lock);
 	free(text);
@@ -101,15 +112,27 @@
 }
 
 enum pd_code pd_directory_put_config(struct pd_directory *directory, json_t *spec,
-				     struct pd_error *err)
+				     int64_t received_unix_ms, struct pd_error *err)
 {
 	struct pd_catalog *catalog = pd_object_read_config(spec, err);
+	struct pd_catalog *before = pd_registry_catalog(directory->registry);
+	bool first = !before;
+	int64_t age_ms;
 
+	pd_catalog_release(before);
 	if (!catalog)
 		return pd_error_wrap(err, PD_LAYER_COORDINATION, PD_INVALID, "configuration");
-	if (!pd_registry_install(directory->registry, catalog))
+	catalog->received_unix_ms = received_unix_ms;
+	if (!pd_registry_install(directory->registry, pd_catalog_acquire(catalog))) {
+		pd_catalog_release(catalog);
 		return PD_OK;
-	return store_config(directory, spec, err);
+	}
+	age_ms = pd_catalog_age_ms(catalog);
+	pd_catalog_release(catalog);
+	/* A version that is older than this process isn't delayed. */
+	if (!first && age_ms >= 0)
+		pd_histogram_add(&directory->config_delay, age_ms * PD_USEC_PER_MSEC);
+	return store_config(directory, spec, received_unix_ms, err);
 }
 
 void pd_directory_set_evacuated(struct pd_directory *directory, const struct pd_name *zones,
@@ -231,9 +254,11 @@
 	/* Changes that are logged while the snapshot is built are sent again after it. */
 	pthread_mutex_lock(&directory->lock);
 	next = directory->next_change;
-	msg.config = pd_buf_str(&directory->config);
-	if (msg.config.len)
+	set_config_message_locked(directory, &msg);
+	if (msg.config.text.len) {
+		pd_count(PD_COUNT_feed_configs_out);
 		pd_feed_message_encode(&msg, out);
+	}
 	msg = (struct pd_feed_message){.kind = PD_FEED_EVACUATIONS};
 	memcpy(msg.evacuations.zones, directory->evacuated, sizeof(directory->evacuated));
 	msg.evacuations.count = directory->evacuated_count;
@@ -244,6 +269,13 @@
 	return next;
 }
 
+static void append_change(const struct pd_change *change, struct pd_buf *out)
+{
+	if (change->kind == PD_FEED_CONFIG && change->frame.len)
+		pd_count(PD_COUNT_feed_configs_out);
+	pd_buf_append_str(out, pd_buf_str(&change->frame));
+}
+
 bool pd_directory_wait_for_changes(struct pd_directory *directory, uint64_t *from, int64_t wait_us,
 				   struct pd_buf *out)
 {
@@ -256,8 +288,7 @@
 		pd_os_cond_wait_until(&directory->changed, &directory->lock, until);
 	in_log = directory->next_change - *from <= PD_DIRECTORY_LOG_SIZE;
 	for (; in_log && *from < directory->next_change; (*from)++)
-		pd_buf_append_str(out,
-				  pd_buf_str(&directory->frames[*from % PD_DIRECTORY_LOG_SIZE]));
+		append_change(&directory->log[*from % PD_DIRECTORY_LOG_SIZE], out);
 	append_heartbeat_locked(directory, out);
 	pthread_mutex_unlock(&directory->lock);
 	return in_log;
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -15,21 +15,34 @@
 
 #include "crashes.h"
 #include "feed_message.h"
+#include "histogram.h"
 #include "registry.h"
 
 /* Number of changes kept for followers. A follower that lags further behind gets a snapshot. */
 #define PD_DIRECTORY_LOG_SIZE 512
 
+/**
+ * struct pd_change - one change in the log
+ * @kind: kind of the message that @frame holds
+ * @frame: encoded message; empty if no instance followed this one when the change was logged
+ */
+struct pd_change {
+	enum pd_feed_kind kind;
+	struct pd_buf frame;
+};
+
 /**
  * struct pd_directory - copy of the platform's objects, with a log of changes
  * @registry: registry of services and upstreams to which changes are applied
  * @crashes: table of requests that crash upstreams
  * @lock: guards all fields below
  * @changed: signalled when a change is logged or the state of the store changes
- * @frames: ring buffer of encoded changes
+ * @log: ring buffer of changes
  * @next_change: sequence number of the next change; change n is stored in
- *	frames[n % PD_DIRECTORY_LOG_SIZE]
+ *	log[n % PD_DIRECTORY_LOG_SIZE]
  * @config: current configuration as JSON; empty until the first one is received
+ * @config_received_unix_ms: Unix time in milliseconds at which the zone received @config from the
+ *	store; 0 if unknown
  * @evacuated: names of the evacuated zones
  * @evacuated_count: number of entries in @evacuated
  * @store_reachable: the store is reachable from this instance or from the one that it follows, and
@@ -37,20 +50,24 @@
  * @removals_held: removals are held although the store is reachable, because entries may have
  *	expired while it was unreachable
  * @followers: number of instances that follow this one
+ * @config_delay: time from a version's reception by the zone until it was in force here, for all
+ *	versions but the first one after the start
  */
 struct pd_directory {
 	struct pd_registry *registry;
 	struct pd_crashes crashes;
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
-	struct pd_buf frames[PD_DIRECTORY_LOG_SIZE];
+	struct pd_change log[PD_DIRECTORY_LOG_SIZE];
 	uint64_t next_change;
 	struct pd_buf config;
+	int64_t config_received_unix_ms;
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
 	size_t evacuated_count;
 	bool store_reachable;
 	bool removals_held;
 	uint32_t followers;
+	struct pd_histogram config_delay;
 };
 
 void pd_directory_init(struct pd_directory *directory, struct pd_registry *registry);
@@ -67,11 +84,12 @@
  */
 void pd_directory_list_begin(struct pd_directory *directory);
 void pd_directory_list_end(struct pd_directory *directory);
-/* Makes @spec the current configuration if its version is newer; returns PD_INVALID, without any
- * change, if it is invalid.
+/* Makes @spec, which the zone received from the store at @received_unix_ms (0 if unknown), the
+ * current configuration if its version is newer; returns PD_INVALID, without any change, if it is
+ * invalid.
  */
 enum pd_code pd_directory_put_config(struct pd_directory *directory, json_t *spec,
-				     struct pd_error *err);
+				     int64_t received_unix_ms, struct pd_error *err);
 /* Replaces the set of evacuated zones. */
 void pd_directory_set_evacuated(struct pd_directory *directory, const struct pd_name *zones,
 				size_t count);
--- a/ingress/feed.c
+++ b/ingress/feed.c
@@ -1,15 +1,19 @@
 #include "feed.h"
 
 #include <arpa/inet.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "counters.h"
 #include "log.h"
 
 #define HELLO_TIMEOUT_US (1000 * PD_USEC_PER_MSEC)
 /* A follower that receives no data for this long is disconnected. */
 #define SEND_TIMEOUT_US (2000 * PD_USEC_PER_MSEC)
-#define FOLLOWERS_MAX	256 /* a zone of the largest deployment has about 100 instances */
+/* A write that takes longer is logged: the link to the follower or the follower is slow. */
+#define SLOW_WRITE_US (1000 * PD_USEC_PER_MSEC)
+#define FOLLOWERS_MAX 256 /* a zone of the largest deployment has about 100 instances */
 
 void pd_feed_init(struct pd_feed *feed, struct pd_directory *directory,
 		  const struct pd_address *address)
@@ -76,10 +80,28 @@
 	return valid;
 }
 
+static enum pd_code write_updates(int fd, const struct pd_buf *out, const struct pd_name *follower,
+				  struct pd_error *err)
+{
+	int64_t start = pd_os_boot_us(), took;
+	enum pd_code code = pd_os_write_full(fd, out->data, out->len, err);
+
+	took = pd_os_boot_us() - start;
+	pd_count_add(PD_COUNT_feed_bytes_out, out->len);
+	if (took > SLOW_WRITE_US) {
+		pd_count(PD_COUNT_feed_slow_writes);
+		pd_log(PD_LOG_WARNING, "follower_slow",
+		       "instance=%s bytes=%zu write_ms=%" PRId64 " code=%s", follower->text,
+		       out->len, took / PD_USEC_PER_MSEC, pd_strerror(code));
+	}
+	return code;
+}
+
 /* Sends a heartbeat, a snapshot and then changes, until the connection fails. The heartbeat comes
  * first, because a follower must know whether the snapshot may be outdated before it applies it.
  */
-static void send_updates(struct pd_directory *directory, int fd, struct pd_error *err)
+static void send_updates(struct pd_directory *directory, int fd, const struct pd_name *name,
+			 struct pd_error *err)
 {
 	struct pd_buf out = {0};
 	uint64_t from;
@@ -87,7 +109,7 @@
 	pd_directory_heartbeat(directory, &out);
 	from = pd_directory_snapshot(directory, &out);
 
-	while (!out.failed && pd_os_write_full(fd, out.data, out.len, err) == PD_OK) {
+	while (!out.failed && write_updates(fd, &out, name, err) == PD_OK) {
 		pd_buf_finish(&out);
 		if (!pd_directory_wait_for_changes(directory, &from, PD_FEED_HEARTBEAT_INTERVAL_US,
 						   &out))
@@ -108,7 +130,7 @@
 		pd_os_set_io_timeout(follower.fd, SEND_TIMEOUT_US);
 		pd_log(PD_LOG_INFO, "follower_joined", "instance=%s", name.text);
 		pd_directory_adjust_followers(directory, 1);
-		send_updates(directory, follower.fd, &err);
+		send_updates(directory, follower.fd, &name, &err);
 		pd_directory_adjust_followers(directory, -1);
 		pd_log(PD_LOG_INFO, "follower_left", "instance=%s code=%s", name.text,
 		       pd_strerror(err.code));
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -6,7 +6,7 @@
 #include "msgpack_check.h"
 #include "os.h"
 
-#define FORMAT_VERSION	     2 /* since 2, heartbeats state whether removals are held */
+#define FORMAT_VERSION	     3 /* since 3, configurations state when they were received */
 #define UPSTREAM_FIELD_COUNT 8
 #define ARRAY_ITEMS_MAX	     (PD_FEED_ZONES_MAX + 2)
 
@@ -40,12 +40,12 @@
 		return UPSTREAM_FIELD_COUNT;
 	case PD_FEED_EVACUATIONS:
 		return msg->evacuations.count;
+	case PD_FEED_CONFIG:
 	case PD_FEED_CRASH:
 	case PD_FEED_HEARTBEAT:
 		return 2;
 	case PD_FEED_HELLO:
 	case PD_FEED_REMOVED:
-	case PD_FEED_CONFIG:
 		return 1;
 	case PD_FEED_LIST_BEGIN:
 	case PD_FEED_LIST_END:
@@ -76,7 +76,8 @@
 		pack_str(&packer, pd_name_str(&msg->removed));
 		break;
 	case PD_FEED_CONFIG:
-		pack_str(&packer, msg->config);
+		pack_str(&packer, msg->config.text);
+		msgpack_pack_int64(&packer, msg->config.received_unix_ms);
 		break;
 	case PD_FEED_EVACUATIONS:
 		for (size_t i = 0; i < msg->evacuations.count; i++)
@@ -155,7 +156,7 @@
 
 static bool decode_fields(const msgpack_object *fields, size_t count, struct pd_feed_message *msg)
 {
-	uint64_t reachable, held;
+	uint64_t reachable, held, received;
 
 	switch (msg->kind) {
 	case PD_FEED_HELLO:
@@ -168,7 +169,11 @@
 	case PD_FEED_REMOVED:
 		return count == 1 && to_name(&fields[0], &msg->removed);
 	case PD_FEED_CONFIG:
-		return count == 1 && to_str(&fields[0], &msg->config);
+		if (count != 2 || !to_str(&fields[0], &msg->config.text) ||
+		    !to_number(&fields[1], INT64_MAX, &received))
+			return false;
+		msg->config.received_unix_ms = (int64_t)received;
+		return true;
 	case PD_FEED_EVACUATIONS:
 		if (count > PD_FEED_ZONES_MAX)
 			return false;
--- a/ingress/feed_message.h
+++ b/ingress/feed_message.h
@@ -36,7 +36,8 @@
  * @hello: name of the follower
  * @upstream: entry of an upstream that was added or changed
  * @removed: id of an upstream whose entry was removed
- * @config: the configuration as JSON; after decoding, a view into the decoded frame
+ * @config: the configuration as JSON, after decoding a view into the decoded frame, and the Unix
+ *	time in milliseconds at which the zone received it from the store; 0 if unknown
  * @evacuations: names of all evacuated zones
  * @heartbeat: whether the store is reachable from the source, and whether the source still holds
  *	back removals because entries may have expired while the store was unreachable
@@ -49,7 +50,10 @@
 		struct pd_name hello;
 		struct pd_upstream_entry upstream;
 		struct pd_name removed;
-		struct pd_str config;
+		struct {
+			struct pd_str text;
+			int64_t received_unix_ms;
+		} config;
 		struct {
 			struct pd_name zones[PD_FEED_ZONES_MAX];
 			size_t count;
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -317,12 +317,13 @@
 	int64_t next_list_us;
 };
 
-static void apply_config(struct pd_directory *directory, struct pd_str text)
+static void apply_config(struct pd_directory *directory, const struct pd_feed_message *msg)
 {
+	struct pd_str text = msg->config.text;
 	json_t *spec = json_loadb(text.data ? text.data : "", text.len, 0, NULL);
 	struct pd_error err;
 
-	if (pd_directory_put_config(directory, spec, &err) != PD_OK)
+	if (pd_directory_put_config(directory, spec, msg->config.received_unix_ms, &err) != PD_OK)
 		pd_log_failure(PD_LOG_ERROR, "config_unreadable", &err);
 	json_decref(spec);
 }
@@ -374,7 +375,7 @@
 					     "entry_removed");
 		break;
 	case PD_FEED_CONFIG:
-		apply_config(directory, msg->config);
+		apply_config(directory, msg);
 		break;
 	case PD_FEED_EVACUATIONS:
 		pd_directory_set_evacuated(directory, msg->evacuations.zones,
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -511,8 +511,9 @@
 	registry->catalog = catalog;
 	pthread_mutex_unlock(&registry->lock);
 	pd_log(PD_LOG_INFO, "config_in_force",
-	       "version=%" PRIu64 " before=%" PRIu64 " routes=%zu services=%zu", catalog->version,
-	       old ? old->version : 0, catalog->route_count, catalog->service_count);
+	       "version=%" PRIu64 " before=%" PRIu64 " routes=%zu services=%zu age_ms=%" PRId64,
+	       catalog->version, old ? old->version : 0, catalog->route_count,
+	       catalog->service_count, pd_catalog_age_ms(catalog));
 	pd_count_set(PD_COUNT_config_version, catalog->version);
 	pd_catalog_release(old);
 	return true;
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -577,6 +577,7 @@
 	}
 	pd_counters_print(&body);
 	pd_histogram_print(&ingress->latency, "request_latency", &body);
+	pd_histogram_print(&ingress->directory.config_delay, "config_delay", &body);
 	begin_response(&head, HTTP_STATUS_OK);
 	pd_buf_append_str(&head, PD_STR("Content-Type: text/plain\r\n"));
 	written = write_response(&request, &head, pd_buf_str(&body));
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -18,6 +18,8 @@
 #define BATCH_PAUSE_MAX_US (700 * PD_USEC_PER_MSEC)
 /* A watch that returns changes in less than this time has returned early. */
 #define EARLY_RETURN_US (1500 * PD_USEC_PER_MSEC)
+/* A watch that returns in less than this time found changes that were there before it. */
+#define IMMEDIATE_RETURN_US (50 * PD_USEC_PER_MSEC)
 /* Backoff after failed calls. Every call is billed, but the instance must serve normally within
  * seconds after the store is reachable again.
  */
@@ -117,13 +119,14 @@
 	return delay + (int64_t)(pd_os_random_seed() % (uint64_t)(delay / 2));
 }
 
-static void apply_config(struct pd_sync *sync, const struct pd_object *object)
+static void apply_config(struct pd_sync *sync, const struct pd_object *object,
+			 int64_t received_unix_ms)
 {
 	struct pd_error err;
 
 	if (object->removed || !pd_object_is_config(object->name))
 		return;
-	if (pd_directory_put_config(sync->directory, object->spec, &err) != PD_OK)
+	if (pd_directory_put_config(sync->directory, object->spec, received_unix_ms, &err) != PD_OK)
 		pd_log_failure(PD_LOG_ERROR, "config_unreadable", &err);
 }
 
@@ -174,7 +177,9 @@
 		pd_directory_add_crash(sync->directory, fingerprint, &event);
 }
 
-static void apply_page(struct pd_sync_task *task, const struct pd_object_page *page)
+/* Applies the objects or events of a page, which the store had at @received_unix_ms. */
+static void apply_page(struct pd_sync_task *task, const struct pd_object_page *page,
+		       int64_t received_unix_ms)
 {
 	struct pd_object object;
 
@@ -183,7 +188,7 @@
 			continue;
 		switch (task->kind) {
 		case PD_OBJECT_CONFIG:
-			apply_config(task->sync, &object);
+			apply_config(task->sync, &object, received_unix_ms);
 			break;
 		case PD_OBJECT_UPSTREAMS:
 			apply_upstream(task->sync, &object);
@@ -275,7 +280,8 @@
 				pd_directory_list_begin(directory);
 		}
 		first = false;
-		apply_page(task, &page);
+		/* It is unknown when the listed objects were written. */
+		apply_page(task, &page, 0);
 		more = page.has_more && pd_object_page_last_name(&page, &after);
 		pd_object_page_finish(&page);
 	}
@@ -287,6 +293,7 @@
 	set_listed(task, true);
 	task->listed_before = true;
 	task->revision = revision;
+	task->watched_unix_ms = pd_os_unix_ms();
 	pd_log(PD_LOG_INFO, "store_listed", "kind=%s revision=%" PRIu64,
 	       pd_object_kind_name(task->kind), revision);
 	return PD_OK;
@@ -306,7 +313,7 @@
 /* Waits for changes once and applies them. */
 static enum pd_code watch_once(struct pd_sync_task *task, struct pd_error *err)
 {
-	int64_t start = pd_os_boot_us();
+	int64_t start = pd_os_boot_us(), received_unix_ms;
 	struct pd_object_page page;
 	enum pd_code code;
 	size_t count;
@@ -327,7 +334,12 @@
 	if (code != PD_OK)
 		return code;
 	handle_success(task);
-	apply_page(task, &page);
+	received_unix_ms = pd_os_unix_ms();
+	/* Changes that are returned at once may have been written since the last watch. */
+	if (pd_os_boot_us() - start < IMMEDIATE_RETURN_US)
+		received_unix_ms = task->watched_unix_ms;
+	task->watched_unix_ms = pd_os_unix_ms();
+	apply_page(task, &page, received_unix_ms);
 	count = pd_object_page_count(&page);
 	if (page.revision > task->revision)
 		task->revision = page.revision;
--- a/src/counters.h
+++ b/src/counters.h
@@ -72,6 +72,9 @@
 	X(platform_failures)                                                                       \
 	X(config_entries_applied)                                                                  \
 	X(config_version)                                                                          \
+	X(feed_configs_out)                                                                        \
+	X(feed_bytes_out)                                                                          \
+	X(feed_slow_writes)                                                                        \
 	X(claims_made)                                                                             \
 	X(claims_duplicate)                                                                        \
 	X(claims_refused)
