--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -18,8 +18,6 @@
 #define BATCH_PAUSE_MAX_US (700 * PD_USEC_PER_MSEC)
 /* A watch that returns changes in less than this time has returned early. */
 #define EARLY_RETURN_US (1500 * PD_USEC_PER_MSEC)
-/* A watch that returns in less than this time found changes that were there before it. */
-#define IMMEDIATE_RETURN_US (50 * PD_USEC_PER_MSEC)
 /* Backoff after failed calls. Every call is billed, but the instance must serve normally within
  * seconds after the store is reachable again.
  */
@@ -293,7 +291,6 @@
 	set_listed(task, true);
 	task->listed_before = true;
 	task->revision = revision;
-	task->watched_unix_ms = pd_os_unix_ms();
 	pd_log(PD_LOG_INFO, "store_listed", "kind=%s revision=%" PRIu64,
 	       pd_object_kind_name(task->kind), revision);
 	return PD_OK;
@@ -313,7 +310,7 @@
 /* Waits for changes once and applies them. */
 static enum pd_code watch_once(struct pd_sync_task *task, struct pd_error *err)
 {
-	int64_t start = pd_os_boot_us(), received_unix_ms;
+	int64_t start = pd_os_boot_us();
 	struct pd_object_page page;
 	enum pd_code code;
 	size_t count;
@@ -334,12 +331,7 @@
 	if (code != PD_OK)
 		return code;
 	handle_success(task);
-	received_unix_ms = pd_os_unix_ms();
-	/* Changes that are returned at once may have been written since the last watch. */
-	if (pd_os_boot_us() - start < IMMEDIATE_RETURN_US)
-		received_unix_ms = task->watched_unix_ms;
-	task->watched_unix_ms = pd_os_unix_ms();
-	apply_page(task, &page, received_unix_ms);
+	apply_page(task, &page, pd_os_unix_ms());
 	count = pd_object_page_count(&page);
 	if (page.revision > task->revision)
 		task->revision = page.revision;
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -39,7 +39,6 @@
  * @revision: revision of the store up to which changes were applied
  * @unreachable_since_us: time since which this task's calls to the store fail, in microseconds of
  *	pd_os_boot_us(); 0 while they succeed
- * @watched_unix_ms: Unix time in milliseconds at which the last list or watch returned
  * @failures: number of consecutive failed calls
  * @early_returns: number of consecutive watches that returned changes early, see sync.c
  * @wake_pipe: pipe that ends a waiting watch or a pause of the task when a byte is written to it
@@ -53,7 +52,6 @@
 	bool listed_before;
 	uint64_t revision;
 	int64_t unreachable_since_us;
-	int64_t watched_unix_ms;
 	uint32_t failures;
 	uint32_t early_returns;
 	int wake_pipe[2];
