Membership: a starting instance watches the store as soon as it is followed

What callers saw: 404 for routes added seconds before, at instances whose source had been killed and which then followed one that had just started.

Cause: for up to 2.5 s after its start, an instance looks for a source. In this time it has listed the store once, but neither watches it nor follows another instance. Its feed accepts followers nevertheless, tells them that the store is reachable, and they stop watching it themselves.

Ruled out: followers that refuse a starting source. When a whole zone starts, every instance would then watch the store.

Change: the search for a source ends when an instance follows this one; it then watches the store, and still follows a higher-ranked instance that it finds later.

--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -17,6 +17,7 @@
 	pd_crashes_init(&directory->crashes);
 	pthread_mutex_init(&directory->lock, NULL);
 	pd_os_cond_init(&directory->changed);
+	pd_os_cond_init(&directory->joined);
 }
 
 void pd_directory_finish(struct pd_directory *directory)
@@ -25,6 +26,7 @@
 		pd_buf_finish(&directory->log[i].frame);
 	pd_buf_finish(&directory->config);
 	pd_crashes_finish(&directory->crashes);
+	pthread_cond_destroy(&directory->joined);
 	pthread_cond_destroy(&directory->changed);
 	pthread_mutex_destroy(&directory->lock);
 }
@@ -304,6 +306,20 @@
 	return reachable;
 }
 
+bool pd_directory_wait_for_follower(struct pd_directory *directory, int64_t wait_us)
+{
+	int64_t until = pd_os_now_us() + wait_us;
+	bool followed;
+
+	pthread_mutex_lock(&directory->lock);
+	while (!directory->followers &&
+	       pd_os_cond_wait_until(&directory->joined, &directory->lock, until))
+		;
+	followed = directory->followers > 0;
+	pthread_mutex_unlock(&directory->lock);
+	return followed;
+}
+
 uint32_t pd_directory_adjust_followers(struct pd_directory *directory, int change)
 {
 	uint32_t followers;
@@ -311,6 +327,8 @@
 	pthread_mutex_lock(&directory->lock);
 	directory->followers = (uint32_t)((int)directory->followers + change);
 	followers = directory->followers;
+	if (change > 0)
+		pthread_cond_broadcast(&directory->joined);
 	pthread_mutex_unlock(&directory->lock);
 	return followers;
 }
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -37,6 +37,7 @@
  * @crashes: table of requests that crash upstreams
  * @lock: guards all fields below
  * @changed: signalled when a change is logged or the state of the store changes
+ * @joined: signalled when an instance starts to follow this one
  * @log: ring buffer of changes
  * @next_change: sequence number of the next change; change n is stored in
  *	log[n % PD_DIRECTORY_LOG_SIZE]
@@ -58,6 +59,7 @@
 	struct pd_crashes crashes;
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
+	pthread_cond_t joined;
 	struct pd_change log[PD_DIRECTORY_LOG_SIZE];
 	uint64_t next_change;
 	struct pd_buf config;
@@ -132,6 +134,8 @@
 bool pd_directory_wait_for_changes(struct pd_directory *directory, uint64_t *from, int64_t wait_us,
 				   struct pd_buf *out);
 bool pd_directory_is_store_reachable(struct pd_directory *directory);
+/* Waits until an instance follows this one, at most @wait_us microseconds; false if none does. */
+bool pd_directory_wait_for_follower(struct pd_directory *directory, int64_t wait_us);
 /* Adds @change, which may be 0 or negative, to the number of followers; returns the new number. */
 uint32_t pd_directory_adjust_followers(struct pd_directory *directory, int change);
 
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -20,7 +20,7 @@
 #define UNREACHABLE_CHECK_INTERVAL_US (350 * PD_USEC_PER_MSEC)
 /* Time for which a starting instance looks for a source to follow before it watches the store.
  * Meanwhile it lists the instances at an interval, because those that start at the same time are
- * still registering.
+ * still registering. The search ends when another instance follows this one.
  */
 #define SOURCE_SEARCH_US	  (2500 * PD_USEC_PER_MSEC)
 #define SOURCE_SEARCH_INTERVAL_US (600 * PD_USEC_PER_MSEC)
@@ -576,10 +576,11 @@
 		check_store(membership);
 		follow_sources(membership);
 		age = pd_os_boot_us() - membership->started_us;
-		if (age < SOURCE_SEARCH_US && !membership->unreachable_since_us) {
-			pd_os_sleep_us(SOURCE_SEARCH_INTERVAL_US);
+		/* An instance that is followed needs all changes from now on. */
+		if (age < SOURCE_SEARCH_US && !membership->unreachable_since_us &&
+		    !pd_directory_wait_for_follower(membership->directory,
+						    SOURCE_SEARCH_INTERVAL_US))
 			continue;
-		}
 		pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
 		pd_os_sleep_us(check_delay_us(membership));
 	}
