Feed: send and install only the newest version of the configuration

Cause: the chain from the store to an instance passes on every version, one after the other, although only the newest one counts. The watcher installed each event of a page, the log kept each version for each follower, and a follower parsed and installed each. A version of 45 KB for each of 29 followers takes 0.58 s of the link, so that the delay grew with each version.

Change: the watcher installs the valid configuration with the highest version of a page. In the log, a configuration or a set of evacuated zones replaces the one before it. A follower holds a configuration while more messages have arrived, for at most 100 ms, and installs the last one. Bytes that wait in the system for the link are limited to 16 KB for each follower, since they can't be superseded. Followers keep the text that they received in place of encoding it again. The counter config_superseded counts versions that weren't installed. Upstream entries aren't superseded: an entry that is missing in a list is a removal.

--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -31,11 +31,31 @@
 	pthread_mutex_destroy(&directory->lock);
 }
 
+/* Whether a message of the kind states everything that earlier ones of the kind stated. */
+static bool states_all(enum pd_feed_kind kind)
+{
+	return kind == PD_FEED_CONFIG || kind == PD_FEED_EVACUATIONS;
+}
+
+/* Removes the last change of the kind from the log, so that followers which haven't received it yet
+ * only get the one that is about to be logged.
+ */
+static void supersede_locked(struct pd_directory *directory, enum pd_feed_kind kind)
+{
+	uint64_t latest = directory->latest[kind];
+
+	directory->latest[kind] = directory->next_change + 1;
+	if (latest && directory->next_change - (latest - 1) <= PD_DIRECTORY_LOG_SIZE)
+		pd_buf_finish(&directory->log[(latest - 1) % PD_DIRECTORY_LOG_SIZE].frame);
+}
+
 /* Adds a change to the log. It isn't encoded while there are no followers. */
 static void log_locked(struct pd_directory *directory, const struct pd_feed_message *msg)
 {
 	struct pd_change *change = &directory->log[directory->next_change % PD_DIRECTORY_LOG_SIZE];
 
+	if (states_all(msg->kind))
+		supersede_locked(directory, msg->kind);
 	pd_buf_finish(&change->frame);
 	change->kind = msg->kind;
 	if (directory->followers)
@@ -94,27 +114,23 @@
 }
 
 /* Stores the text of the configuration that became current, and logs the change. */
-static enum pd_code store_config(struct pd_directory *directory, json_t *spec,
-				 int64_t received_unix_ms, struct pd_error *err)
+static void store_config(struct pd_directory *directory, struct pd_str text,
+			 int64_t received_unix_ms)
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_CONFIG};
-	char *text = json_dumps(spec, JSON_COMPACT);
 
-	if (!text)
-		return pd_error_set(err, PD_LAYER_COORDINATION, PD_NO_MEMORY, "configuration");
 	pthread_mutex_lock(&directory->lock);
 	pd_buf_finish(&directory->config);
-	pd_buf_append_str(&directory->config, pd_str_from(text));
+	pd_buf_append_str(&directory->config, text);
 	directory->config_received_unix_ms = received_unix_ms;
 	set_config_message_locked(directory, &msg);
 	log_locked(directory, &msg);
 	pthread_mutex_unlock(&directory->lock);
-	free(text);
-	return PD_OK;
 }
 
-enum pd_code pd_directory_put_config(struct pd_directory *directory, json_t *spec,
-				     int64_t received_unix_ms, struct pd_error *err)
+/* Installs a configuration in the registry. Sets @installed if its version was newer. */
+static enum pd_code install_config(struct pd_directory *directory, json_t *spec,
+				   int64_t received_unix_ms, bool *installed, struct pd_error *err)
 {
 	struct pd_catalog *catalog = pd_object_read_config(spec, err);
 	struct pd_catalog *before = pd_registry_catalog(directory->registry);
@@ -125,16 +141,43 @@
 	if (!catalog)
 		return pd_error_wrap(err, PD_LAYER_COORDINATION, PD_INVALID, "configuration");
 	catalog->received_unix_ms = received_unix_ms;
-	if (!pd_registry_install(directory->registry, pd_catalog_acquire(catalog))) {
-		pd_catalog_release(catalog);
-		return PD_OK;
-	}
+	*installed = pd_registry_install(directory->registry, pd_catalog_acquire(catalog));
 	age_ms = pd_catalog_age_ms(catalog);
 	pd_catalog_release(catalog);
 	/* A version that is older than this process isn't delayed. */
-	if (!first && age_ms >= 0)
+	if (*installed && !first && age_ms >= 0)
 		pd_histogram_add(&directory->config_delay, age_ms * PD_USEC_PER_MSEC);
-	return store_config(directory, spec, received_unix_ms, err);
+	return PD_OK;
+}
+
+enum pd_code pd_directory_put_config(struct pd_directory *directory, json_t *spec,
+				     int64_t received_unix_ms, struct pd_error *err)
+{
+	bool installed = false;
+	enum pd_code code = install_config(directory, spec, received_unix_ms, &installed, err);
+	char *text;
+
+	if (code != PD_OK || !installed)
+		return code;
+	text = json_dumps(spec, JSON_COMPACT);
+	if (!text)
+		return pd_error_set(err, PD_LAYER_COORDINATION, PD_NO_MEMORY, "configuration");
+	store_config(directory, pd_str_from(text), received_unix_ms);
+	free(text);
+	return PD_OK;
+}
+
+enum pd_code pd_directory_put_config_text(struct pd_directory *directory, struct pd_str text,
+					  int64_t received_unix_ms, struct pd_error *err)
+{
+	json_t *spec = json_loadb(text.data ? text.data : "", text.len, 0, NULL);
+	bool installed = false;
+	enum pd_code code = install_config(directory, spec, received_unix_ms, &installed, err);
+
+	json_decref(spec);
+	if (code == PD_OK && installed)
+		store_config(directory, text, received_unix_ms);
+	return code;
 }
 
 void pd_directory_set_evacuated(struct pd_directory *directory, const struct pd_name *zones,
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -24,7 +24,8 @@
 /**
  * struct pd_change - one change in the log
  * @kind: kind of the message that @frame holds
- * @frame: encoded message; empty if no instance followed this one when the change was logged
+ * @frame: encoded message; empty if no instance followed this one when the change was logged, or if
+ *	a later change supersedes this one
  */
 struct pd_change {
 	enum pd_feed_kind kind;
@@ -41,6 +42,8 @@
  * @log: ring buffer of changes
  * @next_change: sequence number of the next change; change n is stored in
  *	log[n % PD_DIRECTORY_LOG_SIZE]
+ * @latest: sequence numbers of the last changes that state all of their kind, plus one, by kind; 0
+ *	if there is none
  * @config: current configuration as JSON; empty until the first one is received
  * @config_received_unix_ms: Unix time in milliseconds at which the zone received @config from the
  *	store; 0 if unknown
@@ -62,6 +65,7 @@
 	pthread_cond_t joined;
 	struct pd_change log[PD_DIRECTORY_LOG_SIZE];
 	uint64_t next_change;
+	uint64_t latest[PD_FEED_KIND_MAX + 1];
 	struct pd_buf config;
 	int64_t config_received_unix_ms;
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
@@ -92,6 +96,9 @@
  */
 enum pd_code pd_directory_put_config(struct pd_directory *directory, json_t *spec,
 				     int64_t received_unix_ms, struct pd_error *err);
+/* The same for a configuration as JSON text. */
+enum pd_code pd_directory_put_config_text(struct pd_directory *directory, struct pd_str text,
+					  int64_t received_unix_ms, struct pd_error *err);
 /* Replaces the set of evacuated zones. */
 void pd_directory_set_evacuated(struct pd_directory *directory, const struct pd_name *zones,
 				size_t count);
--- a/ingress/feed.c
+++ b/ingress/feed.c
@@ -13,7 +13,9 @@
 #define SEND_TIMEOUT_US (2000 * PD_USEC_PER_MSEC)
 /* A write that takes longer is logged: the link to the follower or the follower is slow. */
 #define SLOW_WRITE_US (1000 * PD_USEC_PER_MSEC)
-#define FOLLOWERS_MAX 256 /* a zone of the largest deployment has about 100 instances */
+/* Bytes that wait in the system for a slow link can't be superseded any more. */
+#define UNSENT_MAX_BYTES (16 * 1024)
+#define FOLLOWERS_MAX	 256 /* a zone of the largest deployment has about 100 instances */
 
 void pd_feed_init(struct pd_feed *feed, struct pd_directory *directory,
 		  const struct pd_address *address)
@@ -128,6 +130,7 @@
 	free(arg);
 	if (read_hello(follower.fd, &name)) {
 		pd_os_set_io_timeout(follower.fd, SEND_TIMEOUT_US);
+		pd_os_set_unsent_max(follower.fd, UNSENT_MAX_BYTES);
 		pd_log(PD_LOG_INFO, "follower_joined", "instance=%s", name.text);
 		pd_directory_adjust_followers(directory, 1);
 		send_updates(directory, follower.fd, &name, &err);
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -221,7 +221,7 @@
 	root = &msg->unpacked.data;
 	if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size < 2 ||
 	    !to_number(&root->via.array.ptr[0], UINT32_MAX, &version) ||
-	    !to_number(&root->via.array.ptr[1], PD_FEED_CRASH, &kind))
+	    !to_number(&root->via.array.ptr[1], PD_FEED_KIND_MAX, &kind))
 		return fail_decoding(msg, PD_INVALID, "version or kind is missing or invalid", err);
 	if (version != FORMAT_VERSION)
 		return fail_decoding(msg, PD_UNSUPPORTED_VERSION, "unsupported version", err);
--- a/ingress/feed_message.h
+++ b/ingress/feed_message.h
@@ -30,6 +30,8 @@
 	PD_FEED_CRASH = 9, /* an upstream crashed while it executed a request */
 };
 
+#define PD_FEED_KIND_MAX PD_FEED_CRASH
+
 /**
  * struct pd_feed_message - one message
  * @kind: kind of the message, which selects the member of the union
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -1,8 +1,10 @@
 #include "membership.h"
 
 #include <inttypes.h>
+#include <poll.h>
 #include <string.h>
 
+#include "counters.h"
 #include "feed.h"
 #include "log.h"
 #include "os.h"
@@ -52,6 +54,8 @@
  */
 #define FIRST_LIST_DELAY_US (2500 * PD_USEC_PER_MSEC)
 #define LIST_INTERVAL_US    (12 * PD_USEC_PER_SEC)
+/* Maximum time for which a configuration is held while further messages arrive. */
+#define CONFIG_HOLD_MAX_US (100 * PD_USEC_PER_MSEC)
 /* Time limit for listing all kinds again after an outage, which takes some milliseconds. */
 #define RELIST_TIMEOUT_US	(600 * PD_USEC_PER_MSEC)
 #define RELIST_POLL_INTERVAL_US (20 * PD_USEC_PER_MSEC)
@@ -303,6 +307,10 @@
  * struct session - connection to the source that this instance follows
  * @fd: socket
  * @frame: buffer of the last frame
+ * @config: configuration that was received and not applied yet; empty if there is none
+ * @config_received_unix_ms: Unix time in milliseconds at which the zone received @config; 0 if
+ *	unknown
+ * @config_held_us: time since which a configuration is held, in microseconds of pd_os_boot_us()
  * @store_lost_us: time since which the source can't reach the store, in microseconds of
  *	pd_os_boot_us(); 0 while it can
  * @next_check_us: time of the next attempt to reach the store directly, while the source can't, in
@@ -312,20 +320,48 @@
 struct session {
 	int fd;
 	struct pd_buf frame;
+	struct pd_buf config;
+	int64_t config_received_unix_ms;
+	int64_t config_held_us;
 	int64_t store_lost_us;
 	int64_t next_check_us;
 	int64_t next_list_us;
 };
 
-static void apply_config(struct pd_directory *directory, const struct pd_feed_message *msg)
+/* Keeps a configuration until it is applied, in place of an older one that wasn't. */
+static void hold_config(struct session *session, const struct pd_feed_message *msg)
+{
+	if (session->config.len)
+		pd_count(PD_COUNT_config_superseded);
+	else
+		session->config_held_us = pd_os_boot_us();
+	pd_buf_finish(&session->config);
+	pd_buf_append_str(&session->config, msg->config.text);
+	session->config_received_unix_ms = msg->config.received_unix_ms;
+}
+
+static void apply_held_config(struct pd_membership *membership, struct session *session)
 {
-	struct pd_str text = msg->config.text;
-	json_t *spec = json_loadb(text.data ? text.data : "", text.len, 0, NULL);
 	struct pd_error err;
 
-	if (pd_directory_put_config(directory, spec, msg->config.received_unix_ms, &err) != PD_OK)
+	if (session->config.len &&
+	    pd_directory_put_config_text(membership->directory, pd_buf_str(&session->config),
+					 session->config_received_unix_ms, &err) != PD_OK)
 		pd_log_failure(PD_LOG_ERROR, "config_unreadable", &err);
-	json_decref(spec);
+	pd_buf_finish(&session->config);
+}
+
+/* Applies the configuration that is held once no more messages have arrived, among which a newer
+ * one may be. On a small instance, parsing a large one takes longer than receiving it.
+ */
+static void apply_config_when_due(struct pd_membership *membership, struct session *session)
+{
+	struct pollfd p = {.fd = session->fd, .events = POLLIN};
+
+	if (!session->config.len)
+		return;
+	if (pd_os_boot_us() - session->config_held_us > CONFIG_HOLD_MAX_US || poll(&p, 1, 0) <= 0)
+		apply_held_config(membership, session);
 }
 
 /* Applies a heartbeat, which states whether the source reaches the store. */
@@ -375,7 +411,7 @@
 					     "entry_removed");
 		break;
 	case PD_FEED_CONFIG:
-		apply_config(directory, msg);
+		hold_config(session, msg);
 		break;
 	case PD_FEED_EVACUATIONS:
 		pd_directory_set_evacuated(directory, msg->evacuations.zones,
@@ -472,6 +508,7 @@
 		/* A heartbeat follows the snapshot: from now on, the source sends all changes. */
 		if (!first && reachable)
 			pd_sync_set_mode(membership->sync, PD_SYNC_PAUSED);
+		apply_config_when_due(membership, session);
 		if (try_store_directly(membership, session))
 			return "source_lost_store";
 		refresh_instances(membership, session);
@@ -496,6 +533,7 @@
 	}
 	pd_log(PD_LOG_INFO, "following", "instance=%s", name.text);
 	reason = run_session(membership, &session);
+	apply_held_config(membership, &session);
 	pd_log(PD_LOG_WARNING, "source_lost", "instance=%s reason=%s", name.text, reason);
 	pd_os_close(&session.fd);
 	pd_buf_finish(&session.frame);
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "counters.h"
 #include "log.h"
 #include "os.h"
 
@@ -117,15 +118,53 @@
 	return delay + (int64_t)(pd_os_random_seed() % (uint64_t)(delay / 2));
 }
 
-static void apply_config(struct pd_sync *sync, const struct pd_object *object,
-			 int64_t received_unix_ms)
+/* Finds the configuration of the page with the highest version below @limit, and returns how many
+ * versions of the page are lower than that. False if there is none.
+ */
+static bool find_newest_config(const struct pd_object_page *page, uint64_t limit,
+			       struct pd_object *newest, uint64_t *lower_count)
 {
+	uint64_t highest = 0;
+	struct pd_object object;
+	size_t found = 0;
+
+	for (size_t i = 0; i < pd_object_page_count(page); i++) {
+		uint64_t version;
+
+		if (!pd_object_page_get(page, i, &object) || object.removed ||
+		    !pd_object_is_config(object.name))
+			continue;
+		version = pd_object_config_version(object.spec);
+		if (version >= limit)
+			continue;
+		if (!found++ || version > highest) {
+			highest = version;
+			*newest = object;
+		}
+	}
+	*lower_count = found ? found - 1 : 0;
+	return found > 0;
+}
+
+/* Applies the newest configuration of a page that is valid. The older ones are superseded:
+ * installing and sending them would only delay the newest one.
+ */
+static void apply_newest_config(struct pd_sync *sync, const struct pd_object_page *page,
+				int64_t received_unix_ms)
+{
+	uint64_t limit = UINT64_MAX, lower_count;
+	struct pd_object object;
 	struct pd_error err;
 
-	if (object->removed || !pd_object_is_config(object->name))
-		return;
-	if (pd_directory_put_config(sync->directory, object->spec, received_unix_ms, &err) != PD_OK)
+	while (find_newest_config(page, limit, &object, &lower_count)) {
+		if (pd_directory_put_config(sync->directory, object.spec, received_unix_ms, &err) ==
+		    PD_OK) {
+			pd_count_add(PD_COUNT_config_superseded, lower_count);
+			return;
+		}
 		pd_log_failure(PD_LOG_ERROR, "config_unreadable", &err);
+		limit = pd_object_config_version(object.spec);
+	}
 }
 
 static void apply_upstream(struct pd_sync *sync, const struct pd_object *object)
@@ -181,13 +220,14 @@
 {
 	struct pd_object object;
 
+	if (task->kind == PD_OBJECT_CONFIG) {
+		apply_newest_config(task->sync, page, received_unix_ms);
+		return;
+	}
 	for (size_t i = 0; i < pd_object_page_count(page); i++) {
 		if (!pd_object_page_get(page, i, &object))
 			continue;
 		switch (task->kind) {
-		case PD_OBJECT_CONFIG:
-			apply_config(task->sync, &object, received_unix_ms);
-			break;
 		case PD_OBJECT_UPSTREAMS:
 			apply_upstream(task->sync, &object);
 			break;
@@ -197,6 +237,7 @@
 		case PD_OBJECT_CRASHES:
 			apply_crash(task->sync, &object);
 			break;
+		case PD_OBJECT_CONFIG:
 		case PD_OBJECT_INSTANCES:
 			break;
 		}
--- a/src/counters.h
+++ b/src/counters.h
@@ -12,7 +12,9 @@
 #include "str.h"
 
 /* X(name): one counter. Each counts events since the start of the process, except the byte counts,
- * query_us_total (a sum of times in microseconds) and config_version (the current version). */
+ * query_us_total (a sum of times in microseconds) and config_version (the current version).
+ * config_superseded counts the versions that weren't installed because a newer one had been
+ * received. */
 #define PD_COUNTER_LIST(X)                                                                         \
 	X(queries_urgent)                                                                          \
 	X(queries_normal)                                                                          \
@@ -72,6 +74,7 @@
 	X(platform_failures)                                                                       \
 	X(config_entries_applied)                                                                  \
 	X(config_version)                                                                          \
+	X(config_superseded)                                                                       \
 	X(feed_configs_out)                                                                        \
 	X(feed_bytes_out)                                                                          \
 	X(feed_slow_writes)                                                                        \
--- a/src/os.c
+++ b/src/os.c
@@ -250,6 +250,11 @@
 	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &tv, sizeof(tv));
 }
 
+void pd_os_set_unsent_max(int fd, int bytes)
+{
+	setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, sizeof(bytes));
+}
+
 enum pd_code pd_os_read_full(int fd, void *data, size_t len, struct pd_error *err)
 {
 	size_t done = 0;
--- a/src/os.h
+++ b/src/os.h
@@ -63,6 +63,10 @@
 			   struct pd_error *err);
 /* Sets the timeout of each blocking send and receive on @fd; 0 means none. */
 void pd_os_set_io_timeout(int fd, int64_t timeout_us);
+/* Limits the bytes that the system buffers on @fd before it can send them, in addition to those
+ * that it has sent and that aren't acknowledged; writes block beyond that. Without effect where the
+ * system lacks the option. */
+void pd_os_set_unsent_max(int fd, int bytes);
 /* Reads exactly @len bytes; PD_TIMEOUT when the I/O timeout of @fd expires, PD_CLOSED at the end of
  * the stream or after another error. */
 enum pd_code pd_os_read_full(int fd, void *data, size_t len, struct pd_error *err);
