--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wvla
 CFLAGS := -std=gnu11 -O2 -g -pthread $(WARN)
 CXXFLAGS := -std=c++17 -O2 -g -pthread -Wall -Wextra -Werror
-LDLIBS := -Wl,--as-needed -lhttp_parser -lmicrohttpd -lcurl -ljansson -lmsgpackc -lxxhash -lgsl -lgslcblas -lck -lstdc++ -lm -pthread
+LDLIBS := -Wl,--as-needed -lhttp_parser -lmicrohttpd -lcurl -ljansson -lmsgpackc -lxxhash -lz -lgsl -lgslcblas -lck -lstdc++ -lm -pthread
 ifneq ($(SAN),)
 CFLAGS += -fsanitize=$(SAN) -fno-omit-frame-pointer
 CXXFLAGS += -fsanitize=$(SAN) -fno-omit-frame-pointer
@@ -33,8 +33,8 @@
 C_SOURCES := $(wildcard src/*.c ingress/*.c platform/*.c bin/*.c standins/*.c bench/*.c tests/*.c tests/soak/*.c fuzz/*.c examples/*.c)
 C_HEADERS := $(wildcard src/*.h ingress/*.h platform/*.h standins/*.h bench/*.h tests/*.h tests/soak/*.h)
 
-BENCH_LIB_OBJS := $(patsubst bench/%.c,$B/bench/%.o,$(filter-out bench/peridot-load.c bench/naive-entry.c,$(wildcard bench/*.c)))
-BENCH := $B/peridot-load $B/naive-entry
+BENCH_LIB_OBJS := $(patsubst bench/%.c,$B/bench/%.o,$(filter-out bench/peridot-load.c bench/naive-entry.c bench/feed-cost.c,$(wildcard bench/*.c)))
+BENCH := $B/peridot-load $B/naive-entry $B/feed-cost
 
 SOAK_OBJS := $(patsubst tests/soak/%.c,$B/tests/soak/%.o,$(wildcard tests/soak/*.c))
 
--- a/fuzz/platform.c
+++ b/fuzz/platform.c
@@ -6,6 +6,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "feed_batch.h"
 #include "feed_message.h"
 #include "headers.h"
 #include "http.h"
@@ -47,12 +48,24 @@
 	pd_object_page_finish(&page);
 }
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+static void parse_feed_message(struct pd_str bytes)
 {
-	struct pd_str bytes = {(const char *)data + 1, size ? size - 1 : 0};
 	struct pd_feed_message msg;
+	struct pd_buf frames = {0};
 	struct pd_error err;
 
+	if (pd_feed_message_decode(bytes, &msg, &err) != PD_OK)
+		return;
+	if (msg.kind == PD_FEED_BATCH)
+		pd_feed_batch_decode(&msg, &frames, &err);
+	pd_buf_finish(&frames);
+	pd_feed_message_finish(&msg);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct pd_str bytes = {(const char *)data + 1, size ? size - 1 : 0};
+
 	if (!size)
 		return 0;
 	switch (data[0] % 4) {
@@ -66,8 +79,7 @@
 		parse_objects(bytes);
 		break;
 	default:
-		if (pd_feed_message_decode(bytes, &msg, &err) == PD_OK)
-			pd_feed_message_finish(&msg);
+		parse_feed_message(bytes);
 		break;
 	}
 	return 0;
--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -5,10 +5,18 @@
 #include <string.h>
 
 #include "counters.h"
+#include "feed_batch.h"
 #include "log.h"
 #include "objects.h"
 #include "os.h"
 
+/* Messages of at least this size are compressed. */
+#define BATCH_MIN_BYTES 1024
+/* A snapshot is sent to all followers that join within this time; instances that lose their source
+ * join the next one together. The remaining time of a cold start in it is too long by its age.
+ */
+#define SNAPSHOT_REUSE_US (1000 * PD_USEC_PER_MSEC)
+
 void pd_directory_init(struct pd_directory *directory, struct pd_registry *registry)
 {
 	memset(directory, 0, sizeof(*directory));
@@ -16,6 +24,7 @@
 	directory->store_reachable = true;
 	pd_crashes_init(&directory->crashes);
 	pthread_mutex_init(&directory->lock, NULL);
+	pthread_mutex_init(&directory->snapshot.lock, NULL);
 	pd_os_cond_init(&directory->changed);
 	pd_os_cond_init(&directory->joined);
 }
@@ -25,12 +34,32 @@
 	for (size_t i = 0; i < PD_DIRECTORY_LOG_SIZE; i++)
 		pd_buf_finish(&directory->log[i].frame);
 	pd_buf_finish(&directory->config);
+	pd_buf_finish(&directory->snapshot.frames);
 	pd_crashes_finish(&directory->crashes);
 	pthread_cond_destroy(&directory->joined);
 	pthread_cond_destroy(&directory->changed);
+	pthread_mutex_destroy(&directory->snapshot.lock);
 	pthread_mutex_destroy(&directory->lock);
 }
 
+/* Appends encoded messages, as a batch if that is worthwhile. */
+static void append_frames(struct pd_str frames, struct pd_buf *out)
+{
+	if (frames.len < BATCH_MIN_BYTES)
+		pd_buf_append_str(out, frames);
+	else
+		pd_feed_batch_encode(frames, out);
+}
+
+static void encode_message(const struct pd_feed_message *msg, struct pd_buf *out)
+{
+	struct pd_buf frame = {0};
+
+	pd_feed_message_encode(msg, &frame);
+	append_frames(pd_buf_str(&frame), out);
+	pd_buf_finish(&frame);
+}
+
 /* Whether a message of the kind states everything that earlier ones of the kind stated. */
 static bool states_all(enum pd_feed_kind kind)
 {
@@ -58,9 +87,13 @@
 		supersede_locked(directory, msg->kind);
 	pd_buf_finish(&change->frame);
 	change->kind = msg->kind;
-	if (directory->followers)
-		pd_feed_message_encode(msg, &change->frame);
 	directory->next_change++;
+	if (msg->kind != PD_FEED_CONFIG && msg->kind != PD_FEED_CRASH)
+		directory->entries_change = directory->next_change;
+	if (directory->followers)
+		encode_message(msg, &change->frame);
+	else
+		directory->log_start = directory->next_change;
 	pthread_cond_broadcast(&directory->changed);
 }
 
@@ -291,26 +324,61 @@
 	free(table);
 }
 
-uint64_t pd_directory_snapshot(struct pd_directory *directory, struct pd_buf *out)
+/* Encodes the contents of the directory. Changes that are logged meanwhile are sent after it. */
+static void encode_snapshot(struct pd_directory *directory, struct pd_snapshot *snapshot)
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_CONFIG};
-	uint64_t next;
+	struct pd_buf frames = {0};
 
-	/* Changes that are logged while the snapshot is built are sent again after it. */
 	pthread_mutex_lock(&directory->lock);
-	next = directory->next_change;
+	snapshot->next_change = directory->next_change;
 	set_config_message_locked(directory, &msg);
-	if (msg.config.text.len) {
-		pd_count(PD_COUNT_feed_configs_out);
-		pd_feed_message_encode(&msg, out);
-	}
+	if (msg.config.text.len)
+		pd_feed_message_encode(&msg, &frames);
 	msg = (struct pd_feed_message){.kind = PD_FEED_EVACUATIONS};
 	memcpy(msg.evacuations.zones, directory->evacuated, sizeof(directory->evacuated));
 	msg.evacuations.count = directory->evacuated_count;
-	pd_feed_message_encode(&msg, out);
+	pd_feed_message_encode(&msg, &frames);
 	pthread_mutex_unlock(&directory->lock);
-	append_upstreams(directory, out);
-	append_crashes(directory, out);
+	append_upstreams(directory, &frames);
+	append_crashes(directory, &frames);
+	pd_buf_finish(&snapshot->frames);
+	append_frames(pd_buf_str(&frames), &snapshot->frames);
+	snapshot->frames.failed = snapshot->frames.failed || frames.failed;
+	snapshot->encoded_us = pd_os_boot_us();
+	pd_buf_finish(&frames);
+}
+
+/* Whether the snapshot is recent and the log holds all changes since then. If upstreams or zones
+ * have changed, an older snapshot would undo changes that a follower already knows, until the log
+ * repeats them.
+ */
+static bool is_snapshot_usable(struct pd_directory *directory, const struct pd_snapshot *snapshot)
+{
+	bool in_log;
+
+	pthread_mutex_lock(&directory->lock);
+	in_log = snapshot->next_change >= directory->log_start &&
+		 snapshot->next_change >= directory->entries_change &&
+		 directory->next_change - snapshot->next_change <= PD_DIRECTORY_LOG_SIZE / 2;
+	pthread_mutex_unlock(&directory->lock);
+	return in_log && snapshot->frames.len && !snapshot->frames.failed &&
+	       pd_os_boot_us() - snapshot->encoded_us < SNAPSHOT_REUSE_US;
+}
+
+uint64_t pd_directory_snapshot(struct pd_directory *directory, struct pd_buf *out)
+{
+	struct pd_snapshot *snapshot = &directory->snapshot;
+	uint64_t next;
+
+	pthread_mutex_lock(&snapshot->lock);
+	if (!is_snapshot_usable(directory, snapshot))
+		encode_snapshot(directory, snapshot);
+	pd_count(PD_COUNT_feed_configs_out);
+	out->failed = out->failed || snapshot->frames.failed;
+	pd_buf_append_str(out, pd_buf_str(&snapshot->frames));
+	next = snapshot->next_change;
+	pthread_mutex_unlock(&snapshot->lock);
 	return next;
 }
 
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -32,6 +32,21 @@
 	struct pd_buf frame;
 };
 
+/**
+ * struct pd_snapshot - complete contents of a directory, encoded once for all followers that join
+ * at about the same time
+ * @lock: held while a snapshot is encoded or copied; taken before &pd_directory.lock
+ * @frames: encoded messages
+ * @next_change: sequence number of the first change that may be missing
+ * @encoded_us: time at which it was encoded, in microseconds of pd_os_boot_us()
+ */
+struct pd_snapshot {
+	pthread_mutex_t lock;
+	struct pd_buf frames;
+	uint64_t next_change;
+	int64_t encoded_us;
+};
+
 /**
  * struct pd_directory - copy of the platform's objects, with a log of changes
  * @registry: registry of services and upstreams to which changes are applied
@@ -42,6 +57,8 @@
  * @log: ring buffer of changes
  * @next_change: sequence number of the next change; change n is stored in
  *	log[n % PD_DIRECTORY_LOG_SIZE]
+ * @entries_change: sequence number of the last change of an upstream or of the evacuated zones,
+ *plus one; 0 if there is none
  * @latest: sequence numbers of the last changes that state all of their kind, plus one, by kind; 0
  *	if there is none
  * @config: current configuration as JSON; empty until the first one is received
@@ -54,6 +71,9 @@
  * @removals_held: removals are held although the store is reachable, because entries may have
  *	expired while it was unreachable
  * @followers: number of instances that follow this one
+ * @log_start: sequence number of the first change that was logged since the first of these
+ *followers joined; earlier changes weren't encoded
+ * @snapshot: last encoded snapshot; has a lock of its own
  * @config_delay: time from a version's reception by the zone until it was in force here, for all
  *	versions but the first one after the start
  */
@@ -65,6 +85,7 @@
 	pthread_cond_t joined;
 	struct pd_change log[PD_DIRECTORY_LOG_SIZE];
 	uint64_t next_change;
+	uint64_t entries_change;
 	uint64_t latest[PD_FEED_KIND_MAX + 1];
 	struct pd_buf config;
 	int64_t config_received_unix_ms;
@@ -73,6 +94,8 @@
 	bool store_reachable;
 	bool removals_held;
 	uint32_t followers;
+	uint64_t log_start;
+	struct pd_snapshot snapshot;
 	struct pd_histogram config_delay;
 };
 
@@ -120,10 +143,13 @@
 				      bool hold_removals);
 
 /**
- * pd_directory_snapshot() - encodes the complete contents of the directory
+ * pd_directory_snapshot() - gets the complete contents of the directory, encoded
  * @directory: directory
  * @out: buffer to which the frames are appended
  *
+ * The configuration and the crash reports may be up to a second old, with the changes since then in
+ * the log. At least one follower must be counted, see pd_directory_adjust_followers().
+ *
  * Return: sequence number of the first change that may be missing from the snapshot.
  */
 uint64_t pd_directory_snapshot(struct pd_directory *directory, struct pd_buf *out);
--- a/ingress/feed.c
+++ b/ingress/feed.c
@@ -1,11 +1,11 @@
 #include "feed.h"
 
-#include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "counters.h"
+#include "feed_reader.h"
 #include "log.h"
 
 #define HELLO_TIMEOUT_US (1000 * PD_USEC_PER_MSEC)
@@ -26,31 +26,6 @@
 	feed->listener = -1;
 }
 
-enum pd_code pd_feed_read(int fd, struct pd_buf *buffer, struct pd_feed_message *msg,
-			  struct pd_error *err)
-{
-	uint32_t length;
-	enum pd_code code = pd_os_read_full(fd, &length, sizeof(length), err);
-
-	if (code != PD_OK)
-		return code;
-	length = ntohl(length);
-	if (length > PD_FEED_FRAME_MAX_BYTES)
-		return pd_error_set(err, PD_LAYER_TRANSPORT, PD_TOO_LARGE,
-				    "feed frame is too large: %u bytes", length);
-	pd_buf_finish(buffer);
-	buffer->data = malloc(length + 1);
-	if (!buffer->data)
-		return pd_error_set(err, PD_LAYER_TRANSPORT, PD_NO_MEMORY,
-				    "out of memory for a feed frame");
-	buffer->cap = length + 1;
-	buffer->len = length;
-	code = pd_os_read_full(fd, buffer->data, length, err);
-	if (code != PD_OK)
-		return code;
-	return pd_feed_message_decode(pd_buf_str(buffer), msg, err);
-}
-
 /**
  * struct follower - argument of the thread that serves a follower
  * @feed: feed that the follower receives
@@ -65,12 +40,13 @@
 static bool read_hello(int fd, struct pd_name *name)
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_HEARTBEAT};
-	struct pd_buf buffer = {0};
+	struct pd_feed_reader reader;
 	struct pd_error err;
 	bool valid;
 
 	pd_os_set_io_timeout(fd, HELLO_TIMEOUT_US);
-	valid = pd_feed_read(fd, &buffer, &msg, &err) == PD_OK;
+	pd_feed_reader_init(&reader, fd);
+	valid = pd_feed_reader_next(&reader, &msg, &err) == PD_OK;
 	if (valid) {
 		*name = msg.hello;
 		valid = msg.kind == PD_FEED_HELLO;
@@ -78,7 +54,7 @@
 	} else {
 		pd_log_failure(PD_LOG_WARNING, "follower_rejected", &err);
 	}
-	pd_buf_finish(&buffer);
+	pd_feed_reader_finish(&reader);
 	return valid;
 }
 
--- a/ingress/feed.h
+++ b/ingress/feed.h
@@ -33,17 +33,4 @@
 		  const struct pd_address *address);
 enum pd_code pd_feed_start(struct pd_feed *feed, struct pd_error *err);
 
-/**
- * pd_feed_read() - reads one message from a connection between instances
- * @fd: blocking socket with a receive timeout
- * @buffer: receives the frame, to which @msg refers
- * @msg: decoded message; on success, the caller must call pd_feed_message_finish()
- * @err: filled on failure
- *
- * Return: PD_OK, PD_CLOSED, PD_TIMEOUT, PD_TOO_LARGE, PD_NO_MEMORY, PD_INVALID or
- * PD_UNSUPPORTED_VERSION.
- */
-enum pd_code pd_feed_read(int fd, struct pd_buf *buffer, struct pd_feed_message *msg,
-			  struct pd_error *err);
-
 #endif
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -6,7 +6,9 @@
 #include "msgpack_check.h"
 #include "os.h"
 
-#define FORMAT_VERSION	     3 /* since 3, configurations state when they were received */
+#define FORMAT_VERSION                                                                             \
+	3 /* since 3, batches, and the time at which a configuration was received                  \
+	   */
 #define UPSTREAM_FIELD_COUNT 8
 #define ARRAY_ITEMS_MAX	     (PD_FEED_ZONES_MAX + 2)
 
@@ -40,6 +42,7 @@
 		return UPSTREAM_FIELD_COUNT;
 	case PD_FEED_EVACUATIONS:
 		return msg->evacuations.count;
+	case PD_FEED_BATCH:
 	case PD_FEED_CONFIG:
 	case PD_FEED_CRASH:
 	case PD_FEED_HEARTBEAT:
@@ -91,6 +94,10 @@
 		msgpack_pack_uint64(&packer, msg->crash.fingerprint);
 		pack_str(&packer, pd_name_str(&msg->crash.event));
 		break;
+	case PD_FEED_BATCH:
+		pack_str(&packer, msg->batch.data);
+		msgpack_pack_uint32(&packer, msg->batch.decoded_bytes);
+		break;
 	case PD_FEED_LIST_BEGIN:
 	case PD_FEED_LIST_END:
 		break;
@@ -156,7 +163,7 @@
 
 static bool decode_fields(const msgpack_object *fields, size_t count, struct pd_feed_message *msg)
 {
-	uint64_t reachable, held, received;
+	uint64_t reachable, held, received, decoded;
 
 	switch (msg->kind) {
 	case PD_FEED_HELLO:
@@ -193,6 +200,12 @@
 	case PD_FEED_CRASH:
 		return count == 2 && to_number(&fields[0], UINT64_MAX, &msg->crash.fingerprint) &&
 		       to_name(&fields[1], &msg->crash.event);
+	case PD_FEED_BATCH:
+		if (count != 2 || !to_str(&fields[0], &msg->batch.data) ||
+		    !to_number(&fields[1], UINT32_MAX, &decoded))
+			return false;
+		msg->batch.decoded_bytes = (uint32_t)decoded;
+		return true;
 	}
 	return false;
 }
--- a/ingress/feed_message.h
+++ b/ingress/feed_message.h
@@ -28,9 +28,10 @@
 	PD_FEED_EVACUATIONS = 7, /* new set of evacuated zones */
 	PD_FEED_HEARTBEAT = 8, /* sent repeatedly; states whether the source reaches the store */
 	PD_FEED_CRASH = 9, /* an upstream crashed while it executed a request */
+	PD_FEED_BATCH = 10, /* frames of other kinds, compressed */
 };
 
-#define PD_FEED_KIND_MAX PD_FEED_CRASH
+#define PD_FEED_KIND_MAX PD_FEED_BATCH
 
 /**
  * struct pd_feed_message - one message
@@ -44,6 +45,8 @@
  * @heartbeat: whether the store is reachable from the source, and whether the source still holds
  *	back removals because entries may have expired while the store was unreachable
  * @crash: fingerprint of the request that crashed an upstream, and name of the crash
+ * @batch: compressed frames, after decoding a view into the decoded frame, and their size in bytes
+ *	before compression; see feed_batch.h
  * @unpacked: msgpack objects of a decoded message
  */
 struct pd_feed_message {
@@ -68,6 +71,10 @@
 			uint64_t fingerprint;
 			struct pd_name event;
 		} crash;
+		struct {
+			struct pd_str data;
+			uint32_t decoded_bytes;
+		} batch;
 	};
 	msgpack_unpacked unpacked;
 };
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -1,11 +1,11 @@
 #include "membership.h"
 
 #include <inttypes.h>
-#include <poll.h>
 #include <string.h>
 
 #include "counters.h"
 #include "feed.h"
+#include "feed_reader.h"
 #include "log.h"
 #include "os.h"
 #include "relay.h"
@@ -305,8 +305,7 @@
 
 /**
  * struct session - connection to the source that this instance follows
- * @fd: socket
- * @frame: buffer of the last frame
+ * @reader: connection to the source
  * @config: configuration that was received and not applied yet; empty if there is none
  * @config_received_unix_ms: Unix time in milliseconds at which the zone received @config; 0 if
  *	unknown
@@ -318,8 +317,7 @@
  * @next_list_us: time of the next list of the instances, in microseconds of pd_os_boot_us()
  */
 struct session {
-	int fd;
-	struct pd_buf frame;
+	struct pd_feed_reader reader;
 	struct pd_buf config;
 	int64_t config_received_unix_ms;
 	int64_t config_held_us;
@@ -356,11 +354,10 @@
  */
 static void apply_config_when_due(struct pd_membership *membership, struct session *session)
 {
-	struct pollfd p = {.fd = session->fd, .events = POLLIN};
-
 	if (!session->config.len)
 		return;
-	if (pd_os_boot_us() - session->config_held_us > CONFIG_HOLD_MAX_US || poll(&p, 1, 0) <= 0)
+	if (pd_os_boot_us() - session->config_held_us > CONFIG_HOLD_MAX_US ||
+	    !pd_feed_reader_has_more(&session->reader))
 		apply_held_config(membership, session);
 }
 
@@ -423,6 +420,7 @@
 	case PD_FEED_CRASH:
 		pd_directory_add_crash(directory, msg->crash.fingerprint, &msg->crash.event);
 		break;
+	case PD_FEED_BATCH:
 	case PD_FEED_HELLO:
 		break;
 	}
@@ -490,13 +488,13 @@
 	enum pd_code code;
 	bool first = true;
 
-	pd_os_set_io_timeout(session->fd, SOURCE_TIMEOUT_US);
-	code = send_hello(membership, session->fd, &err);
+	pd_os_set_io_timeout(session->reader.fd, SOURCE_TIMEOUT_US);
+	code = send_hello(membership, session->reader.fd, &err);
 	while (code == PD_OK) {
 		struct pd_feed_message msg;
 		bool reachable;
 
-		code = pd_feed_read(session->fd, &session->frame, &msg, &err);
+		code = pd_feed_reader_next(&session->reader, &msg, &err);
 		if (code != PD_OK)
 			break;
 		reachable = source_reaches_store(&msg);
@@ -520,23 +518,25 @@
 /* Follows a source until the session ends; false if the connection to it failed. */
 static bool follow(struct pd_membership *membership, struct pd_source *source)
 {
-	struct session session = {.fd = -1, .next_list_us = pd_os_boot_us() + FIRST_LIST_DELAY_US};
+	struct session session = {.next_list_us = pd_os_boot_us() + FIRST_LIST_DELAY_US};
+	int fd = -1;
 	struct pd_name name = source->entry.name;
 	struct pd_error err;
 	const char *reason;
 
 	source->next_retry_us = pd_os_boot_us() + SOURCE_RETRY_US;
-	if (pd_os_connect(&source->entry.address, CONNECT_TIMEOUT_US, &session.fd, &err) != PD_OK) {
+	if (pd_os_connect(&source->entry.address, CONNECT_TIMEOUT_US, &fd, &err) != PD_OK) {
 		pd_log(PD_LOG_INFO, "source_unreached", "instance=%s code=%s", name.text,
 		       pd_strerror(err.code));
 		return false;
 	}
 	pd_log(PD_LOG_INFO, "following", "instance=%s", name.text);
+	pd_feed_reader_init(&session.reader, fd);
 	reason = run_session(membership, &session);
 	apply_held_config(membership, &session);
 	pd_log(PD_LOG_WARNING, "source_lost", "instance=%s reason=%s", name.text, reason);
-	pd_os_close(&session.fd);
-	pd_buf_finish(&session.frame);
+	pd_os_close(&fd);
+	pd_feed_reader_finish(&session.reader);
 	return true;
 }
 
--- a/tests/test_directory.c
+++ b/tests/test_directory.c
@@ -5,9 +5,15 @@
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "directory.h"
+#include "feed_batch.h"
+#include "feed_reader.h"
+#include "os.h"
 #include "suite.h"
 
 #define CONFIG_TEXT "{\"version\":%u,\"services\":[{\"name\":\"s\"}],\"routes\":[]}"
@@ -83,13 +89,25 @@
 	}
 }
 
-/* Returns a description of all messages in @frames but heartbeats. */
-static const char *describe_frames(const struct pd_buf *frames)
+static void describe_all(const struct pd_buf *frames, struct pd_buf *out);
+
+static void describe_batch(const struct pd_feed_message *msg, struct pd_buf *out)
+{
+	struct pd_buf frames = {0};
+	struct pd_error err;
+
+	ck_assert_int_eq(pd_feed_batch_decode(msg, &frames, &err), PD_OK);
+	pd_buf_printf(out, "( ");
+	describe_all(&frames, out);
+	pd_buf_printf(out, ") ");
+	pd_buf_finish(&frames);
+}
+
+/* Appends a description of all messages in @frames but heartbeats. */
+static void describe_all(const struct pd_buf *frames, struct pd_buf *out)
 {
-	static struct pd_buf out;
 	size_t at = 0;
 
-	pd_buf_clear(&out);
 	while (at < frames->len) {
 		struct pd_feed_message msg;
 		struct pd_error err;
@@ -101,10 +119,21 @@
 		ck_assert_int_eq(
 			pd_feed_message_decode((struct pd_str){frames->data + at, len}, &msg, &err),
 			PD_OK);
-		describe(&msg, &out);
+		if (msg.kind == PD_FEED_BATCH)
+			describe_batch(&msg, out);
+		else
+			describe(&msg, out);
 		pd_feed_message_finish(&msg);
 		at += len;
 	}
+}
+
+static const char *describe_frames(const struct pd_buf *frames)
+{
+	static struct pd_buf out;
+
+	pd_buf_clear(&out);
+	describe_all(frames, &out);
 	return out.len ? out.data : "";
 }
 
@@ -189,6 +218,156 @@
 }
 END_TEST
 
+/* Returns a configuration as large as the largest that operators have today; the caller frees it.
+ */
+static char *make_large_config(unsigned int version)
+{
+	json_t *services = json_array();
+	json_t *spec;
+	char *text;
+
+	for (unsigned int i = 0; i < 300; i++) {
+		char name[32];
+
+		snprintf(name, sizeof(name), "service-%08x", i * 2654435761U);
+		json_array_append_new(services,
+				      json_pack("{s:s,s:s,s:i}", "name", name, "health_check_path",
+						"/health", "max_connections", 60));
+	}
+	spec = json_pack("{s:i,s:o,s:[]}", "version", version, "services", services, "routes");
+	text = json_dumps(spec, JSON_COMPACT);
+	json_decref(spec);
+	return text;
+}
+
+static void put_large_config(unsigned int version)
+{
+	char *text = make_large_config(version);
+	struct pd_error err;
+
+	ck_assert_int_eq(pd_directory_put_config_text(&directory, pd_str_from(text), 0, &err),
+			 PD_OK);
+	free(text);
+}
+
+START_TEST(large_messages_are_compressed)
+{
+	/* Guards against slow links that carry large configurations in full. */
+	char *text = make_large_config(7);
+	size_t len = strlen(text);
+	struct pd_buf out = {0};
+	uint64_t from = 0;
+
+	put_large_config(7);
+	ck_assert(pd_directory_wait_for_changes(&directory, &from, 0, &out));
+	ck_assert_str_eq(describe_frames(&out), "( config:7 ) ");
+	ck_assert_uint_lt(out.len, len / 4);
+	pd_buf_finish(&out);
+	pd_directory_snapshot(&directory, &out);
+	ck_assert_str_eq(describe_frames(&out), "( config:7 evacuated:0 ) ");
+	pd_buf_finish(&out);
+	free(text);
+}
+END_TEST
+
+START_TEST(snapshot_is_shared_until_an_upstream_changes)
+{
+	/* Guards against followers that join together and each cost an encoding, and against a
+	 * shared snapshot that takes back a change of an upstream or hides a newer version.
+	 */
+	struct pd_buf out = {0};
+	uint64_t next;
+	const char *data;
+
+	put_large_config(1);
+	pd_directory_list_begin(&directory);
+	put_upstream("a", false);
+	pd_directory_list_end(&directory);
+	pd_directory_snapshot(&directory, &out);
+	pd_buf_finish(&out);
+	data = directory.snapshot.frames.data;
+	put_large_config(2);
+	next = pd_directory_snapshot(&directory, &out);
+	ck_assert_ptr_eq(directory.snapshot.frames.data, data);
+	ck_assert_str_eq(describe_frames(&out), "( config:1 evacuated:0 begin a:ready end ) ");
+	pd_buf_finish(&out);
+	ck_assert_str_eq(next_changes(&next), "( config:2 ) ");
+	put_upstream("a", true);
+	next = pd_directory_snapshot(&directory, &out);
+	ck_assert_str_eq(describe_frames(&out), "( config:2 evacuated:0 begin a:draining end ) ");
+	pd_buf_finish(&out);
+	ck_assert_str_eq(next_changes(&next), "");
+	/* Changes without any follower aren't encoded, so a snapshot from before them is useless.
+	 */
+	pd_directory_adjust_followers(&directory, -1);
+	put_large_config(3);
+	pd_directory_adjust_followers(&directory, 1);
+	next = pd_directory_snapshot(&directory, &out);
+	ck_assert_str_eq(describe_frames(&out), "( config:3 evacuated:0 begin a:draining end ) ");
+	pd_buf_finish(&out);
+	ck_assert_str_eq(next_changes(&next), "");
+}
+END_TEST
+
+START_TEST(reader_returns_messages_of_batches)
+{
+	/* Guards against messages that are lost, repeated or read from beyond a malformed batch. */
+	struct pd_feed_message msg;
+	struct pd_feed_reader reader;
+	struct pd_buf out = {0}, inner = {0}, nested = {0};
+	struct pd_error err;
+	char described[64] = "";
+	int fds[2];
+
+	put_large_config(1);
+	pd_directory_snapshot(&directory, &out);
+	pd_directory_heartbeat(&directory, &out);
+	pd_feed_batch_encode(PD_STR("\0\0\1\0x"), &out);
+	ck_assert_int_eq(socketpair(AF_UNIX, SOCK_STREAM, 0, fds), 0);
+	ck_assert_int_eq(pd_os_write_full(fds[1], out.data, out.len, &err), PD_OK);
+	pd_feed_reader_init(&reader, fds[0]);
+	for (int i = 0; i < 3; i++) {
+		size_t len = strlen(described);
+
+		ck_assert_int_eq(pd_feed_reader_next(&reader, &msg, &err), PD_OK);
+		snprintf(described + len, sizeof(described) - len, "%d ", (int)msg.kind);
+		pd_feed_message_finish(&msg);
+	}
+	ck_assert_str_eq(described, "6 7 8 ");
+	ck_assert(pd_feed_reader_has_more(&reader));
+	ck_assert_int_eq(pd_feed_reader_next(&reader, &msg, &err), PD_INVALID);
+	pd_feed_reader_finish(&reader);
+	/* A batch in a batch could expand without limit. */
+	pd_feed_batch_encode(PD_STR("abc"), &inner);
+	pd_feed_batch_encode(pd_buf_str(&inner), &nested);
+	ck_assert_int_eq(pd_os_write_full(fds[1], nested.data, nested.len, &err), PD_OK);
+	pd_feed_reader_init(&reader, fds[0]);
+	ck_assert_int_eq(pd_feed_reader_next(&reader, &msg, &err), PD_INVALID);
+	pd_feed_reader_finish(&reader);
+	pd_buf_finish(&out);
+	pd_buf_finish(&inner);
+	pd_buf_finish(&nested);
+	close(fds[0]);
+	close(fds[1]);
+}
+END_TEST
+
+START_TEST(malformed_batches_are_rejected)
+{
+	/* Guards against a stated size that isn't that of the contents, or that exhausts memory. */
+	struct pd_feed_message msg = {.kind = PD_FEED_BATCH};
+	struct pd_buf frames = {0};
+	struct pd_error err;
+
+	msg.batch.data = PD_STR("not compressed");
+	msg.batch.decoded_bytes = 100;
+	ck_assert_int_eq(pd_feed_batch_decode(&msg, &frames, &err), PD_INVALID);
+	msg.batch.decoded_bytes = PD_FEED_BATCH_MAX_BYTES + 1;
+	ck_assert_int_eq(pd_feed_batch_decode(&msg, &frames, &err), PD_TOO_LARGE);
+	ck_assert_uint_eq(frames.len, 0);
+}
+END_TEST
+
 START_TEST(invalid_configuration_changes_nothing)
 {
 	/* Guards against an invalid configuration that replaces the current one or is sent on. */
@@ -213,6 +392,10 @@
 		changes_of_upstreams_are_all_sent_in_order,
 		follower_behind_the_log_gets_the_newest_state,
 		invalid_configuration_changes_nothing,
+		large_messages_are_compressed,
+		snapshot_is_shared_until_an_upstream_changes,
+		reader_returns_messages_of_batches,
+		malformed_batches_are_rejected,
 	};
 
 	return suite_run_with("directory", setup, teardown, tests,
