Exchange: break off upstreams that send other messages without end

What callers saw: a request whose upstream sends interim responses, or responses to other requests, without end got 504 at its deadline, and an answer gathered from it and others waited as long as it may. Cause: such messages are discarded one by one, without a limit, at the speed of the link.

Checked as well: a head, a body without length, chunks, trailers and blank lines without end already ended the exchange, by the limits of the parser.

Change: an exchange fails after 256 KB of discarded messages.

--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -12,6 +12,10 @@
 #include "os.h"
 
 #define READ_BYTES 16384
+/* Limit of interim responses and responses to earlier requests before the response. An upstream in
+ * trouble may send them without end, which fills the link until the deadline.
+ */
+#define DISCARDED_MAX_BYTES (256 * 1024)
 /* An abandoned request whose response hasn't arrived after this time is cancelled by closing its
  * connection. */
 #define DRAIN_TIMEOUT_US 400000
@@ -191,6 +195,9 @@
 		}
 		bytes += used;
 		len -= used;
+		exchange->discarded += used;
+		if (exchange->discarded > DISCARDED_MAX_BYTES && pd_exchange_is_live(exchange))
+			fail_exchange(exchange);
 	}
 	/* Bytes after the response belong to no request. */
 	if (len)
--- a/ingress/exchange.h
+++ b/ingress/exchange.h
@@ -53,6 +53,8 @@
  * @tail_len: length of @tail in bytes
  * @sent: number of bytes of head, tail and body sent so far
  * @started_us: time at which the exchange started, in microseconds of pd_os_boot_us()
+ * @discarded: number of bytes received so far in messages that aren't the response, see
+ *	parse_bytes()
  * @received: data was received from the upstream during this exchange
  * @reusable: the connection can be reused for another request
  * @stale: a reused connection ended before any data was received
@@ -69,6 +71,7 @@
 	char tail[PD_EXCHANGE_TAIL_MAX_BYTES];
 	size_t tail_len;
 	size_t sent;
+	size_t discarded;
 	int64_t started_us;
 	bool received;
 	bool reusable;
--- a/standins/platform_upstream.c
+++ b/standins/platform_upstream.c
@@ -11,6 +11,9 @@
 #define HEAD_MAX_BYTES 16384
 #define BODY_MAX_BYTES (1024 * 1024)
 #define HANG_MS	       20000 /* time after which PLATFORM_UPSTREAM_HANG closes the connection */
+/* Time after which a response without end is broken off, so that no test runs forever. */
+#define ENDLESS_MAX_US (20 * PD_USEC_PER_SEC)
+#define ENDLESS_UNITS  256 /* repetitions that are written at once */
 
 static const char *const mode_names[PLATFORM_UPSTREAM_MODES] = {
 	[PLATFORM_UPSTREAM_OK] = "ok",
@@ -24,6 +27,13 @@
 	[PLATFORM_UPSTREAM_GARBLE] = "garble",
 	[PLATFORM_UPSTREAM_EXTRA] = "extra",
 	[PLATFORM_UPSTREAM_LATE] = "late",
+	[PLATFORM_UPSTREAM_ENDLESS_HEAD] = "endless-head",
+	[PLATFORM_UPSTREAM_ENDLESS_BODY] = "endless-body",
+	[PLATFORM_UPSTREAM_ENDLESS_CHUNKS] = "endless-chunks",
+	[PLATFORM_UPSTREAM_ENDLESS_TRAILER] = "endless-trailer",
+	[PLATFORM_UPSTREAM_ENDLESS_INTERIM] = "endless-interim",
+	[PLATFORM_UPSTREAM_ENDLESS_BLANK] = "endless-blank",
+	[PLATFORM_UPSTREAM_ENDLESS_REPLIES] = "endless-replies",
 };
 
 /** struct connection - argument of serve_connection() */
@@ -105,6 +115,73 @@
 	pd_buf_append(out, body->data, body->len);
 }
 
+/* Appends the start of a response without end to @start, and what follows again and again to @unit.
+ */
+static void append_endless(struct platform_upstream *upstream, enum platform_upstream_mode mode,
+			   struct pd_str id, struct pd_buf *start, struct pd_buf *unit)
+{
+	if (mode != PLATFORM_UPSTREAM_ENDLESS_INTERIM && mode != PLATFORM_UPSTREAM_ENDLESS_BLANK &&
+	    mode != PLATFORM_UPSTREAM_ENDLESS_REPLIES)
+		append_header(start, upstream, 200, id);
+	switch (mode) {
+	case PLATFORM_UPSTREAM_ENDLESS_BODY:
+		pd_buf_append_str(start, PD_STR("\r\n"));
+		pd_buf_append_str(unit, PD_STR("no record and no end "));
+		break;
+	case PLATFORM_UPSTREAM_ENDLESS_CHUNKS:
+		pd_buf_append_str(start, PD_STR("Transfer-Encoding: chunked\r\n\r\n"));
+		pd_buf_append_str(unit, PD_STR("a\r\n0123456789\r\n"));
+		break;
+	case PLATFORM_UPSTREAM_ENDLESS_TRAILER:
+		pd_buf_append_str(start, PD_STR("Transfer-Encoding: chunked\r\n\r\n0\r\n"));
+		pd_buf_append_str(unit, PD_STR("X-Trailer: no end\r\n"));
+		break;
+	case PLATFORM_UPSTREAM_ENDLESS_INTERIM:
+		pd_buf_append_str(unit, PD_STR("HTTP/1.1 102 Processing\r\n\r\n"));
+		break;
+	case PLATFORM_UPSTREAM_ENDLESS_BLANK:
+		pd_buf_append_str(unit, PD_STR("\r\n"));
+		break;
+	case PLATFORM_UPSTREAM_ENDLESS_REPLIES:
+		append_header(unit, upstream, 200, PD_STR("another"));
+		pd_buf_append_str(unit, PD_STR("Content-Length: 0\r\n\r\n"));
+		break;
+	default:
+		pd_buf_append_str(start, PD_STR("X-Field: "));
+		pd_buf_append_str(unit, PD_STR("no end"));
+		break;
+	}
+}
+
+static void count_endless(struct platform_upstream *upstream, int change)
+{
+	pthread_mutex_lock(&upstream->lock);
+	upstream->endless_count = (uint32_t)((int)upstream->endless_count + change);
+	pthread_mutex_unlock(&upstream->lock);
+}
+
+/* Sends a response without end until the connection fails. */
+static void send_endless(struct platform_upstream *upstream, enum platform_upstream_mode mode,
+			 int fd, struct pd_str id)
+{
+	int64_t until_us = pd_os_now_us() + ENDLESS_MAX_US;
+	struct pd_buf start = {0}, unit = {0}, block = {0};
+
+	append_endless(upstream, mode, id, &start, &unit);
+	for (int i = 0; i < ENDLESS_UNITS; i++)
+		pd_buf_append_str(&block, pd_buf_str(&unit));
+	count_endless(upstream, 1);
+	if (!start.len || pd_os_write_full(fd, start.data, start.len, NULL) == PD_OK) {
+		while (pd_os_write_full(fd, block.data, block.len, NULL) == PD_OK &&
+		       pd_os_now_us() < until_us)
+			;
+	}
+	count_endless(upstream, -1);
+	pd_buf_finish(&start);
+	pd_buf_finish(&unit);
+	pd_buf_finish(&block);
+}
+
 /* Sends the response to an executed request; returns false if the connection is to be closed. */
 static bool send_response(struct platform_upstream *upstream, enum platform_upstream_mode mode,
 			  int delay_ms, int fd, struct pd_str id)
@@ -112,6 +189,10 @@
 	struct pd_buf out = {0}, body = {0};
 	bool keep_open = true;
 
+	if (mode >= PLATFORM_UPSTREAM_ENDLESS_HEAD) {
+		send_endless(upstream, mode, fd, id);
+		return false;
+	}
 	append_records(upstream, id, &body);
 	switch (mode) {
 	case PLATFORM_UPSTREAM_CHUNKED:
--- a/standins/platform_upstream.h
+++ b/standins/platform_upstream.h
@@ -30,6 +30,14 @@
  * @PLATFORM_UPSTREAM_GARBLE: executes them and responds with bytes that aren't HTTP
  * @PLATFORM_UPSTREAM_EXTRA: executes them and sends the response twice
  * @PLATFORM_UPSTREAM_LATE: executes them and responds after delay_ms
+ * @PLATFORM_UPSTREAM_ENDLESS_HEAD: executes them and sends a header field without end
+ * @PLATFORM_UPSTREAM_ENDLESS_BODY: executes them and sends a body without length and without end
+ * @PLATFORM_UPSTREAM_ENDLESS_CHUNKS: executes them and sends chunks without end
+ * @PLATFORM_UPSTREAM_ENDLESS_TRAILER: executes them and sends trailer fields without end
+ * @PLATFORM_UPSTREAM_ENDLESS_INTERIM: executes them and sends interim responses without end
+ * @PLATFORM_UPSTREAM_ENDLESS_BLANK: executes them and sends blank lines without end
+ * @PLATFORM_UPSTREAM_ENDLESS_REPLIES: executes them and sends responses to other requests without
+ * end
  * @PLATFORM_UPSTREAM_MODES: number of modes
  */
 enum platform_upstream_mode {
@@ -44,6 +52,13 @@
 	PLATFORM_UPSTREAM_GARBLE,
 	PLATFORM_UPSTREAM_EXTRA,
 	PLATFORM_UPSTREAM_LATE,
+	PLATFORM_UPSTREAM_ENDLESS_HEAD,
+	PLATFORM_UPSTREAM_ENDLESS_BODY,
+	PLATFORM_UPSTREAM_ENDLESS_CHUNKS,
+	PLATFORM_UPSTREAM_ENDLESS_TRAILER,
+	PLATFORM_UPSTREAM_ENDLESS_INTERIM,
+	PLATFORM_UPSTREAM_ENDLESS_BLANK,
+	PLATFORM_UPSTREAM_ENDLESS_REPLIES,
 	PLATFORM_UPSTREAM_MODES,
 };
 
@@ -71,6 +86,7 @@
  * @delay_ms: delay of responses in the mode PLATFORM_UPSTREAM_LATE, in milliseconds
  * @received_count: number of requests received
  * @executed_count: number of requests executed
+ * @endless_count: number of responses without end that are being sent
  * @last_executed: method, target and start of the body of the last executed request
  * @records_by_request: the records of a response depend on the request id, see
  * platform_upstream_record(); set before platform_upstream_start()
@@ -88,6 +104,7 @@
 	int delay_ms;
 	uint32_t received_count;
 	uint32_t executed_count;
+	uint32_t endless_count;
 	char last_executed[1024];
 	bool records_by_request;
 	void (*on_request)(struct platform_upstream *upstream,
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -339,7 +339,8 @@
 		"{\"platform\":{\"node_name\":\"%s\",\"zone\":\"here\",\"ip\":\"127.0.0.1\","
 		"\"internal_port_range\":[%u,%u],\"listen_addresses\":"
 		"{\"front\":\"127.0.0.1:%u\",\"ready\":\"127.0.0.1:%u\"},\"platform\":{\"address\":"
-		"\"127.0.0.1:%u\"},\"limits\":{\"max_file_descriptors\":1024,\"cpu_share\":%g},"
+		"\"127.0.0.1:%u\"},\"limits\":{\"max_file_descriptors\":1024,\"memory_mb\":112,"
+		"\"cpu_share\":%g},"
 		"\"bounds\":"
 		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6}},"
 		"\"ingress\":{\"metrics_address\":\"127.0.0.1:%u\",\"log_lines_per_s\":500}}\n",
@@ -726,6 +727,39 @@
 	pthread_mutex_unlock(&upstream->lock);
 }
 
+/* endless ID: prints the number of responses without end that an upstream is sending */
+static void do_endless(char **words, int count)
+{
+	struct platform_upstream *upstream = find_upstream(words[1]);
+
+	(void)count;
+	pthread_mutex_lock(&upstream->lock);
+	append_output("%u", upstream->endless_count);
+	pthread_mutex_unlock(&upstream->lock);
+}
+
+/* memory MB: tells whether the selected process has ever used more than MB megabytes of memory */
+static void do_memory(char **words, int count)
+{
+	char path[64], line[256];
+	long peak_kb = -1;
+	FILE *file;
+
+	(void)count;
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)deployment.selected->pid);
+	file = fopen(path, "r");
+	while (file && fgets(line, sizeof(line), file)) {
+		if (!strncmp(line, "VmHWM:", 6))
+			peak_kb = strtol(line + 6, NULL, 10);
+	}
+	if (file)
+		fclose(file);
+	if (peak_kb < 0 || peak_kb > atol(words[1]) * 1024)
+		append_output("above: %ld KB", peak_kb);
+	else
+		append_output("below");
+}
+
 /* logged TEXT: prints the number of log lines of the selected instance that contain TEXT */
 static void do_logged(char **words, int count)
 {
@@ -794,6 +828,8 @@
 	{"arrivals", 2, do_upstream_info},
 	{"last", 2, do_upstream_info},
 	{"logged", 2, do_logged},
+	{"endless", 2, do_endless},
+	{"memory", 2, do_memory},
 };
 
 static void run_command(char **words, int count)
