Pool: limit the memory of all responses that are being read

Cause: each response may have 8 MB, but nothing limits all of them together. 24 upstreams that send a body without end to one gathered request took 176 MB; the small machines have 112 MB, and the platform ends a process above its limit, with all of its requests.

Change: the responses that are being read may take up a quarter of memory_mb (64 MB if the settings don't state it). Beyond that, an exchange whose response has more than 64 KB fails (response_too_large); smaller ones are still read.

--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -1,6 +1,8 @@
 #include "exchange.h"
 
+#include <ck_pr.h>
 #include <errno.h>
+#include <inttypes.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -177,6 +179,16 @@
 	msg->response_to_head = exchange->request->head_only;
 }
 
+/* Ends an exchange because all responses that are being read take up too much memory. */
+static void fail_large_response(struct pd_exchange *exchange)
+{
+	pd_log(PD_LOG_WARNING, "response_too_large",
+	       "upstream=%s service=%s bytes=%zu all_bytes=%" PRIu64, exchange->upstream->id.text,
+	       exchange->upstream->service->name.text, exchange->conn->msg.body.len,
+	       ck_pr_load_64(&exchange->conn->pool->buffered));
+	fail_exchange(exchange);
+}
+
 static void parse_bytes(struct pd_exchange *exchange, const char *bytes, size_t len)
 {
 	exchange->received = true;
@@ -185,6 +197,8 @@
 
 		switch (pd_http_message_parse(&exchange->conn->msg, bytes, len, &used)) {
 		case PD_HTTP_INCOMPLETE:
+			if (!pd_conn_count_buffered(exchange->conn))
+				fail_large_response(exchange);
 			return;
 		case PD_HTTP_COMPLETE:
 			handle_message(exchange);
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -17,6 +17,9 @@
 #define CONNECTIONS_MAX		 256 /* on all listeners; one thread each */
 /* Limit of in-flight requests; a gathered request uses one upstream connection for each service. */
 #define REQUESTS_MAX 200
+/* Responses that are being read may take up this part of the memory limit together. */
+#define RESPONSES_MEMORY_DIVISOR       4
+#define RESPONSES_MEMORY_DEFAULT_BYTES (64 * 1024 * 1024)
 /* If less than this share of the gathered services is reachable, the instance reports that it isn't
  * ready, because other instances can serve its clients better.
  */
@@ -55,7 +58,10 @@
 	if (settings->max_descriptors > DESCRIPTORS_RESERVED + UPSTREAM_CONNECTIONS_MIN)
 		connections_max = settings->max_descriptors - DESCRIPTORS_RESERVED;
 	pd_registry_init(&ingress->registry, &options);
-	pd_pool_init(&ingress->pool, &ingress->registry, connections_max);
+	pd_pool_init(&ingress->pool, &ingress->registry, connections_max,
+		     settings->memory_max_bytes
+			     ? settings->memory_max_bytes / RESPONSES_MEMORY_DIVISOR
+			     : RESPONSES_MEMORY_DEFAULT_BYTES);
 	ingress->relays = pd_registry_service(&ingress->registry, PD_STR(PD_RELAY_SERVICE));
 	pd_directory_init(&ingress->directory, &ingress->registry);
 	pd_sync_init(&ingress->sync, &ingress->directory, &settings->store);
--- a/ingress/ingress_settings.h
+++ b/ingress/ingress_settings.h
@@ -23,6 +23,7 @@
  * @store: address of the platform's store
  * @cpu_share: processor share of this instance, in cores
  * @max_descriptors: maximum number of open file descriptors
+ * @memory_max_bytes: memory limit of this process, in bytes; 0 if not stated
  * @retry_ratio: number of retries and hedges that all instances together may send per request
  * @retry_slack: number of retries and hedges that all instances together may send in any time
  *	window beyond those allowed by @retry_ratio
@@ -39,6 +40,7 @@
 	struct sockaddr_in store;
 	double cpu_share;
 	uint32_t max_descriptors;
+	uint64_t memory_max_bytes;
 	double retry_ratio;
 	double retry_slack;
 	uint32_t grace_ms;
--- a/ingress/pool.c
+++ b/ingress/pool.c
@@ -1,5 +1,6 @@
 #include "pool.h"
 
+#include <ck_pr.h>
 #include <errno.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -20,6 +21,8 @@
 #define IDLE_LIMIT_DEFAULT_US 4000000 /* for upstreams that send no Keep-Alive timeout */
 #define IDLE_LIMIT_MAX_US     60000000
 #define READ_BUFFER_BYTES     8192
+/* Responses up to this size are read even if all responses together take up too much memory. */
+#define SMALL_RESPONSE_BYTES (64 * 1024)
 /* The kernel closes a connection whose data isn't acknowledged for this long, so that it isn't
  * reused while the network path is broken.
  */
@@ -56,11 +59,31 @@
 	return count;
 }
 
-void pd_pool_init(struct pd_pool *pool, struct pd_registry *registry, uint32_t connections_max)
+void pd_pool_init(struct pd_pool *pool, struct pd_registry *registry, uint32_t connections_max,
+		  uint64_t buffered_max)
 {
 	memset(pool, 0, sizeof(*pool));
 	pool->registry = registry;
 	pool->connections_max = connections_max;
+	pool->buffered_max = buffered_max;
+}
+
+bool pd_conn_count_buffered(struct pd_conn *conn)
+{
+	size_t now = conn->msg.head.cap + conn->msg.body.cap;
+	uint64_t change = (uint64_t)now - conn->buffered, total;
+
+	if (now != conn->buffered)
+		ck_pr_add_64(&conn->pool->buffered, change);
+	conn->buffered = now;
+	total = ck_pr_load_64(&conn->pool->buffered);
+	return now <= SMALL_RESPONSE_BYTES || total <= conn->pool->buffered_max;
+}
+
+static void reset_response(struct pd_conn *conn)
+{
+	pd_http_message_reset(&conn->msg);
+	pd_conn_count_buffered(conn);
 }
 
 /* Closes and frees a connection without updating the connection counts. */
@@ -68,6 +91,7 @@
 {
 	pd_os_close(&conn->fd);
 	pd_http_message_finish(&conn->msg);
+	pd_conn_count_buffered(conn);
 	free(conn);
 }
 
@@ -142,7 +166,7 @@
 	return conn;
 }
 
-static struct pd_conn *new_conn(int fd, struct pd_upstream *upstream)
+static struct pd_conn *new_conn(struct pd_pool *pool, int fd, struct pd_upstream *upstream)
 {
 	struct pd_conn *conn = calloc(1, sizeof(*conn));
 
@@ -150,6 +174,7 @@
 		return NULL;
 	conn->fd = fd;
 	conn->upstream = upstream;
+	conn->pool = pool;
 	conn->idle_limit_us = IDLE_LIMIT_DEFAULT_US;
 	pd_http_message_init(&conn->msg, PD_HTTP_RESPONSE, PD_RESPONSE_HEAD_MAX_BYTES,
 			     PD_RESPONSE_BODY_MAX_BYTES);
@@ -199,7 +224,7 @@
 			     upstream->address_text, strerror(errno));
 		return NULL;
 	}
-	conn = new_conn(fd, upstream);
+	conn = new_conn(pool, fd, upstream);
 	if (!conn) {
 		close(fd);
 		pd_error_set(err, PD_LAYER_TRANSPORT, PD_NO_MEMORY,
@@ -252,7 +277,7 @@
 		close_locked(pool, conn);
 		return;
 	}
-	pd_http_message_reset(&conn->msg);
+	reset_response(conn);
 	conn->reused = true;
 	conn->idle_since_us = now_us;
 	conn->next = upstream->idle;
@@ -299,7 +324,7 @@
 	pd_registry_report_received_locked(conn->upstream, now_us);
 	switch (pd_http_message_parse(&conn->msg, bytes, (size_t)n, &used)) {
 	case PD_HTTP_INCOMPLETE:
-		return DRAIN_INCOMPLETE;
+		return pd_conn_count_buffered(conn) ? DRAIN_INCOMPLETE : DRAIN_FAILED;
 	case PD_HTTP_COMPLETE:
 		if (conn->msg.parser.status_code < 200) {
 			pd_http_message_reset(&conn->msg);
--- a/ingress/pool.h
+++ b/ingress/pool.h
@@ -22,7 +22,9 @@
  * struct pd_conn - one connection to an upstream
  * @fd: non-blocking socket
  * @upstream: upstream to which it is connected; holds a reference unless the connection is idle
+ * @pool: pool that the connection belongs to
  * @msg: response that is being read
+ * @buffered: number of bytes allocated for @msg that are counted in the pool
  * @idle_since_us: time at which the connection became idle, in microseconds of pd_os_boot_us()
  * @idle_limit_us: time for which it can stay idle before the upstream may close it, in microseconds
  * @drain_deadline_us: time at which the connection is closed if its drain hasn't finished, in
@@ -33,7 +35,9 @@
 struct pd_conn {
 	int fd;
 	struct pd_upstream *upstream;
+	struct pd_pool *pool;
 	struct pd_http_message msg;
+	size_t buffered;
 	int64_t idle_since_us;
 	int64_t idle_limit_us;
 	int64_t drain_deadline_us;
@@ -46,14 +50,19 @@
  * @registry: registry of the upstreams, whose lock guards all lists of connections
  * @draining: list of connections that are being drained
  * @connections_max: maximum number of open connections to all upstreams
+ * @buffered: number of bytes allocated for responses that are being read
+ * @buffered_max: maximum of @buffered, beyond which large responses aren't read any further
  */
 struct pd_pool {
 	struct pd_registry *registry;
 	struct pd_conn *draining;
 	uint32_t connections_max;
+	uint64_t buffered;
+	uint64_t buffered_max;
 };
 
-void pd_pool_init(struct pd_pool *pool, struct pd_registry *registry, uint32_t connections_max);
+void pd_pool_init(struct pd_pool *pool, struct pd_registry *registry, uint32_t connections_max,
+		  uint64_t buffered_max);
 void pd_pool_finish(struct pd_pool *pool);
 
 /**
@@ -75,6 +84,10 @@
 				struct pd_error *err);
 /* Sets the idle limit from the Keep-Alive field of the response that was read last. */
 void pd_conn_update_idle_limit(struct pd_conn *conn);
+/* Counts the memory of the response that is being read; false if all responses together take up too
+ * much memory and this is a large one, so that the connection must be closed.
+ */
+bool pd_conn_count_buffered(struct pd_conn *conn);
 /* Returns a connection to the pool, after its response was read completely and if the upstream
  * keeps it open.
  */
