Sync: list the configuration instead of reading all events in a storm

With versions of 390 KB every 100 ms and 2.25 MB/s to the store, the events of each pause are more than the link carries in it. The page exceeded the limit of 4 MB, the call failed (store_lost) and no version was installed for 5 s.

Change: after a watch of the configuration that returned early, and when a paused watch resumes, the object is listed: the list has the newest version only, and the watch continues from its revision. It costs one more call for each pause while changes follow each other in less than 1.5 s, and none otherwise.

--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -319,8 +319,8 @@
 				pd_directory_list_begin(directory);
 		}
 		first = false;
-		/* It is unknown when the listed objects were written. */
-		apply_page(task, &page, 0);
+		/* A stale list doesn't show when the objects were written. */
+		apply_page(task, &page, stale_ok ? 0 : pd_os_unix_ms());
 		more = page.has_more && pd_object_page_last_name(&page, &after);
 		pd_object_page_finish(&page);
 	}
@@ -382,11 +382,37 @@
 	return PD_OK;
 }
 
-/* Waits until the kind has to be listed or watched, and updates the address of the store. */
-static void wait_while_inactive(struct pd_sync_task *task)
+/* Whether a list is smaller than the events since the last call: it has the newest version of the
+ * configuration only, and watching from its revision returns those after it.
+ */
+static bool should_skip_events(const struct pd_sync_task *task, bool was_inactive)
+{
+	bool frequent_changes = task->early_returns > 0 && !task->events_skipped;
+
+	return task->kind == PD_OBJECT_CONFIG && (was_inactive || frequent_changes);
+}
+
+/* Lists or watches the kind once; @was_inactive states that it wasn't watched since the last call.
+ */
+static enum pd_code fetch_changes(struct pd_sync_task *task, bool was_inactive,
+				  struct pd_error *err)
+{
+	if (task->listed && !should_skip_events(task, was_inactive)) {
+		task->events_skipped = false;
+		return watch_once(task, err);
+	}
+	task->events_skipped = true;
+	return list_all(task, err);
+}
+
+/* Waits until the kind has to be listed or watched, and updates the address of the store. Returns
+ * false if there was nothing to wait for.
+ */
+static bool wait_while_inactive(struct pd_sync_task *task)
 {
 	struct pd_sync *sync = task->sync;
 	struct sockaddr_in address;
+	bool waited = false;
 
 	pthread_mutex_lock(&sync->lock);
 	while (sync->mode == PD_SYNC_PAUSED || (sync->mode == PD_SYNC_STARTING && task->listed)) {
@@ -394,10 +420,12 @@
 		if (sync->mode == PD_SYNC_PAUSED)
 			task->listed = false;
 		pthread_cond_wait(&sync->changed, &sync->lock);
+		waited = true;
 	}
 	address = sync->address;
 	pthread_mutex_unlock(&sync->lock);
 	pd_store_set_address(&task->store, &address);
+	return waited;
 }
 
 static void *run_task(void *arg)
@@ -406,10 +434,9 @@
 	struct pd_error err;
 
 	for (;;) {
-		enum pd_code code;
+		bool was_inactive = wait_while_inactive(task);
+		enum pd_code code = fetch_changes(task, was_inactive, &err);
 
-		wait_while_inactive(task);
-		code = task->listed ? watch_once(task, &err) : list_all(task, &err);
 		if (code == PD_OK)
 			continue;
 		/* After an outage, all objects are listed again to get the changes made meanwhile.
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -41,6 +41,7 @@
  *	pd_os_boot_us(); 0 while they succeed
  * @failures: number of consecutive failed calls
  * @early_returns: number of consecutive watches that returned changes early, see sync.c
+ * @events_skipped: the last call was a list
  * @wake_pipe: pipe that ends a waiting watch or a pause of the task when a byte is written to it
  */
 struct pd_sync_task {
@@ -54,6 +55,7 @@
 	int64_t unreachable_since_us;
 	uint32_t failures;
 	uint32_t early_returns;
+	bool events_skipped;
 	int wake_pipe[2];
 };
 
--- a/standins/slow_link.c
+++ b/standins/slow_link.c
@@ -6,11 +6,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Bytes that are relayed at once; a short pause follows each. */
-#define CHUNK_BYTES 2048
-/* Small receive buffer towards the server, so that its writes soon block. */
-#define RECEIVE_BUFFER_BYTES 4096
-#define CONNECT_TIMEOUT_US   (1000 * PD_USEC_PER_MSEC)
+#define CHUNK_BYTES (16 * 1024)
+/* Receive buffer towards the server: small, so that its writes soon block, but large enough for the
+ * rate. */
+#define RECEIVE_BUFFER_MIN_BYTES 4096
+#define RECEIVE_BUFFER_MS	 20
+#define CONNECT_TIMEOUT_US	 (1000 * PD_USEC_PER_MSEC)
 
 /** struct connection - argument of serve_connection() */
 struct connection {
@@ -54,7 +55,10 @@
 	free(arg);
 	open = pd_os_connect(&connection.link->target, CONNECT_TIMEOUT_US, &server, NULL) == PD_OK;
 	if (open) {
-		int size = RECEIVE_BUFFER_BYTES;
+		int size = (int)(connection.link->bytes_per_s * RECEIVE_BUFFER_MS / 1000);
+
+		if (size < RECEIVE_BUFFER_MIN_BYTES)
+			size = RECEIVE_BUFFER_MIN_BYTES;
 
 		setsockopt(server, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 	}
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -60,6 +60,8 @@
  * State of the deployment that the script builds.
  *
  * @store: object store of the platform
+ * @store_link: link over which instances that are started reach the store; unused if its target has
+ * no port
  * @upstreams: upstreams
  * @upstream_count: number of entries used in @upstreams
  * @routes: routes for the next published configuration
@@ -74,6 +76,7 @@
  */
 static struct {
 	struct platform_store store;
+	struct slow_link store_link;
 	struct platform_upstream upstreams[UPSTREAMS_MAX];
 	size_t upstream_count;
 	json_t *routes;
@@ -296,6 +299,22 @@
 		platform_store_set_mode(&deployment.store, PLATFORM_STORE_UP);
 }
 
+/* storelink KB: lets instances that are started from now on reach the store over a link of KB
+ * kilobytes per second
+ */
+static void do_storelink(char **words, int count)
+{
+	(void)count;
+	slow_link_start(&deployment.store_link, &deployment.store.address, atoll(words[1]) * 1000);
+}
+
+/* Returns the port of the store for instances that are started. */
+static uint16_t store_port(void)
+{
+	return deployment.store_link.target.port ? deployment.store_link.address.port
+						 : deployment.store.address.port;
+}
+
 /* objects KIND: prints the number of objects of a kind in the store */
 static void do_objects(char **words, int count)
 {
@@ -429,8 +448,7 @@
 	char *use[] = {first, count > 1 ? words[1] : first};
 
 	do_use(use, 2);
-	write_settings(deployment.selected,
-		       count > 2 ? UNREACHABLE_PORT : deployment.store.address.port);
+	write_settings(deployment.selected, count > 2 ? UNREACHABLE_PORT : store_port());
 	fflush(NULL);
 	deployment.selected->pid = fork();
 	if (!deployment.selected->pid) {
@@ -805,6 +823,7 @@
 	{"storm", 4, do_storm},
 	{"services", 2, do_services},
 	{"store", 2, do_store},
+	{"storelink", 2, do_storelink},
 	{"objects", 2, do_objects},
 	{"start", 1, do_start},
 	{"term", 1, do_signal},
