Directory: keep the newest of two configurations that arrive together

Cause: a configuration is installed in the registry and then stored for the followers, in two steps. When an instance starts or stops to follow a source, its own watch and the source may both send configurations for a moment. An older one could be stored after a newer one, and since a stored configuration replaces the one in the log, followers would only get the older one until the next change.

Change: the directory stores a configuration only if its version is higher than that of the stored one.

Also, clearer names for the sequence numbers of the log.

--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -60,8 +60,10 @@
 	pd_buf_finish(&frame);
 }
 
-/* Whether a message of the kind states everything that earlier ones of the kind stated. */
-static bool states_all(enum pd_feed_kind kind)
+/* Whether a message of the kind replaces all earlier ones of the kind. Entries of upstreams don't,
+ * because an entry that is missing in a list is a removal.
+ */
+static bool replaces_earlier(enum pd_feed_kind kind)
 {
 	return kind == PD_FEED_CONFIG || kind == PD_FEED_EVACUATIONS;
 }
@@ -71,11 +73,11 @@
  */
 static void supersede_locked(struct pd_directory *directory, enum pd_feed_kind kind)
 {
-	uint64_t latest = directory->latest[kind];
+	uint64_t end = directory->latest_end[kind];
 
-	directory->latest[kind] = directory->next_change + 1;
-	if (latest && directory->next_change - (latest - 1) <= PD_DIRECTORY_LOG_SIZE)
-		pd_buf_finish(&directory->log[(latest - 1) % PD_DIRECTORY_LOG_SIZE].frame);
+	directory->latest_end[kind] = directory->next_change + 1;
+	if (end && directory->next_change - (end - 1) <= PD_DIRECTORY_LOG_SIZE)
+		pd_buf_finish(&directory->log[(end - 1) % PD_DIRECTORY_LOG_SIZE].frame);
 }
 
 /* Adds a change to the log. It isn't encoded while there are no followers. */
@@ -83,13 +85,13 @@
 {
 	struct pd_change *change = &directory->log[directory->next_change % PD_DIRECTORY_LOG_SIZE];
 
-	if (states_all(msg->kind))
+	if (replaces_earlier(msg->kind))
 		supersede_locked(directory, msg->kind);
 	pd_buf_finish(&change->frame);
 	change->kind = msg->kind;
 	directory->next_change++;
 	if (msg->kind != PD_FEED_CONFIG && msg->kind != PD_FEED_CRASH)
-		directory->entries_change = directory->next_change;
+		directory->entries_end = directory->next_change;
 	if (directory->followers)
 		encode_message(msg, &change->frame);
 	else
@@ -146,13 +148,21 @@
 	msg->config.received_unix_ms = directory->config_received_unix_ms;
 }
 
-/* Stores the text of the configuration that became current, and logs the change. */
-static void store_config(struct pd_directory *directory, struct pd_str text,
+/* Stores the text of a configuration that became current, and logs the change. Does nothing if a
+ * newer one was stored since then: the store and a source may both send configurations for a
+ * moment.
+ */
+static void store_config(struct pd_directory *directory, int64_t version, struct pd_str text,
 			 int64_t received_unix_ms)
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_CONFIG};
 
 	pthread_mutex_lock(&directory->lock);
+	if (directory->config.len && version <= directory->config_version) {
+		pthread_mutex_unlock(&directory->lock);
+		return;
+	}
+	directory->config_version = version;
 	pd_buf_finish(&directory->config);
 	pd_buf_append_str(&directory->config, text);
 	directory->config_received_unix_ms = received_unix_ms;
@@ -161,24 +171,30 @@
 	pthread_mutex_unlock(&directory->lock);
 }
 
-/* Installs a configuration in the registry. Sets @installed if its version was newer. */
+/* Installs a configuration in the registry. Sets @version to its version, or to -1 if that isn't
+ * newer than the current one.
+ */
 static enum pd_code install_config(struct pd_directory *directory, json_t *spec,
-				   int64_t received_unix_ms, bool *installed, struct pd_error *err)
+				   int64_t received_unix_ms, int64_t *version, struct pd_error *err)
 {
 	struct pd_catalog *catalog = pd_object_read_config(spec, err);
 	struct pd_catalog *before = pd_registry_catalog(directory->registry);
 	bool first = !before;
+	bool installed;
 	int64_t age_ms;
 
+	*version = -1;
 	pd_catalog_release(before);
 	if (!catalog)
 		return pd_error_wrap(err, PD_LAYER_COORDINATION, PD_INVALID, "configuration");
 	catalog->received_unix_ms = received_unix_ms;
-	*installed = pd_registry_install(directory->registry, pd_catalog_acquire(catalog));
+	installed = pd_registry_install(directory->registry, pd_catalog_acquire(catalog));
+	if (installed)
+		*version = (int64_t)catalog->version;
 	age_ms = pd_catalog_age_ms(catalog);
 	pd_catalog_release(catalog);
 	/* A version that is older than this process isn't delayed. */
-	if (*installed && !first && age_ms >= 0)
+	if (installed && !first && age_ms >= 0)
 		pd_histogram_add(&directory->config_delay, age_ms * PD_USEC_PER_MSEC);
 	return PD_OK;
 }
@@ -186,16 +202,16 @@
 enum pd_code pd_directory_put_config(struct pd_directory *directory, json_t *spec,
 				     int64_t received_unix_ms, struct pd_error *err)
 {
-	bool installed = false;
-	enum pd_code code = install_config(directory, spec, received_unix_ms, &installed, err);
+	int64_t version;
+	enum pd_code code = install_config(directory, spec, received_unix_ms, &version, err);
 	char *text;
 
-	if (code != PD_OK || !installed)
+	if (code != PD_OK || version < 0)
 		return code;
 	text = json_dumps(spec, JSON_COMPACT);
 	if (!text)
 		return pd_error_set(err, PD_LAYER_COORDINATION, PD_NO_MEMORY, "configuration");
-	store_config(directory, pd_str_from(text), received_unix_ms);
+	store_config(directory, version, pd_str_from(text), received_unix_ms);
 	free(text);
 	return PD_OK;
 }
@@ -204,12 +220,12 @@
 					  int64_t received_unix_ms, struct pd_error *err)
 {
 	json_t *spec = json_loadb(text.data ? text.data : "", text.len, 0, NULL);
-	bool installed = false;
-	enum pd_code code = install_config(directory, spec, received_unix_ms, &installed, err);
+	int64_t version;
+	enum pd_code code = install_config(directory, spec, received_unix_ms, &version, err);
 
 	json_decref(spec);
-	if (code == PD_OK && installed)
-		store_config(directory, text, received_unix_ms);
+	if (code == PD_OK && version >= 0)
+		store_config(directory, version, text, received_unix_ms);
 	return code;
 }
 
@@ -359,7 +375,7 @@
 
 	pthread_mutex_lock(&directory->lock);
 	in_log = snapshot->next_change >= directory->log_start &&
-		 snapshot->next_change >= directory->entries_change &&
+		 snapshot->next_change >= directory->entries_end &&
 		 directory->next_change - snapshot->next_change <= PD_DIRECTORY_LOG_SIZE / 2;
 	pthread_mutex_unlock(&directory->lock);
 	return in_log && snapshot->frames.len && !snapshot->frames.failed &&
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -57,11 +57,12 @@
  * @log: ring buffer of changes
  * @next_change: sequence number of the next change; change n is stored in
  *	log[n % PD_DIRECTORY_LOG_SIZE]
- * @entries_change: sequence number of the last change of an upstream or of the evacuated zones,
- *plus one; 0 if there is none
- * @latest: sequence numbers of the last changes that state all of their kind, plus one, by kind; 0
+ * @entries_end: sequence number after the last change of an upstream or of the evacuated zones; 0
  *	if there is none
+ * @latest_end: sequence numbers after the last change of each kind that replaces all earlier ones
+ *	of the kind; 0 if there is none
  * @config: current configuration as JSON; empty until the first one is received
+ * @config_version: version of @config
  * @config_received_unix_ms: Unix time in milliseconds at which the zone received @config from the
  *	store; 0 if unknown
  * @evacuated: names of the evacuated zones
@@ -71,8 +72,8 @@
  * @removals_held: removals are held although the store is reachable, because entries may have
  *	expired while it was unreachable
  * @followers: number of instances that follow this one
- * @log_start: sequence number of the first change that was logged since the first of these
- *followers joined; earlier changes weren't encoded
+ * @log_start: sequence number of the first change in the log that was encoded; earlier ones were
+ *	logged when there were no followers
  * @snapshot: last encoded snapshot; has a lock of its own
  * @config_delay: time from a version's reception by the zone until it was in force here, for all
  *	versions but the first one after the start
@@ -85,9 +86,10 @@
 	pthread_cond_t joined;
 	struct pd_change log[PD_DIRECTORY_LOG_SIZE];
 	uint64_t next_change;
-	uint64_t entries_change;
-	uint64_t latest[PD_FEED_KIND_MAX + 1];
+	uint64_t entries_end;
+	uint64_t latest_end[PD_FEED_KIND_MAX + 1];
 	struct pd_buf config;
+	int64_t config_version;
 	int64_t config_received_unix_ms;
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
 	size_t evacuated_count;
--- a/tests/test_directory.c
+++ b/tests/test_directory.c
@@ -368,6 +368,52 @@
 }
 END_TEST
 
+/**
+ * struct writer - thread that puts one configuration
+ * @version: its version
+ * @start: barrier at which the writers start together
+ */
+struct writer {
+	unsigned int version;
+	pthread_barrier_t *start;
+};
+
+static void *run_writer(void *arg)
+{
+	struct writer *writer = arg;
+
+	pthread_barrier_wait(writer->start);
+	put_config(writer->version);
+	return NULL;
+}
+
+START_TEST(newest_of_concurrent_configurations_stays)
+{
+	/* Guards against an older version that is stored after a newer one was installed, when the
+	 * store and a source both send configurations: followers would only get the older one.
+	 */
+	for (unsigned int round = 0; round < 1000; round++) {
+		pthread_barrier_t start;
+		struct writer writers[2] = {{1, &start}, {2, &start}};
+		struct pd_buf out = {0};
+		pthread_t threads[2];
+
+		pthread_barrier_init(&start, NULL, 2);
+		for (int i = 0; i < 2; i++)
+			ck_assert_int_eq(pthread_create(&threads[i], NULL, run_writer, &writers[i]),
+					 0);
+		for (int i = 0; i < 2; i++)
+			pthread_join(threads[i], NULL);
+		pthread_barrier_destroy(&start);
+		pd_directory_snapshot(&directory, &out);
+		ck_assert_str_eq(describe_frames(&out), "config:2 evacuated:0 ");
+		pd_buf_finish(&out);
+		teardown();
+		setup();
+	}
+}
+END_TEST
+
 START_TEST(invalid_configuration_changes_nothing)
 {
 	/* Guards against an invalid configuration that replaces the current one or is sent on. */
@@ -391,6 +437,7 @@
 		superseded_configurations_are_not_sent,
 		changes_of_upstreams_are_all_sent_in_order,
 		follower_behind_the_log_gets_the_newest_state,
+		newest_of_concurrent_configurations_stays,
 		invalid_configuration_changes_nothing,
 		large_messages_are_compressed,
 		snapshot_is_shared_until_an_upstream_changes,
