--- a/ingress/exchange.h
+++ b/ingress/exchange.h
@@ -53,8 +53,8 @@
  * @tail_len: length of @tail in bytes
  * @sent: number of bytes of head, tail and body sent so far
  * @started_us: time at which the exchange started, in microseconds of pd_os_boot_us()
- * @discarded: number of bytes received so far in messages that aren't the response, see
- *	parse_bytes()
+ * @discarded: number of bytes received so far in interim responses and in responses to earlier
+ *	requests
  * @received: data was received from the upstream during this exchange
  * @reusable: the connection can be reused for another request
  * @stale: a reused connection ended before any data was received
--- a/ingress/feed_batch.c
+++ b/ingress/feed_batch.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <zlib.h>
 
-/* Higher levels take several times as long for a tenth less. */
+/* A source may have a small share of a processor. */
 #define COMPRESSION_LEVEL Z_BEST_SPEED
 
 void pd_feed_batch_encode(struct pd_str frames, struct pd_buf *out)
--- a/ingress/feed_batch.h
+++ b/ingress/feed_batch.h
@@ -1,7 +1,8 @@
 /**
  * DOC: Batches of the feed: frames that are compressed together and sent as one message
  *
- * Configurations and lists of upstreams shrink to about a sixth, which counts on slow links.
+ * Configurations and lists of upstreams repeat the same keys, so that they become several times
+ * smaller. A source sends them to all of its followers over one link.
  */
 #ifndef PD_FEED_BATCH_H
 #define PD_FEED_BATCH_H
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -6,9 +6,8 @@
 #include "msgpack_check.h"
 #include "os.h"
 
-#define FORMAT_VERSION                                                                             \
-	3 /* since 3, batches, and the time at which a configuration was received                  \
-	   */
+/* Since 3, there are batches, and configurations state when they were received. */
+#define FORMAT_VERSION	     3
 #define UPSTREAM_FIELD_COUNT 8
 #define ARRAY_ITEMS_MAX	     (PD_FEED_ZONES_MAX + 2)
 
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -334,7 +334,9 @@
 	else
 		session->config_held_us = pd_os_boot_us();
 	pd_buf_finish(&session->config);
-	pd_buf_append_str(&session->config, msg->config.text);
+	if (!pd_buf_append_str(&session->config, msg->config.text))
+		pd_log(PD_LOG_ERROR, "config_lost", "reason=no_memory bytes=%zu",
+		       msg->config.text.len);
 	session->config_received_unix_ms = msg->config.received_unix_ms;
 }
 
@@ -420,7 +422,7 @@
 	case PD_FEED_CRASH:
 		pd_directory_add_crash(directory, msg->crash.fingerprint, &msg->crash.event);
 		break;
-	case PD_FEED_BATCH:
+	case PD_FEED_BATCH: /* the reader returns its messages instead */
 	case PD_FEED_HELLO:
 		break;
 	}
