Sync: return to watching alone when a storm of configurations is over

After a storm, the watcher listed the configuration once after each watch of 25 s until the next single change, since only a watch with changes reset the count of early returns. A watch without changes now resets it, too. Found by reading the diff; it cost one call in 25 s for each zone.

--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -379,11 +379,14 @@
 	pd_object_page_finish(&page);
 	if (count)
 		pause_for_batch(task, pd_os_boot_us() - start);
+	else
+		task->early_returns = 0;
 	return PD_OK;
 }
 
-/* Whether a list is smaller than the events since the last call: it has the newest version of the
- * configuration only, and watching from its revision returns those after it.
+/* Whether to list the configuration in place of watching it: the list has only the newest version,
+ * and a watch from its revision returns the later ones. Reading all events of a storm could take
+ * longer than the storm.
  */
 static bool should_skip_events(const struct pd_sync_task *task, bool was_inactive)
 {
