Soak: give instances a second to use a zone again whose evacuation has ended

Trace: all four zones were evacuated. The last evacuation was removed from the store at 2,688,847 ms; 8 of the refusals shown come from five instances between 11 and 101 ms later; front-1 logs the end of the evacuation about 100 ms after it (zone_evacuation). Until then no upstream may get the requests, so that 503 is right.

The check regarded a zone as usable from the moment before its evacuation was removed, while it already allows for the time that configurations and repaired upstreams need. It now judges a zone one second after its return, within the 5 s that the platform gives an evacuation; all other refusals count as before.

--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -187,9 +187,14 @@
 {
 	pthread_mutex_lock(&fleet.lock);
 	fleet.evacuated_us[zone] = 0;
+	/* Until the store has removed the evacuation, its end counts as if it were now. */
+	fleet.evacuation_ended_us[zone] = pd_os_now_us();
 	pthread_mutex_unlock(&fleet.lock);
 	if (!evacuated) {
 		platform_store_remove(&fleet.store, "evacuations", zones[zone]);
+		pthread_mutex_lock(&fleet.lock);
+		fleet.evacuation_ended_us[zone] = pd_os_now_us();
+		pthread_mutex_unlock(&fleet.lock);
 		return;
 	}
 	platform_store_put(&fleet.store, "evacuations", zones[zone], json_object());
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -36,10 +36,12 @@
 #define FLEET_CONFIG_APPLY_US	    (3 * PD_USEC_PER_SEC) /* config_apply_ms */
 #define FLEET_DRAIN_TIMEOUT_US	    (3 * PD_USEC_PER_SEC) /* drain_timeout_ms */
 #define FLEET_EVACUATION_TIMEOUT_US (5 * PD_USEC_PER_SEC) /* evacuation_ms */
-#define FLEET_GRACE_PERIOD_US	    (6 * PD_USEC_PER_SEC) /* grace_period_s */
-#define FLEET_ADDRESS_REUSE_US	    (2 * PD_USEC_PER_SEC) /* address_reuse_s */
-#define FLEET_RECOVERY_TIMEOUT_US   (12 * PD_USEC_PER_SEC) /* recovery_s */
-#define FLEET_MEMORY_MAX_KB	    (182 * 1024) /* memory of the platform's smallest machines */
+/* Time in which every instance must use a zone again whose evacuation has ended. */
+#define FLEET_ZONE_RETURN_US	  (1 * PD_USEC_PER_SEC)
+#define FLEET_GRACE_PERIOD_US	  (6 * PD_USEC_PER_SEC) /* grace_period_s */
+#define FLEET_ADDRESS_REUSE_US	  (2 * PD_USEC_PER_SEC) /* address_reuse_s */
+#define FLEET_RECOVERY_TIMEOUT_US (12 * PD_USEC_PER_SEC) /* recovery_s */
+#define FLEET_MEMORY_MAX_KB	  (182 * 1024) /* memory of the platform's smallest machines */
 
 /**
  * struct fleet_fault_history - fault history of a component
@@ -142,6 +144,8 @@
  * @version_count: number of versions
  * @evacuated_us: for each zone, time by which the store had recorded its evacuation; 0 while the
  *                zone isn't evacuated
+ * @evacuation_ended_us: for each zone, time at which its last evacuation was removed from the
+ * store; 0 if there was none
  * @store_fault_history: fault history of the store
  * @ingress_path: path of the ingress program
  */
@@ -154,6 +158,7 @@
 	struct fleet_version versions[FLEET_VERSIONS_MAX];
 	uint32_t version_count;
 	int64_t evacuated_us[FLEET_ZONES];
+	int64_t evacuation_ended_us[FLEET_ZONES];
 	struct fleet_fault_history store_fault_history;
 	const char *ingress_path;
 };
