Catalog: release references by one atomic operation

The thread sanitizer reported a race in config_large under load: Concurrency Kit's dec_zero reads the counter plainly before its compare-and-swap, and the directory now drops a reference of its own after other threads use the catalog. The loop was correct, but the sanitizer can't know that; fetch-and-add does the same in one step.

--- a/ingress/catalog.c
+++ b/ingress/catalog.c
@@ -55,12 +55,7 @@
 
 void pd_catalog_release(struct pd_catalog *catalog)
 {
-	bool last;
-
-	if (!catalog)
-		return;
-	ck_pr_dec_int_zero(&catalog->references, &last);
-	if (!last)
+	if (!catalog || ck_pr_faa_int(&catalog->references, -1) != 1)
 		return;
 	for (size_t i = 0; i < catalog->route_count; i++)
 		free(catalog->routes[i].targets);
