--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -13,6 +13,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -466,6 +467,8 @@
 	if (!deployment.selected->pid) {
 		char log[200];
 
+		/* Otherwise the ingress would go on calling ports that other tests use later. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		snprintf(log, sizeof(log), "%s.log", deployment.selected->settings);
 		if (!freopen(log, "a", stdout))
 			_exit(127);
