Registry: log the rate limits that upstreams state

The exchange reads the limit from each response. The registry logs when an upstream states another one (upstream_limited) or none any more (upstream_limit_ended), with the number of requests that this process sent since the last change, and counts the requests to such upstreams (limited_sent). No decision uses the limit yet.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -2,6 +2,7 @@
  * DOC: Statistics of upstreams and zones from the results of requests, and the choice of an
  * upstream based on them
  */
+#include <inttypes.h>
 #include <math.h>
 #include <string.h>
 
@@ -139,6 +140,9 @@
 	if (upstream) {
 		upstream->references++;
 		upstream->in_flight++;
+		upstream->sent_count++;
+		if (upstream->limited)
+			pd_count(PD_COUNT_limited_sent);
 	}
 	pthread_mutex_unlock(&registry->lock);
 	return upstream;
@@ -376,6 +380,26 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
+/* Records the rate limit that the response states, if any. */
+static void record_limit(struct pd_upstream *upstream, const struct pd_report *report,
+			 int64_t now_us)
+{
+	if (report->kind != PD_REPORT_SUCCESS && !report->has_limit)
+		return;
+	if (upstream->limited == report->has_limit &&
+	    (!report->has_limit || upstream->limit_per_s == report->limit_per_s))
+		return;
+	pd_log(PD_LOG_INFO, report->has_limit ? "upstream_limited" : "upstream_limit_ended",
+	       "upstream=%s service=%s limit_per_s=%g before=%g sent=%" PRIu32 " since_ms=%" PRId64,
+	       upstream->id.text, upstream->service->name.text, report->limit_per_s,
+	       upstream->limit_per_s, upstream->sent_count,
+	       (now_us - upstream->limit_changed_us) / PD_USEC_PER_MSEC);
+	upstream->limited = report->has_limit;
+	upstream->limit_per_s = report->has_limit ? report->limit_per_s : 0;
+	upstream->limit_changed_us = now_us;
+	upstream->sent_count = 0;
+}
+
 static void apply_report(struct pd_upstream *upstream, const struct pd_report *report,
 			 int64_t now_us)
 {
@@ -383,6 +407,7 @@
 		upstream->reported_load = report->load;
 		upstream->load_reported_us = now_us;
 	}
+	record_limit(upstream, report, now_us);
 	switch (report->kind) {
 	case PD_REPORT_SUCCESS:
 		record_success(upstream, now_us);
--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -138,6 +138,8 @@
 	exchange->has_load = fields->has_load;
 	exchange->load = (double)fields->running + fields->queued;
 	exchange->queued = fields->queued;
+	exchange->has_limit = fields->has_limit;
+	exchange->limit_per_s = fields->limit_per_s;
 	exchange->reusable = exchange->reusable && msg->keep_alive && msg->framed &&
 			     exchange->state == PD_EXCHANGE_WAITING;
 	switch (fields->execution) {
--- a/ingress/exchange.h
+++ b/ingress/exchange.h
@@ -61,6 +61,8 @@
  * @has_load: the response states the upstream's load: @load and @queued are valid
  * @load: number of requests running or queued at the upstream
  * @queued: number of requests queued at the upstream
+ * @has_limit: the response states a rate limit: @limit_per_s is valid
+ * @limit_per_s: number of requests per second that the upstream takes from all instances together
  * @overdue: the exchange was reported to the registry as overdue
  */
 struct pd_exchange {
@@ -79,6 +81,8 @@
 	bool has_load;
 	double load;
 	double queued;
+	bool has_limit;
+	double limit_per_s;
 	bool overdue;
 };
 
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -198,6 +198,8 @@
 		.has_load = exchange->has_load,
 		.load = exchange->load,
 		.queued = exchange->queued,
+		.has_limit = exchange->has_limit,
+		.limit_per_s = exchange->limit_per_s,
 	};
 
 	pd_exchange_end(exchange, fanout->pool, &report, now_us);
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -235,6 +235,7 @@
 	memcpy(upstream->address_text, entry->address.text, sizeof(upstream->address_text));
 	upstream->started_unix_ms = entry->started_unix_ms;
 	upstream->latency_ratio = 1;
+	upstream->limit_changed_us = pd_os_boot_us();
 	upstream->next = service->upstreams;
 	service->upstreams = upstream;
 	service->upstream_count++;
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -87,6 +87,10 @@
  * @in_flight: number of requests of this process that are in flight to the upstream
  * @reported_load: number of running or queued requests that the upstream last reported
  * @load_reported_us: time at which @reported_load was received
+ * @limited: the upstream states a rate limit: @limit_per_s is valid
+ * @limit_per_s: number of requests per second that the upstream takes from all instances together
+ * @limit_changed_us: time at which @limited or @limit_per_s last changed
+ * @sent_count: number of requests that this process sent since @limit_changed_us
  * @overdue_period: silence period of the zone in which the upstream was last counted as overdue
  * @connections: number of open connections from this process to the upstream, idle ones included
  * @idle: list of idle connections, most recently used first
@@ -115,6 +119,10 @@
 	uint32_t in_flight;
 	double reported_load;
 	int64_t load_reported_us;
+	bool limited;
+	double limit_per_s;
+	int64_t limit_changed_us;
+	uint32_t sent_count;
 	uint32_t overdue_period;
 	uint32_t connections;
 	struct pd_conn *idle;
@@ -322,6 +330,8 @@
  * @has_load: the response states the upstream's load: @load and @queued are valid
  * @load: number of requests running or queued at the upstream
  * @queued: number of requests queued at the upstream
+ * @has_limit: the response states a rate limit: @limit_per_s is valid
+ * @limit_per_s: number of requests per second that the upstream takes from all instances together
  */
 struct pd_report {
 	enum pd_report_kind kind;
@@ -330,6 +340,8 @@
 	bool has_load;
 	double load;
 	double queued;
+	bool has_limit;
+	double limit_per_s;
 };
 
 /* Ends a sub-request: updates the upstream's statistics and releases the reference that
--- a/src/counters.h
+++ b/src/counters.h
@@ -78,6 +78,7 @@
 	X(feed_configs_out)                                                                        \
 	X(feed_bytes_out)                                                                          \
 	X(feed_slow_writes)                                                                        \
+	X(limited_sent)                                                                            \
 	X(claims_made)                                                                             \
 	X(claims_duplicate)                                                                        \
 	X(claims_refused)
