--- a/standins/platform_upstream.c
+++ b/standins/platform_upstream.c
@@ -56,6 +56,13 @@
 	return false;
 }
 
+void platform_upstream_set_limit(struct platform_upstream *upstream, const char *limit)
+{
+	pthread_mutex_lock(&upstream->lock);
+	snprintf(upstream->limit, sizeof(upstream->limit), "%s", limit);
+	pthread_mutex_unlock(&upstream->lock);
+}
+
 static void send_buffer(int fd, const struct pd_buf *out)
 {
 	pd_os_write_full(fd, out->data, out->len, NULL);
@@ -89,14 +96,23 @@
 	}
 }
 
+static void append_limit(struct pd_buf *out, struct platform_upstream *upstream)
+{
+	pthread_mutex_lock(&upstream->lock);
+	if (upstream->limit[0])
+		pd_buf_printf(out, "Server-Limit: %s\r\n", upstream->limit);
+	pthread_mutex_unlock(&upstream->lock);
+}
+
 /* Appends the status line and the headers that are common to all responses of executed requests. */
-static void append_header(struct pd_buf *out, const struct platform_upstream *upstream, int status,
+static void append_header(struct pd_buf *out, struct platform_upstream *upstream, int status,
 			  struct pd_str id)
 {
 	pd_buf_printf(out, "HTTP/1.1 %d %s\r\nX-Request-Id: %.*s\r\n", status,
 		      pd_http_reason(status), PD_STR_ARG(id));
 	pd_buf_printf(out, "X-Server-Stamp: %s.%.*s\r\nX-Server-Load: 1,0,3\r\n", upstream->id,
 		      PD_STR_ARG(id));
+	append_limit(out, upstream);
 }
 
 /* Makes close() of @fd send a reset. */
@@ -107,8 +123,8 @@
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 }
 
-static void append_response(struct pd_buf *out, const struct platform_upstream *upstream,
-			    int status, struct pd_str id, const struct pd_buf *body)
+static void append_response(struct pd_buf *out, struct platform_upstream *upstream, int status,
+			    struct pd_str id, const struct pd_buf *body)
 {
 	append_header(out, upstream, status, id);
 	pd_buf_printf(out, "Content-Length: %zu\r\n\r\n", body->len);
@@ -290,7 +306,9 @@
 			      upstream->id);
 	} else if (mode == PLATFORM_UPSTREAM_SHED) {
 		pd_buf_append_str(&out, PD_STR("HTTP/1.1 503 Service Unavailable\r\n"
-					       "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+					       "X-Not-Executed: 1\r\n"));
+		append_limit(&out, upstream);
+		pd_buf_append_str(&out, PD_STR("Content-Length: 0\r\n\r\n"));
 	} else {
 		return send_response(upstream, mode, response_delay_ms, fd, id);
 	}
--- a/standins/platform_upstream.h
+++ b/standins/platform_upstream.h
@@ -81,13 +81,15 @@
  * @address: address at which the upstream listens
  * @listener: listening socket
  * @thread: thread that accepts connections
- * @lock: guards the members from @mode to @last_executed
+ * @lock: guards the members from @mode to @limit
  * @mode: how the upstream handles requests
  * @delay_ms: delay of responses in the mode PLATFORM_UPSTREAM_LATE, in milliseconds
  * @received_count: number of requests received
  * @executed_count: number of requests executed
  * @endless_count: number of responses without end that are being sent
  * @last_executed: method, target and start of the body of the last executed request
+ * @limit: rate limit that all responses state, as a decimal number of requests per second; empty
+ * for none
  * @records_by_request: the records of a response depend on the request id, see
  * platform_upstream_record(); set before platform_upstream_start()
  * @on_request: called for each request before the response is sent; NULL for none; set before
@@ -106,6 +108,7 @@
 	uint32_t executed_count;
 	uint32_t endless_count;
 	char last_executed[1024];
+	char limit[16];
 	bool records_by_request;
 	void (*on_request)(struct platform_upstream *upstream,
 			   const struct platform_upstream_request *request);
@@ -130,4 +133,7 @@
 /* Selects the mode with the name @name; returns false if there is none. */
 bool platform_upstream_set_mode(struct platform_upstream *upstream, const char *name, int delay_ms);
 
+/* Sets the rate limit that the upstream states in its responses; empty for none. */
+void platform_upstream_set_limit(struct platform_upstream *upstream, const char *limit);
+
 #endif
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -78,6 +78,8 @@
  * @selected: instance that the commands apply to
  * @settings_prefix: path of the settings file of the first instance; the others append their name
  * @ingress_program: path of peridot-ingress
+ * @flood_statuses: number of responses to the last flood by hundreds of their status; [0] counts
+ * the requests without a response
  * @kept_fd: client connection that stays open between commands; -1 if there is none
  * @next_id: number of generated request ids
  */
@@ -93,6 +95,7 @@
 	struct instance *selected;
 	const char *settings_prefix;
 	const char *ingress_program;
+	uint32_t flood_statuses[6];
 	int kept_fd;
 	uint32_t next_id;
 } deployment = {.kept_fd = -1};
@@ -151,6 +154,13 @@
 		append_output("no mode %s", words[2]);
 }
 
+/* limit ID [RATE]: sets the rate limit that an upstream states in its responses; none without RATE
+ */
+static void do_limit(char **words, int count)
+{
+	platform_upstream_set_limit(find_upstream(words[1]), count > 2 ? words[2] : "");
+}
+
 /* drain ID: sets the state "draining" in the entry of an upstream */
 static void do_drain(char **words, int count)
 {
@@ -654,6 +664,55 @@
 		pd_os_close(&fd);
 }
 
+static void count_flood_reply(int fd, const struct pd_buf *request)
+{
+	struct pd_http_message msg;
+	unsigned int hundreds = 0;
+
+	pd_http_message_init(&msg, PD_HTTP_RESPONSE, HEAD_MAX_BYTES, BODY_MAX_BYTES);
+	if (pd_os_write_full(fd, request->data, request->len, NULL) == PD_OK &&
+	    read_reply(fd, &msg))
+		hundreds = msg.parser.status_code / 100;
+	deployment.flood_statuses[hundreds % 6]++;
+	pd_http_message_finish(&msg);
+}
+
+/*
+ * flood MS EACH_MS TARGET INSTANCE...: for MS milliseconds, sends requests to the instances in
+ * turn, one after the other with a pause of EACH_MS milliseconds
+ */
+static void do_flood(char **words, int count)
+{
+	int64_t until_us = pd_os_now_us() + atoi(words[1]) * PD_USEC_PER_MSEC;
+	char get[] = "GET";
+	char *request_words[] = {words[0], get, words[3]};
+
+	memset(deployment.flood_statuses, 0, sizeof(deployment.flood_statuses));
+	for (int i = 0; pd_os_now_us() < until_us; i++) {
+		char *use[] = {words[0], words[4 + i % (count - 4)]};
+		struct pd_buf request = {0};
+		int fd;
+
+		do_use(use, 2);
+		fd = connect_to_instance();
+		if (fd < 0)
+			return;
+		append_request(request_words, 3, &request);
+		count_flood_reply(fd, &request);
+		pd_buf_finish(&request);
+		pd_os_close(&fd);
+		pd_os_sleep_us(atoi(words[2]) * PD_USEC_PER_MSEC);
+	}
+}
+
+/* flooded HUNDREDS: prints the number of responses to the last flood with a status of that hundred
+ */
+static void do_flooded(char **words, int count)
+{
+	(void)count;
+	append_output("%u", deployment.flood_statuses[atoi(words[1]) % 6]);
+}
+
 /* leave METHOD TARGET MS: sends a request and closes the connection after MS milliseconds */
 static void do_leave(char **words, int count)
 {
@@ -760,6 +819,17 @@
 	pthread_mutex_unlock(&upstream->lock);
 }
 
+/* arrivals_reset ID: sets the number of requests that an upstream received to 0 */
+static void do_arrivals_reset(char **words, int count)
+{
+	struct platform_upstream *upstream = find_upstream(words[1]);
+
+	(void)count;
+	pthread_mutex_lock(&upstream->lock);
+	upstream->received_count = 0;
+	pthread_mutex_unlock(&upstream->lock);
+}
+
 /* endless ID: prints the number of responses without end that an upstream is sending */
 static void do_endless(char **words, int count)
 {
@@ -825,6 +895,7 @@
 static const struct command commands[] = {
 	{"upstream", 3, do_upstream},
 	{"mode", 3, do_mode},
+	{"limit", 2, do_limit},
 	{"drain", 2, do_drain},
 	{"gone", 2, do_gone},
 	{"back", 2, do_back},
@@ -854,6 +925,8 @@
 	{"sleep", 2, do_sleep},
 	{"request", 3, do_request},
 	{"kept", 3, do_request},
+	{"flood", 5, do_flood},
+	{"flooded", 2, do_flooded},
 	{"leave", 4, do_leave},
 	{"raw", 2, do_raw},
 	{"ready", 1, do_ready},
@@ -861,6 +934,7 @@
 	{"runs", 2, do_upstream_info},
 	{"arrivals", 2, do_upstream_info},
 	{"last", 2, do_upstream_info},
+	{"arrivals_reset", 2, do_arrivals_reset},
 	{"logged", 2, do_logged},
 	{"endless", 2, do_endless},
 	{"memory", 2, do_memory},
@@ -895,12 +969,25 @@
 	append_output(" (never %s)", words[1]);
 }
 
+/* between MIN MAX COMMAND...: runs a command that prints a number and checks that number */
+static void run_between(char **words, int count)
+{
+	long value;
+
+	run_command(words + 3, count - 3);
+	value = strtol(output, NULL, 10);
+	if (value >= atol(words[1]) && value <= atol(words[2]))
+		snprintf(output, sizeof(output), "yes");
+}
+
 /* Runs a command that isn't in the table, or one of the table. */
 static void run_line(char **words, int count)
 {
 	/* within MS PREFIX COMMAND...: as until, with a time limit */
 	if (!strcmp(words[0], "within") && count > 3)
 		run_until(words + 1, count - 1, atoi(words[1]) * PD_USEC_PER_MSEC);
+	else if (!strcmp(words[0], "between") && count > 3)
+		run_between(words, count);
 	else if (!strcmp(words[0], "until") && count > 2)
 		run_until(words, count, UNTIL_TIMEOUT_US);
 	else
