Rate limits: instances together keep to the limit that an upstream states

Ruled out: hedges are the excess (21 of about 187 requests); an instance that never learns the limit. The class: a bound of the whole fleet that each instance would have to keep alone.

Change: each instance keeps to a fixed share of the limit by a token bucket (rate_limit.c) that pd_registry_pick() consults, so that first attempts, hedges and retries count alike. If instances outnumber the requests per second, only about one for each has a share, chosen by weighted rendezvous hashing. Other upstreams take the rest; if there are none, the part is missing, or the request is refused at once with the time until the next permit. A limit holds until a response states another or none; instances with no share probe rarely.

Tried first: a share for every instance, and buckets that start empty. The unit test showed all instances sending at once when their first token was due: 12 requests in 4 s of 11 allowed (12 instances, 1 per second). So first tokens are random, and few instances hold small limits.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -98,7 +98,9 @@
 {
 	double weight = pd_load_weight(now_us - upstream->load_reported_us);
 
-	candidate->usable = is_usable_locked(upstream) && !was_tried(upstream, tried, tried_count);
+	candidate->usable = is_usable_locked(upstream) &&
+			    !was_tried(upstream, tried, tried_count) &&
+			    !pd_rate_limit_wait_us(&upstream->rate_limit, now_us);
 	candidate->cold = now_us < upstream->cold_until_us;
 	candidate->ejected = now_us < upstream->ejected_until_us;
 	candidate->connected = upstream->idle != NULL;
@@ -141,25 +143,43 @@
 		upstream->references++;
 		upstream->in_flight++;
 		upstream->sent_count++;
-		if (upstream->limited)
+		if (upstream->rate_limit.active)
 			pd_count(PD_COUNT_limited_sent);
+		pd_rate_limit_consume(&upstream->rate_limit, now_us);
 	}
 	pthread_mutex_unlock(&registry->lock);
 	return upstream;
 }
 
 bool pd_registry_has_usable(struct pd_registry *registry, struct pd_service *service,
-			    struct pd_upstream *const *tried, size_t tried_count)
+			    struct pd_upstream *const *tried, size_t tried_count, int64_t now_us)
 {
 	bool found = false;
 
 	pthread_mutex_lock(&registry->lock);
 	for (struct pd_upstream *u = service->upstreams; u && !found; u = u->next)
-		found = is_usable_locked(u) && !was_tried(u, tried, tried_count);
+		found = is_usable_locked(u) && !was_tried(u, tried, tried_count) &&
+			!pd_rate_limit_wait_us(&u->rate_limit, now_us);
 	pthread_mutex_unlock(&registry->lock);
 	return found;
 }
 
+int64_t pd_registry_permit_wait_us(struct pd_registry *registry, struct pd_service *service,
+				   int64_t now_us)
+{
+	int64_t shortest_us = -1;
+
+	pthread_mutex_lock(&registry->lock);
+	for (struct pd_upstream *u = service->upstreams; u; u = u->next) {
+		int64_t wait_us = pd_rate_limit_wait_us(&u->rate_limit, now_us);
+
+		if (is_usable_locked(u) && (shortest_us < 0 || wait_us < shortest_us))
+			shortest_us = wait_us;
+	}
+	pthread_mutex_unlock(&registry->lock);
+	return shortest_us;
+}
+
 bool pd_registry_has_healthy(struct pd_registry *registry, struct pd_service *service,
 			     int64_t now_us)
 {
@@ -208,7 +228,8 @@
 	     u = u->next) {
 		double expected;
 
-		if (!is_usable_locked(u) || now_us < u->ejected_until_us)
+		if (!is_usable_locked(u) || now_us < u->ejected_until_us ||
+		    pd_rate_limit_wait_us(&u->rate_limit, now_us))
 			continue;
 		expected = expected_latency(u, mean_service_time_us, now_us);
 		if (best <= 0 || expected < best)
@@ -380,34 +401,82 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
-/* Records the rate limit that the response states, if any. */
-static void record_limit(struct pd_upstream *upstream, const struct pd_report *report,
-			 int64_t now_us)
+/* Returns the share of this instance in a rate limit of the upstream. */
+static struct pd_rate_share rate_share(const struct pd_registry *registry,
+				       const struct pd_upstream *upstream, double limit_per_s)
 {
-	if (report->kind != PD_REPORT_SUCCESS && !report->has_limit)
-		return;
-	if (upstream->limited == report->has_limit &&
-	    (!report->has_limit || upstream->limit_per_s == report->limit_per_s))
-		return;
-	pd_log(PD_LOG_INFO, report->has_limit ? "upstream_limited" : "upstream_limit_ended",
-	       "upstream=%s service=%s limit_per_s=%g before=%g sent=%" PRIu32 " since_ms=%" PRId64,
-	       upstream->id.text, upstream->service->name.text, report->limit_per_s,
-	       upstream->limit_per_s, upstream->sent_count,
+	if (!registry->instance_count)
+		return (struct pd_rate_share){registry->share, registry->share};
+	return pd_rate_share_of(registry->instances, registry->instance_count, 0,
+				pd_name_str(&upstream->id), limit_per_s,
+				upstream->service->gathered);
+}
+
+static void set_rate_limit(struct pd_registry *registry, struct pd_upstream *upstream,
+			   double limit_per_s, int64_t now_us)
+{
+	double random = (double)(pd_registry_random_locked(registry) >> 11) * 0x1p-53;
+
+	pd_rate_limit_set(&upstream->rate_limit, limit_per_s,
+			  rate_share(registry, upstream, limit_per_s), random, now_us);
+}
+
+void pd_registry_update_rate_shares_locked(struct pd_registry *registry)
+{
+	int64_t now = pd_os_boot_us();
+	struct pd_upstream *upstream, *next;
+
+	HASH_ITER(hh, registry->upstreams, upstream, next)
+	{
+		if (upstream->rate_limit.active)
+			set_rate_limit(registry, upstream, upstream->rate_limit.limit_per_s, now);
+	}
+}
+
+static void log_limit_change(struct pd_upstream *upstream, double before, int64_t now_us)
+{
+	const struct pd_rate_limit *limit = &upstream->rate_limit;
+
+	pd_log(PD_LOG_INFO, limit->active ? "upstream_limited" : "upstream_limit_ended",
+	       "upstream=%s service=%s limit_per_s=%g before=%g share=%.4f sent=%" PRIu32
+	       " since_ms=%" PRId64,
+	       upstream->id.text, upstream->service->name.text,
+	       limit->active ? limit->limit_per_s : 0, before,
+	       limit->active ? limit->share.share : 0, upstream->sent_count,
 	       (now_us - upstream->limit_changed_us) / PD_USEC_PER_MSEC);
-	upstream->limited = report->has_limit;
-	upstream->limit_per_s = report->has_limit ? report->limit_per_s : 0;
 	upstream->limit_changed_us = now_us;
 	upstream->sent_count = 0;
 }
 
-static void apply_report(struct pd_upstream *upstream, const struct pd_report *report,
-			 int64_t now_us)
+/* Records the rate limit that the response states, or that it states none any more. */
+static void record_limit(struct pd_registry *registry, struct pd_upstream *upstream,
+			 const struct pd_report *report, int64_t now_us)
+{
+	struct pd_rate_limit *limit = &upstream->rate_limit;
+	double before = limit->active ? limit->limit_per_s : 0;
+
+	if (report->has_limit) {
+		upstream->limit_stated_us = now_us;
+		if (limit->active && before == report->limit_per_s)
+			return;
+		set_rate_limit(registry, upstream, report->limit_per_s, now_us);
+		log_limit_change(upstream, before, now_us);
+	} else if (limit->active && report->kind == PD_REPORT_SUCCESS &&
+		   now_us - report->latency_us >= upstream->limit_stated_us) {
+		/* A response to an older request may have been sent before the limit was stated. */
+		pd_rate_limit_end(limit);
+		log_limit_change(upstream, before, now_us);
+	}
+}
+
+static void apply_report(struct pd_registry *registry, struct pd_upstream *upstream,
+			 const struct pd_report *report, int64_t now_us)
 {
 	if (report->has_load) {
 		upstream->reported_load = report->load;
 		upstream->load_reported_us = now_us;
 	}
-	record_limit(upstream, report, now_us);
+	record_limit(registry, upstream, report, now_us);
 	switch (report->kind) {
 	case PD_REPORT_SUCCESS:
 		record_success(upstream, now_us);
@@ -455,7 +524,7 @@
 	pthread_mutex_lock(&registry->lock);
 	if (report->kind == PD_REPORT_SUCCESS || report->kind == PD_REPORT_REJECTED)
 		pd_registry_report_received_locked(upstream, now_us);
-	apply_report(upstream, report, now_us);
+	apply_report(registry, upstream, report, now_us);
 	upstream->in_flight--;
 	pd_registry_unref_locked(upstream);
 	pthread_mutex_unlock(&registry->lock);
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -143,6 +143,10 @@
 		fail_leg(fanout, leg, reason);
 		return;
 	}
+	if (!pd_registry_has_usable(registry, leg->service, leg->tried, leg->tried_count, now_us)) {
+		fail_leg(fanout, leg, reason);
+		return;
+	}
 	if (reached_upstream && !pd_registry_consume_retry(registry, leg->service)) {
 		fail_leg(fanout, leg, "retry_budget");
 		return;
@@ -320,7 +324,7 @@
 	if (!late_upstream || !fanout->route->idempotent || !find_unused_exchange(leg) ||
 	    leg->attempts >= fanout->route->max_attempts ||
 	    fanout->broken_connections >= BROKEN_CONNECTIONS_MAX ||
-	    !pd_registry_has_usable(registry, leg->service, leg->tried, leg->tried_count) ||
+	    !pd_registry_has_usable(registry, leg->service, leg->tried, leg->tried_count, now_us) ||
 	    !pd_registry_consume_retry(registry, leg->service))
 		return;
 	if (!send_attempt(fanout, leg, now_us))
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -133,14 +133,24 @@
  * struct listing - state while the instances are listed
  * @previous: sources from the previous list, with their retry times
  * @previous_count: number of entries in @previous
- * @weight: sum of the load weights of all instances except this one
+ * @instances: all instances, this one first
+ * @instance_count: number of entries in @instances
  */
 struct listing {
 	struct pd_source previous[PD_MEMBERSHIP_SOURCES_MAX];
 	size_t previous_count;
-	double weight;
+	struct pd_instance_load instances[PD_MEMBERSHIP_INSTANCES_MAX];
+	size_t instance_count;
 };
 
+static void add_instance(struct listing *listing, const struct pd_instance_entry *entry)
+{
+	if (listing->instance_count == PD_MEMBERSHIP_INSTANCES_MAX)
+		return;
+	listing->instances[listing->instance_count++] = (struct pd_instance_load){
+		.hash = pd_str_hash(pd_name_str(&entry->name), 0), .load = load_weight(entry)};
+}
+
 static bool is_own_entry(const struct pd_membership *membership,
 			 const struct pd_instance_entry *entry)
 {
@@ -164,7 +174,7 @@
 			membership->entry_outdated = !membership->registered;
 			continue;
 		}
-		listing->weight += load_weight(&entry);
+		add_instance(listing, &entry);
 		add_relay(membership, &entry);
 		add_source(membership, &entry,
 			   find_retry_us(listing->previous, listing->previous_count, &entry.name));
@@ -175,10 +185,8 @@
 static void apply_listing(struct pd_membership *membership, const struct listing *listing)
 {
 	struct pd_registry *registry = membership->directory->registry;
-	double own = load_weight(&membership->self);
 
-	if (own + listing->weight > 0)
-		pd_registry_set_share(registry, own / (own + listing->weight));
+	pd_registry_set_instances(registry, listing->instances, listing->instance_count);
 	pd_relay_set_instances(registry, membership->relays, membership->relay_count);
 }
 
@@ -190,6 +198,7 @@
 	bool first = true, more = true;
 	enum pd_code code = PD_OK;
 
+	add_instance(&listing, &membership->self);
 	memcpy(listing.previous, membership->sources,
 	       listing.previous_count * sizeof(listing.previous[0]));
 	while (more) {
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -21,8 +21,9 @@
 #include "store_client.h"
 #include "sync.h"
 
-#define PD_MEMBERSHIP_SOURCES_MAX 128 /* possible sources that are kept */
-#define PD_MEMBERSHIP_RELAYS_MAX  16 /* larger instances of the zone that are used as relays */
+#define PD_MEMBERSHIP_INSTANCES_MAX 1024 /* instances of all zones that share limits */
+#define PD_MEMBERSHIP_SOURCES_MAX   128 /* possible sources that are kept */
+#define PD_MEMBERSHIP_RELAYS_MAX    16 /* larger instances of the zone that are used as relays */
 
 /**
  * struct pd_source - an instance of the same zone that this one could follow
--- a/ingress/pick.h
+++ b/ingress/pick.h
@@ -13,8 +13,8 @@
 
 /**
  * struct pd_candidate - one upstream in the comparison
- * @usable: the upstream isn't draining, its zone is neither evacuated nor unreachable, and it has
- *	    not been tried yet
+ * @usable: the upstream isn't draining, its zone is neither evacuated nor unreachable, it has not
+ *	    been tried yet, and its rate limit allows a request
  * @cold: the upstream is in its cold start
  * @ejected: the upstream is ejected after repeated failures or timeouts
  * @at_connection_limit: a new connection would exceed this process's share of the connections that
--- a/ingress/policy.c
+++ b/ingress/policy.c
@@ -29,6 +29,10 @@
 	return route->target_latency_ms * PD_USEC_PER_MSEC;
 }
 
+/* Maximum time after which a request that rate limits don't allow may be retried: the retry may
+ * reach another instance, whose share of the limits isn't used up.
+ */
+#define PERMIT_RETRY_MAX_MS 1000
 /* A request that crashed its upstreams is refused for a minute after the last crash. */
 #define CRASHES_RETRY_MS 60000
 
@@ -92,9 +96,18 @@
 	return needed < 1 ? 1 : (size_t)needed;
 }
 
-uint32_t pd_policy_retry_after_ms(enum pd_refusal refusal)
+static uint32_t permit_retry_ms(int64_t wait_us)
+{
+	int64_t wait_ms = (wait_us + PD_USEC_PER_MSEC - 1) / PD_USEC_PER_MSEC;
+
+	return wait_ms < PERMIT_RETRY_MAX_MS ? (uint32_t)wait_ms : PERMIT_RETRY_MAX_MS;
+}
+
+uint32_t pd_policy_retry_after_ms(enum pd_refusal refusal, int64_t permit_wait_us)
 {
 	switch (refusal) {
+	case PD_REFUSAL_RATE_LIMITED:
+		return permit_retry_ms(permit_wait_us);
 	case PD_REFUSAL_ISOLATED:
 		return 0;
 	case PD_REFUSAL_OVERLOADED:
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -66,6 +66,7 @@
 		next_stats = stats->hh.next;
 		free(stats);
 	}
+	free(registry->instances);
 	pd_catalog_release(registry->catalog);
 	registry->catalog = NULL;
 	pthread_mutex_destroy(&registry->lock);
@@ -131,21 +132,64 @@
 	return service;
 }
 
-void pd_registry_set_share(struct pd_registry *registry, double share)
+/* Sets the share in retry budgets and connection limits. */
+static void set_share_locked(struct pd_registry *registry, double share)
 {
 	struct pd_service *service, *next;
 
-	pthread_mutex_lock(&registry->lock);
-	if (share != registry->share) {
-		pd_log(PD_LOG_INFO, "share_known", "before=%.4f now=%.4f", registry->share, share);
-		registry->share = share;
-		HASH_ITER(hh, registry->services, service, next)
-		{
-			pd_budget_resize(&service->budget,
-					 registry->options.retry_ratio * RETRY_RATIO_SHARE,
-					 retry_capacity(registry));
-		}
+	if (share == registry->share)
+		return;
+	pd_log(PD_LOG_INFO, "share_known", "before=%.4f now=%.4f", registry->share, share);
+	registry->share = share;
+	HASH_ITER(hh, registry->services, service, next)
+	{
+		pd_budget_resize(&service->budget,
+				 registry->options.retry_ratio * RETRY_RATIO_SHARE,
+				 retry_capacity(registry));
+	}
+}
+
+/* Whether @instances differ from those that are known. */
+static bool instances_differ(const struct pd_registry *registry,
+			     const struct pd_instance_load *instances, size_t count)
+{
+	if (count != registry->instance_count)
+		return true;
+	for (size_t i = 0; i < count; i++) {
+		if (instances[i].hash != registry->instances[i].hash ||
+		    instances[i].load != registry->instances[i].load)
+			return true;
 	}
+	return false;
+}
+
+static void set_instances_locked(struct pd_registry *registry,
+				 const struct pd_instance_load *instances, size_t count)
+{
+	struct pd_instance_load *copy = calloc(count, sizeof(*copy));
+	double sum = 0;
+
+	if (!copy) {
+		pd_log(PD_LOG_ERROR, "instances_not_kept", "reason=no_memory count=%zu", count);
+		return;
+	}
+	memcpy(copy, instances, count * sizeof(*copy));
+	free(registry->instances);
+	registry->instances = copy;
+	registry->instance_count = count;
+	for (size_t i = 0; i < count; i++)
+		sum += instances[i].load;
+	if (sum > 0)
+		set_share_locked(registry, instances[0].load / sum);
+	pd_registry_update_rate_shares_locked(registry);
+}
+
+void pd_registry_set_instances(struct pd_registry *registry,
+			       const struct pd_instance_load *instances, size_t count)
+{
+	pthread_mutex_lock(&registry->lock);
+	if (instances_differ(registry, instances, count))
+		set_instances_locked(registry, instances, count);
 	pthread_mutex_unlock(&registry->lock);
 }
 
@@ -483,6 +527,22 @@
 		choose_target(route);
 }
 
+/* Records which services a route gathers parts from. */
+static void mark_gathered(struct pd_catalog *catalog)
+{
+	for (size_t r = 0; r < catalog->route_count; r++) {
+		const struct pd_route *route = &catalog->routes[r];
+
+		for (size_t t = 0; t < route->target_count && route->kind == PD_ROUTE_GATHER; t++) {
+			struct pd_service *service =
+				catalog->services[route->targets[t].service].runtime;
+
+			if (service)
+				service->gathered = true;
+		}
+	}
+}
+
 bool pd_registry_install(struct pd_registry *registry, struct pd_catalog *catalog)
 {
 	struct pd_catalog *old;
@@ -505,10 +565,12 @@
 		if (entry->runtime) {
 			entry->runtime->max_connections = entry->max_connections;
 			entry->runtime->cold_per_s = entry->cold_per_s;
+			entry->runtime->gathered = false;
 		}
 	}
 	for (size_t i = 0; i < catalog->route_count; i++)
 		randomize_start(registry, &catalog->routes[i]);
+	mark_gathered(catalog);
 	registry->catalog = catalog;
 	pthread_mutex_unlock(&registry->lock);
 	pd_log(PD_LOG_INFO, "config_in_force",
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -19,6 +19,7 @@
 #include "budget.h"
 #include "catalog.h"
 #include "error.h"
+#include "rate_limit.h"
 #include "str.h"
 
 struct pd_conn;
@@ -87,9 +88,9 @@
  * @in_flight: number of requests of this process that are in flight to the upstream
  * @reported_load: number of running or queued requests that the upstream last reported
  * @load_reported_us: time at which @reported_load was received
- * @limited: the upstream states a rate limit: @limit_per_s is valid
- * @limit_per_s: number of requests per second that the upstream takes from all instances together
- * @limit_changed_us: time at which @limited or @limit_per_s last changed
+ * @rate_limit: rate limit that the upstream states
+ * @limit_stated_us: time at which a response last stated a rate limit
+ * @limit_changed_us: time at which @rate_limit was last set to another limit or ended
  * @sent_count: number of requests that this process sent since @limit_changed_us
  * @overdue_period: silence period of the zone in which the upstream was last counted as overdue
  * @connections: number of open connections from this process to the upstream, idle ones included
@@ -119,8 +120,8 @@
 	uint32_t in_flight;
 	double reported_load;
 	int64_t load_reported_us;
-	bool limited;
-	double limit_per_s;
+	struct pd_rate_limit rate_limit;
+	int64_t limit_stated_us;
 	int64_t limit_changed_us;
 	uint32_t sent_count;
 	uint32_t overdue_period;
@@ -136,6 +137,7 @@
  * @registry: registry that holds the service
  * @internal: the service's upstreams are instances of the ingress, which aren't on the platform's
  *	      list of upstreams
+ * @gathered: a route gathers parts from the service
  * @upstreams: list of the service's upstreams
  * @upstream_count: number of entries in @upstreams
  * @budget: retry budget of this process for the service
@@ -151,6 +153,7 @@
 	struct pd_name name;
 	struct pd_registry *registry;
 	bool internal;
+	bool gathered;
 	struct pd_upstream *upstreams;
 	size_t upstream_count;
 	struct pd_budget budget;
@@ -180,6 +183,8 @@
  * @options: settings
  * @share: share of this instance in the retry budgets and connection limits of all instances, 0 to
  *	   1; a small default until the number of instances is known
+ * @instances: all instances, this one first; NULL until they are known
+ * @instance_count: number of entries in @instances
  * @zones: hash table of zones by name
  * @services: hash table of services by name
  * @upstreams: hash table of upstreams by id
@@ -195,6 +200,8 @@
 	pthread_mutex_t lock;
 	struct pd_registry_options options;
 	double share;
+	struct pd_instance_load *instances;
+	size_t instance_count;
 	struct pd_zone *zones;
 	struct pd_service *services;
 	struct pd_upstream *upstreams;
@@ -252,8 +259,10 @@
 /* Replaces the set of evacuated zones. */
 void pd_registry_set_evacuated(struct pd_registry *registry, const struct pd_name *zones,
 			       size_t count);
-/* Sets the share of this instance in retry budgets and connection limits, from 0 to 1. */
-void pd_registry_set_share(struct pd_registry *registry, double share);
+/* Sets the instances that share retry budgets, connection limits and rate limits; the first of them
+ * is this one. */
+void pd_registry_set_instances(struct pd_registry *registry,
+			       const struct pd_instance_load *instances, size_t count);
 /* Returns a service, which is added if it is new; NULL if memory runs out or the name is invalid.
  */
 struct pd_service *pd_registry_service(struct pd_registry *registry, struct pd_str name);
@@ -288,16 +297,21 @@
  * @now_us: current time
  *
  * Takes a reference to the upstream and counts a request in flight to it; pd_registry_report()
- * undoes both.
+ * undoes both. The request also counts towards the upstream's rate limit.
  *
- * Return: the upstream, or NULL if none is usable.
+ * Return: the upstream, or NULL if none is usable or all have reached their rate limits.
  */
 struct pd_upstream *pd_registry_pick(struct pd_registry *registry, struct pd_service *service,
 				     struct pd_upstream *const *tried, size_t tried_count,
 				     int64_t now_us);
-/* Whether the service has a usable upstream outside @tried, ejected ones included. */
+/* Whether the service has a usable upstream outside @tried to which a request may be sent now,
+ * ejected ones included. */
 bool pd_registry_has_usable(struct pd_registry *registry, struct pd_service *service,
-			    struct pd_upstream *const *tried, size_t tried_count);
+			    struct pd_upstream *const *tried, size_t tried_count, int64_t now_us);
+/* Returns the time in microseconds until the rate limits allow a request to a usable upstream of
+ * the service, 0 if one may be sent now; -1 if no upstream is usable. */
+int64_t pd_registry_permit_wait_us(struct pd_registry *registry, struct pd_service *service,
+				   int64_t now_us);
 /* Whether the service has a usable upstream that isn't ejected. */
 bool pd_registry_has_healthy(struct pd_registry *registry, struct pd_service *service,
 			     int64_t now_us);
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -99,6 +99,7 @@
 		return PD_RELAY_ISOLATED;
 	case PD_REFUSAL_NOT_CONFIGURED:
 	case PD_REFUSAL_OVERLOADED:
+	case PD_REFUSAL_RATE_LIMITED:
 		return PD_RELAY_NOT_SERVED;
 	case PD_REFUSAL_NO_UPSTREAM:
 	case PD_REFUSAL_UPSTREAMS_OVERLOADED:
@@ -108,10 +109,12 @@
 	return PD_RELAY_NOT_SERVED;
 }
 
-/* Sends a refusal of a request that no upstream has executed or is executing. */
-static bool refuse(struct request *request, enum pd_refusal refusal, const char *reason)
+/* Sends a refusal of a request that no upstream has executed or is executing. @permit_wait_us is
+ * the time until the rate limits allow the request, if they are the reason. */
+static bool refuse_for(struct request *request, enum pd_refusal refusal, const char *reason,
+		       int64_t permit_wait_us)
 {
-	uint32_t retry_ms = pd_policy_retry_after_ms(refusal);
+	uint32_t retry_ms = pd_policy_retry_after_ms(refusal, permit_wait_us);
 	struct pd_buf head = {0};
 
 	request->status = HTTP_STATUS_SERVICE_UNAVAILABLE;
@@ -125,6 +128,11 @@
 	return write_response(request, &head, pd_str_from(reason));
 }
 
+static bool refuse(struct request *request, enum pd_refusal refusal, const char *reason)
+{
+	return refuse_for(request, refusal, reason, 0);
+}
+
 void pd_serve_read_error(struct pd_client *client, enum pd_client_result result)
 {
 	struct request request = {.client = client, .close = true};
@@ -233,15 +241,34 @@
 	return respond_failure(request, fanout);
 }
 
-/* Returns the number of legs whose service has a usable upstream. */
-static size_t count_usable_legs(struct request *request, const struct pd_fanout *fanout)
+static int compare_waits(const void *a, const void *b)
 {
+	int64_t left = *(const int64_t *)a, right = *(const int64_t *)b;
+
+	return (left > right) - (left < right);
+}
+
+/* Returns the time in microseconds until enough legs may be sent for a successful response, 0 if
+ * they may be sent now; -1 if too few legs have a usable upstream, or memory runs out. */
+static int64_t permit_wait_us(struct request *request, const struct pd_fanout *fanout)
+{
+	int64_t now = pd_os_boot_us(), wait_us = -1;
+	int64_t *waits = calloc(fanout->leg_count, sizeof(*waits));
 	size_t count = 0;
 
-	for (size_t i = 0; i < fanout->leg_count; i++)
-		count += pd_registry_has_usable(&request->ingress->registry,
-						fanout->legs[i].service, NULL, 0);
-	return count;
+	if (!waits)
+		return -1;
+	for (size_t i = 0; i < fanout->leg_count; i++) {
+		waits[count] = pd_registry_permit_wait_us(&request->ingress->registry,
+							  fanout->legs[i].service, now);
+		count += waits[count] >= 0;
+	}
+	if (count >= fanout->needed) {
+		qsort(waits, count, sizeof(*waits), compare_waits);
+		wait_us = waits[fanout->needed - 1];
+	}
+	free(waits);
+	return wait_us;
 }
 
 static void set_services(struct request *request, struct pd_fanout *fanout)
@@ -471,6 +498,7 @@
 	size_t legs = route->kind == PD_ROUTE_GATHER ? route->target_count : 1;
 	struct pd_buf head = {0};
 	struct pd_fanout fanout;
+	int64_t wait_us;
 	bool written;
 
 	if (!pd_fanout_init(&fanout, legs))
@@ -478,10 +506,15 @@
 	pd_platform_write_head(&request->client->msg, &head);
 	set_services(request, &fanout);
 	fill_fanout(request, &fanout, &head);
+	wait_us = permit_wait_us(request, &fanout);
 	if (head.failed) {
 		written = refuse(request, PD_REFUSAL_OVERLOADED, "memory");
-	} else if (count_usable_legs(request, &fanout) < fanout.needed) {
+	} else if (wait_us < 0) {
 		written = refuse_no_upstreams(request);
+	} else if (wait_us > 0) {
+		pd_count(PD_COUNT_limited_refused);
+		written = refuse_for(request, PD_REFUSAL_RATE_LIMITED,
+				     "upstreams are at their rate limits", wait_us);
 	} else if (pd_crashes_is_blocked(&request->ingress->directory.crashes, fanout.fingerprint,
 					 pd_os_boot_us())) {
 		written = refuse(request, PD_REFUSAL_CRASHES, "the request crashed its upstreams");
--- a/src/counters.h
+++ b/src/counters.h
@@ -79,6 +79,7 @@
 	X(feed_bytes_out)                                                                          \
 	X(feed_slow_writes)                                                                        \
 	X(limited_sent)                                                                            \
+	X(limited_refused)                                                                         \
 	X(claims_made)                                                                             \
 	X(claims_duplicate)                                                                        \
 	X(claims_refused)
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -6,11 +6,17 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "objects.h"
 #include "os.h"
 #include "registry.h"
 #include "suite.h"
 
+#define FLEET_MAX      129
+#define FLEET_SENT_MAX 100000
+#define FLEET_EPOCH_S  1000.0 /* time at which the requests of a fleet start */
+#define LIMIT_WINDOW_S 4.0
+
 static struct pd_registry registry;
 
 static void init_registry(void)
@@ -273,6 +279,245 @@
 }
 END_TEST
 
+/**
+ * struct fleet - instances that send requests to the upstreams "a", which has a rate limit, and "b"
+ * @instances: registries of the instances
+ * @count: number of @instances
+ * @limit_per_s: limit that "a" states; negative for none
+ * @sent: times of the requests to "a", in microseconds since the start
+ * @sent_count: number of entries in @sent
+ * @refused: number of requests for which no upstream was usable
+ */
+struct fleet {
+	struct pd_registry instances[FLEET_MAX];
+	size_t count;
+	double limit_per_s;
+	int64_t sent[FLEET_SENT_MAX];
+	size_t sent_count;
+	size_t refused;
+};
+
+static struct fleet fleet;
+
+/* Tells a registry that it belongs to the instance @self of @count instances of the same size. */
+static void set_instances(struct pd_registry *instance, size_t self, size_t count)
+{
+	struct pd_instance_load loads[FLEET_MAX];
+
+	for (size_t i = 0; i < count; i++)
+		loads[i] = (struct pd_instance_load){.hash = (self + i) % count, .load = 0.1};
+	pd_registry_set_instances(instance, loads, count);
+}
+
+static void fleet_init(size_t count, bool with_other_upstream)
+{
+	struct pd_registry_options options = {.retry_ratio = 0.2, .retry_slack = 100};
+	struct pd_upstream_entry limited = make_entry("a", "here"), other = make_entry("b", "here");
+
+	ck_assert(pd_name_set(&options.zone, PD_STR("here")));
+	pd_log_open("fleet", PD_LOG_ERROR);
+	fleet.count = count;
+	fleet.sent_count = 0;
+	fleet.refused = 0;
+	for (size_t i = 0; i < count; i++) {
+		pd_registry_init(&fleet.instances[i], &options);
+		set_instances(&fleet.instances[i], i, count);
+		pd_registry_put(&fleet.instances[i], &limited);
+		if (with_other_upstream)
+			pd_registry_put(&fleet.instances[i], &other);
+	}
+}
+
+static void fleet_finish(void)
+{
+	for (size_t i = 0; i < fleet.count; i++)
+		pd_registry_finish(&fleet.instances[i]);
+}
+
+/* Sends a request from one instance. "a" states its limit in the response. */
+static void fleet_send(size_t instance, int64_t now)
+{
+	struct pd_registry *sender = &fleet.instances[instance];
+	struct pd_report report = {.kind = PD_REPORT_SUCCESS, .latency_us = 1000};
+	struct pd_upstream *upstream;
+	struct pd_service *service;
+
+	HASH_FIND(hh, sender->services, "s", 1, service);
+	ck_assert_ptr_nonnull(service);
+	upstream = pd_registry_pick(sender, service, NULL, 0, now);
+	if (!upstream) {
+		fleet.refused++;
+		return;
+	}
+	if (upstream->id.text[0] == 'a') {
+		report.has_limit = fleet.limit_per_s >= 0;
+		report.limit_per_s = report.has_limit ? fleet.limit_per_s : 0;
+		ck_assert_uint_lt(fleet.sent_count, FLEET_SENT_MAX);
+		fleet.sent[fleet.sent_count++] = now;
+	}
+	pd_registry_report(sender, upstream, &report, now + 1000);
+}
+
+/* Sends @per_s requests per second from each instance, evenly, from @start_s to @end_s. */
+static void fleet_run(double per_s, double start_s, double end_s)
+{
+	size_t requests = (size_t)((end_s - start_s) * per_s * (double)fleet.count);
+
+	for (size_t i = 0; i < requests; i++) {
+		double at_s = start_s + (double)i / (per_s * (double)fleet.count);
+
+		fleet_send(i % fleet.count, (int64_t)((FLEET_EPOCH_S + at_s) * 1000000));
+	}
+}
+
+/* Returns the number of requests to "a" from @start_s on for @seconds. */
+static size_t fleet_sent_in(double start_s, double seconds)
+{
+	int64_t from = (int64_t)((FLEET_EPOCH_S + start_s) * 1000000);
+	int64_t until = from + (int64_t)(seconds * 1000000);
+	size_t count = 0;
+
+	for (size_t i = 0; i < fleet.sent_count; i++)
+		count += fleet.sent[i] >= from && fleet.sent[i] < until;
+	return count;
+}
+
+/* Returns the highest number of requests to "a" in any 4 s that begin between the two times. */
+static size_t fleet_most_in_window(double start_s, double end_s)
+{
+	size_t steps = (size_t)((end_s - start_s - LIMIT_WINDOW_S) * 10), most = 0;
+
+	for (size_t i = 0; i <= steps; i++) {
+		size_t count = fleet_sent_in(start_s + (double)i / 10, LIMIT_WINDOW_S);
+
+		most = count > most ? count : most;
+	}
+	return most;
+}
+
+static size_t allowed_in_window(double limit_per_s)
+{
+	return (size_t)(1.5 * LIMIT_WINDOW_S * limit_per_s + 5);
+}
+
+START_TEST(instances_together_keep_to_a_rate_limit_and_use_it)
+{
+	/* Guards against more requests than the limit that an upstream states for all instances
+	 * together, and against less than nine tenths of what it allows.
+	 */
+	static const struct {
+		size_t instances;
+		double limit_per_s;
+		double demand_per_s;
+	} cases[] = {{12, 25.7, 8}, {12, 3.8, 8}, {12, 1, 2},	{129, 25, 1},
+		     {129, 3.8, 1}, {1, 20, 100}, {3, 200, 200}};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		double limit = cases[i].limit_per_s;
+		/* Until all instances have earned a permit, the limit can't be used. */
+		double start_s = 4 + (double)cases[i].instances / limit;
+
+		fleet_init(cases[i].instances, false);
+		fleet.limit_per_s = limit;
+		fleet_run(cases[i].demand_per_s, 0, start_s + 40);
+		ck_assert_uint_le(fleet_most_in_window(4, start_s + 40), allowed_in_window(limit));
+		ck_assert_uint_ge(fleet_sent_in(start_s, 40), (size_t)(0.9 * limit * 40));
+		fleet_finish();
+	}
+}
+END_TEST
+
+START_TEST(other_upstreams_take_the_requests_beyond_a_rate_limit)
+{
+	/* Guards against refused requests while another upstream of the service has no limit. */
+	fleet_init(12, true);
+	fleet.limit_per_s = 2;
+	fleet_run(8, 0, 20);
+	ck_assert_uint_eq(fleet.refused, 0);
+	ck_assert_uint_le(fleet_most_in_window(4, 20), allowed_in_window(2));
+	fleet_finish();
+}
+END_TEST
+
+START_TEST(rate_limits_change_and_end_with_the_next_response)
+{
+	/* Guards against the use of an old limit: a lower one holds at once, and the end of a limit
+	 * takes effect with the next response, also of an upstream that takes no requests at all.
+	 */
+	fleet_init(12, false);
+	fleet.limit_per_s = 24;
+	fleet_run(20, 0, 10);
+	fleet.limit_per_s = 4;
+	fleet_run(20, 10, 20);
+	ck_assert_uint_le(fleet_most_in_window(10.5, 20), allowed_in_window(4));
+	fleet.limit_per_s = 0;
+	fleet_run(20, 20, 80);
+	ck_assert_uint_le(fleet_most_in_window(24, 80), allowed_in_window(0));
+	fleet.limit_per_s = -1;
+	fleet_run(20, 80, 130);
+	fleet.refused = 0;
+	fleet_run(20, 130, 131);
+	ck_assert_uint_eq(fleet.refused, 0);
+	fleet_finish();
+}
+END_TEST
+
+START_TEST(rate_limits_state_when_a_request_may_be_sent)
+{
+	/* Guards against a Retry-After time that isn't true: after the wait that the registry
+	 * returns, the limit allows a request, and not before.
+	 */
+	int64_t now = (int64_t)FLEET_EPOCH_S * 1000000, wait;
+	struct pd_service *service;
+
+	fleet_init(1, false);
+	fleet.limit_per_s = 2;
+	HASH_FIND(hh, fleet.instances[0].services, "s", 1, service);
+	ck_assert_ptr_nonnull(service);
+	ck_assert_int_eq(pd_registry_permit_wait_us(&fleet.instances[0], service, now), 0);
+	fleet_send(0, now);
+	/* The first wait is random, the others are the interval of the limit. */
+	for (int i = 0; i < 3; i++) {
+		now += 1000;
+		wait = pd_registry_permit_wait_us(&fleet.instances[0], service, now);
+		ck_assert_int_ge(wait, i ? 498000 : 1);
+		ck_assert_int_le(wait, 501000);
+		fleet_send(0, now + wait - 1000);
+		ck_assert_uint_eq(fleet.refused, (size_t)i + 1);
+		now += wait;
+		fleet_send(0, now);
+		ck_assert_uint_eq(fleet.refused, (size_t)i + 1);
+	}
+	fleet_finish();
+}
+END_TEST
+
+START_TEST(old_response_does_not_end_a_rate_limit)
+{
+	/* Guards against the end of a limit by a response to a request that was sent before the
+	 * limit was stated.
+	 */
+	int64_t now = (int64_t)FLEET_EPOCH_S * 1000000;
+	struct pd_report stated = {.kind = PD_REPORT_SUCCESS, .latency_us = 1000};
+	struct pd_report older = {.kind = PD_REPORT_SUCCESS, .latency_us = 50000};
+	struct pd_upstream *first, *second;
+
+	init_registry();
+	put_upstream("a", "here");
+	set_instances(&registry, 0, 1);
+	first = pd_registry_pick(&registry, find_service(), NULL, 0, now);
+	second = pd_registry_pick(&registry, find_service(), NULL, 0, now + 1000);
+	ck_assert_ptr_nonnull(first);
+	ck_assert_ptr_eq(first, second);
+	stated.has_limit = true;
+	stated.limit_per_s = 1;
+	pd_registry_report(&registry, second, &stated, now + 2000);
+	pd_registry_report(&registry, first, &older, now + 50000);
+	ck_assert_ptr_null(pd_registry_pick(&registry, find_service(), NULL, 0, now + 60000));
+	pd_registry_finish(&registry);
+}
+END_TEST
+
 START_TEST(traffic_split_keeps_its_shares)
 {
 	/* Guards against wrong shares of a traffic split: they must hold over a few hundred
@@ -361,6 +606,11 @@
 		new_incarnation_replaces_old_one,
 		silent_zone_is_unreachable_until_data_arrives,
 		older_configuration_is_rejected,
+		instances_together_keep_to_a_rate_limit_and_use_it,
+		other_upstreams_take_the_requests_beyond_a_rate_limit,
+		rate_limits_change_and_end_with_the_next_response,
+		rate_limits_state_when_a_request_may_be_sent,
+		old_response_does_not_end_a_rate_limit,
 		traffic_split_keeps_its_shares,
 		expected_latency_grows_with_queue,
 		high_service_time_decays_without_responses,
