Registry: limit the requests of all instances to a cold upstream

When only cold upstreams were left, every instance sent all of its requests there.

The instances share that rate in the same way as a limit that an upstream states. They use 0.6 of it, because the bound holds in each single second, in which each holder of a share may send the token that it has saved.

Test (instances_together_spare_a_cold_upstream), 40 instances and one cold upstream with 1, 5 and 20 per second: before, 40 requests in one second where 6 are allowed; after, within the bound, and 4/9 of the rate at least is used.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -42,6 +42,10 @@
 #define ZONE_SILENCE_US	       250000
 #define ZONE_OVERDUE_UPSTREAMS 4
 #define ZONE_PROBE_INTERVAL_US 250000
+/* Share of the request rate that a cold upstream tolerates which is used. The rest is a margin for
+ * requests that are sent together, since the bound holds in each second.
+ */
+#define COLD_LIMIT_SHARE 0.6
 /* Step of the 92nd percentile's estimate as a share of the estimate: a sample above it raises it by
  * 0.92 of the step, a sample below it lowers it by 0.08 of the step. */
 #define P92_STEP     0.05
@@ -92,7 +96,51 @@
 	       (!upstream->zone->evacuated && !upstream->zone->unreachable);
 }
 
-static void fill_candidate(struct pd_registry *registry, const struct pd_upstream *upstream,
+/* Returns the share of this instance in a rate limit of the upstream. */
+static struct pd_rate_share rate_share(const struct pd_registry *registry,
+				       const struct pd_upstream *upstream, double limit_per_s)
+{
+	if (!registry->instance_count)
+		return (struct pd_rate_share){registry->share, registry->share};
+	return pd_rate_share_of(registry->instances, registry->instance_count, 0,
+				pd_name_str(&upstream->id), limit_per_s,
+				upstream->service->gathered);
+}
+
+static void set_rate_limit(struct pd_registry *registry, const struct pd_upstream *upstream,
+			   struct pd_rate_limit *limit, double limit_per_s, int64_t now_us)
+{
+	double random = (double)(pd_registry_random_locked(registry) >> 11) * 0x1p-53;
+
+	pd_rate_limit_set(limit, limit_per_s, rate_share(registry, upstream, limit_per_s), random,
+			  now_us);
+}
+
+/* Starts or ends the limit of the upstream's cold start. */
+static void update_cold_limit(struct pd_registry *registry, struct pd_upstream *upstream,
+			      int64_t now_us)
+{
+	double limit_per_s = upstream->service->cold_per_s * COLD_LIMIT_SHARE;
+
+	if (now_us >= upstream->cold_until_us || limit_per_s <= 0)
+		pd_rate_limit_end(&upstream->cold_limit);
+	else if (!upstream->cold_limit.active || upstream->cold_limit.limit_per_s != limit_per_s)
+		set_rate_limit(registry, upstream, &upstream->cold_limit, limit_per_s, now_us);
+}
+
+/* Returns the time until the limits of the upstream allow a request; 0 if they allow one now. */
+static int64_t permit_wait_us(struct pd_registry *registry, struct pd_upstream *upstream,
+			      int64_t now_us)
+{
+	int64_t stated_us, cold_us;
+
+	update_cold_limit(registry, upstream, now_us);
+	stated_us = pd_rate_limit_wait_us(&upstream->rate_limit, now_us);
+	cold_us = pd_rate_limit_wait_us(&upstream->cold_limit, now_us);
+	return stated_us > cold_us ? stated_us : cold_us;
+}
+
+static void fill_candidate(struct pd_registry *registry, struct pd_upstream *upstream,
 			   struct pd_upstream *const *tried, size_t tried_count, int64_t now_us,
 			   struct pd_candidate *candidate)
 {
@@ -100,7 +148,7 @@
 
 	candidate->usable = is_usable_locked(upstream) &&
 			    !was_tried(upstream, tried, tried_count) &&
-			    !pd_rate_limit_wait_us(&upstream->rate_limit, now_us);
+			    !permit_wait_us(registry, upstream, now_us);
 	candidate->cold = now_us < upstream->cold_until_us;
 	candidate->ejected = now_us < upstream->ejected_until_us;
 	candidate->connected = upstream->idle != NULL;
@@ -146,6 +194,7 @@
 		if (upstream->rate_limit.active)
 			pd_count(PD_COUNT_limited_sent);
 		pd_rate_limit_consume(&upstream->rate_limit, now_us);
+		pd_rate_limit_consume(&upstream->cold_limit, now_us);
 	}
 	pthread_mutex_unlock(&registry->lock);
 	return upstream;
@@ -159,7 +208,7 @@
 	pthread_mutex_lock(&registry->lock);
 	for (struct pd_upstream *u = service->upstreams; u && !found; u = u->next)
 		found = is_usable_locked(u) && !was_tried(u, tried, tried_count) &&
-			!pd_rate_limit_wait_us(&u->rate_limit, now_us);
+			!permit_wait_us(registry, u, now_us);
 	pthread_mutex_unlock(&registry->lock);
 	return found;
 }
@@ -171,7 +220,7 @@
 
 	pthread_mutex_lock(&registry->lock);
 	for (struct pd_upstream *u = service->upstreams; u; u = u->next) {
-		int64_t wait_us = pd_rate_limit_wait_us(&u->rate_limit, now_us);
+		int64_t wait_us = permit_wait_us(registry, u, now_us);
 
 		if (is_usable_locked(u) && (shortest_us < 0 || wait_us < shortest_us))
 			shortest_us = wait_us;
@@ -229,7 +278,7 @@
 		double expected;
 
 		if (!is_usable_locked(u) || now_us < u->ejected_until_us ||
-		    pd_rate_limit_wait_us(&u->rate_limit, now_us))
+		    permit_wait_us(registry, u, now_us))
 			continue;
 		expected = expected_latency(u, mean_service_time_us, now_us);
 		if (best <= 0 || expected < best)
@@ -401,26 +450,6 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
-/* Returns the share of this instance in a rate limit of the upstream. */
-static struct pd_rate_share rate_share(const struct pd_registry *registry,
-				       const struct pd_upstream *upstream, double limit_per_s)
-{
-	if (!registry->instance_count)
-		return (struct pd_rate_share){registry->share, registry->share};
-	return pd_rate_share_of(registry->instances, registry->instance_count, 0,
-				pd_name_str(&upstream->id), limit_per_s,
-				upstream->service->gathered);
-}
-
-static void set_rate_limit(struct pd_registry *registry, struct pd_upstream *upstream,
-			   double limit_per_s, int64_t now_us)
-{
-	double random = (double)(pd_registry_random_locked(registry) >> 11) * 0x1p-53;
-
-	pd_rate_limit_set(&upstream->rate_limit, limit_per_s,
-			  rate_share(registry, upstream, limit_per_s), random, now_us);
-}
-
 void pd_registry_update_rate_shares_locked(struct pd_registry *registry)
 {
 	int64_t now = pd_os_boot_us();
@@ -428,8 +457,13 @@
 
 	HASH_ITER(hh, registry->upstreams, upstream, next)
 	{
-		if (upstream->rate_limit.active)
-			set_rate_limit(registry, upstream, upstream->rate_limit.limit_per_s, now);
+		struct pd_rate_limit *limits[] = {&upstream->rate_limit, &upstream->cold_limit};
+
+		for (size_t i = 0; i < sizeof(limits) / sizeof(limits[0]); i++) {
+			if (limits[i]->active)
+				set_rate_limit(registry, upstream, limits[i],
+					       limits[i]->limit_per_s, now);
+		}
 	}
 }
 
@@ -459,7 +493,7 @@
 		upstream->limit_stated_us = now_us;
 		if (limit->active && before == report->limit_per_s)
 			return;
-		set_rate_limit(registry, upstream, report->limit_per_s, now_us);
+		set_rate_limit(registry, upstream, limit, report->limit_per_s, now_us);
 		log_limit_change(upstream, before, now_us);
 	} else if (limit->active && report->kind == PD_REPORT_SUCCESS &&
 		   now_us - report->latency_us >= upstream->limit_stated_us) {
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -89,6 +89,8 @@
  * @reported_load: number of running or queued requests that the upstream last reported
  * @load_reported_us: time at which @reported_load was received
  * @rate_limit: rate limit that the upstream states
+ * @cold_limit: rate limit of the service's upstreams during their cold start; only active while the
+ *	upstream is cold
  * @limit_stated_us: time at which a response last stated a rate limit
  * @limit_changed_us: time at which @rate_limit was last set to another limit or ended
  * @sent_count: number of requests that this process sent since @limit_changed_us
@@ -121,6 +123,7 @@
 	double reported_load;
 	int64_t load_reported_us;
 	struct pd_rate_limit rate_limit;
+	struct pd_rate_limit cold_limit;
 	int64_t limit_stated_us;
 	int64_t limit_changed_us;
 	uint32_t sent_count;
@@ -144,7 +147,7 @@
  * @max_connections: number of connections that one upstream accepts from all instances together; 0
  *		     if unknown
  * @cold_per_s: maximum request rate of one upstream during its cold start, in requests per second;
- *		0 if not configured; not used yet
+ *		0 if not configured
  * @service_time_us: moving average of the response time while no request is queued at the upstream,
  *		     in microseconds; 0 until the first sample
  * @service_time_updated_us: time at which @service_time_us was last updated
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -427,6 +427,34 @@
 }
 END_TEST
 
+START_TEST(instances_together_spare_a_cold_upstream)
+{
+	/* Guards against more requests in one second than a cold upstream tolerates from all
+	 * instances together, when it is the only one of its service: 1.5 times the configured
+	 * rate, and 5 more. The limit ends with the cold start.
+	 */
+	static const double cold_per_s[] = {1, 5, 20};
+
+	for (size_t i = 0; i < sizeof(cold_per_s) / sizeof(cold_per_s[0]); i++) {
+		fleet_init(40, false);
+		fleet.limit_per_s = -1;
+		for (size_t j = 0; j < fleet.count; j++) {
+			fleet.instances[j].services->cold_per_s = cold_per_s[i];
+			fleet.instances[j].upstreams->cold_until_us =
+				(int64_t)(FLEET_EPOCH_S + 20) * 1000000;
+		}
+		fleet_run(0.01, 0, 10);
+		fleet_run(10, 10, 21);
+		for (int tenth = 0; tenth < 190; tenth++)
+			ck_assert_uint_le(fleet_sent_in(tenth / 10.0, 1),
+					  (size_t)(1.5 * cold_per_s[i] + 5));
+		ck_assert_uint_ge(fleet_sent_in(10, 9), (size_t)(4 * cold_per_s[i]));
+		ck_assert_uint_ge(fleet_sent_in(20.1, 0.5), 190);
+		fleet_finish();
+	}
+}
+END_TEST
+
 START_TEST(other_upstreams_take_the_requests_beyond_a_rate_limit)
 {
 	/* Guards against refused requests while another upstream of the service has no limit. */
@@ -607,6 +635,7 @@
 		silent_zone_is_unreachable_until_data_arrives,
 		older_configuration_is_rejected,
 		instances_together_keep_to_a_rate_limit_and_use_it,
+		instances_together_spare_a_cold_upstream,
 		other_upstreams_take_the_requests_beyond_a_rate_limit,
 		rate_limits_change_and_end_with_the_next_response,
 		rate_limits_state_when_a_request_may_be_sent,
