Sync: log when the store was restored from a copy

The store client reads the number of the store's history (Store-Era) from each response; a change is logged (store_restored) and counted (store_restores). No decision uses it yet.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -208,6 +208,7 @@
 				     true, &page, err);
 		if (code != PD_OK)
 			break;
+		pd_sync_report_era(membership->sync, membership->store.era, true);
 		if (first) {
 			membership->source_count = 0;
 			membership->relay_count = 0;
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -79,6 +79,23 @@
 	}
 }
 
+void pd_sync_report_era(struct pd_sync *sync, uint64_t era, bool stale_ok)
+{
+	uint64_t before;
+	bool changed;
+
+	pthread_mutex_lock(&sync->lock);
+	before = sync->era;
+	changed = era && (stale_ok ? era > before : era != before);
+	if (changed)
+		sync->era = era;
+	pthread_mutex_unlock(&sync->lock);
+	if (!changed || !before)
+		return;
+	pd_log(PD_LOG_WARNING, "store_restored", "era=%" PRIu64 " before=%" PRIu64, era, before);
+	pd_count(PD_COUNT_store_restores);
+}
+
 bool pd_sync_is_current(struct pd_sync *sync)
 {
 	bool current;
@@ -312,6 +329,7 @@
 				     err);
 		if (code != PD_OK)
 			break;
+		pd_sync_report_era(task->sync, task->store.era, stale_ok);
 		if (first) {
 			handle_success(task);
 			revision = page.revision;
@@ -363,6 +381,8 @@
 		       pd_object_kind_name(task->kind), task->revision);
 		return PD_OK;
 	}
+	if (code == PD_OK || code == PD_NOT_FOUND)
+		pd_sync_report_era(task->sync, task->store.era, false);
 	if (code == PD_NOT_FOUND) {
 		pd_log(PD_LOG_INFO, "store_history_gone", "kind=%s revision=%" PRIu64,
 		       pd_object_kind_name(task->kind), task->revision);
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -64,10 +64,11 @@
 /**
  * struct pd_sync - synchronisation with the store
  * @directory: directory to which changes are applied
- * @lock: guards @address, @mode and &pd_sync_task.listed
+ * @lock: guards @address, @mode, @era and &pd_sync_task.listed
  * @changed: signalled when @mode is set
  * @address: address of the store
  * @mode: how changes are received
+ * @era: number of the store's history, see &pd_store.era; 0 if unknown
  * @tasks: one task for each kind of object
  * @evacuated: names of the evacuated zones; used only by the task for evacuations
  * @evacuated_count: number of entries in @evacuated
@@ -78,6 +79,7 @@
 	pthread_cond_t changed;
 	struct sockaddr_in address;
 	enum pd_sync_mode mode;
+	uint64_t era;
 	struct pd_sync_task tasks[PD_SYNC_TASK_COUNT];
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
 	size_t evacuated_count;
@@ -93,6 +95,10 @@
  * been lost.
  */
 void pd_sync_restart_watches(struct pd_sync *sync);
+/* Records the number of the store's history that a response stated. A stale read may have been
+ * answered with data of an earlier history.
+ */
+void pd_sync_report_era(struct pd_sync *sync, uint64_t era, bool stale_ok);
 /* Whether all kinds are watched and were listed since the last failure or restart. */
 bool pd_sync_is_current(struct pd_sync *sync);
 
--- a/src/counters.h
+++ b/src/counters.h
@@ -78,6 +78,7 @@
 	X(feed_configs_out)                                                                        \
 	X(feed_bytes_out)                                                                          \
 	X(feed_slow_writes)                                                                        \
+	X(store_restores)                                                                          \
 	X(limited_sent)                                                                            \
 	X(limited_refused)                                                                         \
 	X(claims_made)                                                                             \
