--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -93,6 +93,28 @@
 	pthread_mutex_unlock(&store->lock);
 }
 
+void platform_store_copy(struct platform_store *store)
+{
+	pthread_mutex_lock(&store->lock);
+	json_decref(store->copy);
+	store->copy = json_deep_copy(store->objects);
+	store->copy_revision = store->revision;
+	pthread_mutex_unlock(&store->lock);
+}
+
+void platform_store_restore(struct platform_store *store)
+{
+	pthread_mutex_lock(&store->lock);
+	json_decref(store->objects);
+	store->objects = json_deep_copy(store->copy);
+	json_array_clear(store->events);
+	store->revision = store->copy_revision;
+	store->oldest_revision = 0;
+	store->era++;
+	pthread_cond_broadcast(&store->changed);
+	pthread_mutex_unlock(&store->lock);
+}
+
 size_t platform_store_object_count(struct platform_store *store, const char *kind)
 {
 	size_t count;
@@ -104,14 +126,14 @@
 }
 
 /* Sends a response with the JSON body @text; NULL sends an empty body. */
-static void reply(int fd, int status, const char *text)
+static void reply(int fd, int status, uint64_t era, const char *text)
 {
 	struct pd_buf out = {0};
 
 	pd_buf_printf(&out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", status,
 		      pd_http_reason(status));
-	pd_buf_printf(&out, "Content-Length: %zu\r\n\r\n%s", text ? strlen(text) : 0,
-		      text ? text : "");
+	pd_buf_printf(&out, "Store-Era: %" PRIu64 "\r\nContent-Length: %zu\r\n\r\n%s", era,
+		      text ? strlen(text) : 0, text ? text : "");
 	pd_os_write_full(fd, out.data, out.len, NULL);
 	pd_buf_finish(&out);
 }
@@ -175,7 +197,7 @@
 			*status = 0;
 			return NULL;
 		}
-		if (revision < store->oldest_revision) {
+		if (revision < store->oldest_revision || revision > store->revision) {
 			json_decref(events);
 			*status = 410;
 			return NULL;
@@ -233,6 +255,7 @@
 	char target[512], kind[64] = "", name[128] = "";
 	json_t *body = NULL;
 	int status = 200;
+	uint64_t era;
 	char *text;
 
 	pd_str_copy(pd_http_message_target(msg), target, sizeof(target));
@@ -257,9 +280,10 @@
 	/* The threads share the objects and their reference counts, so this needs the lock. */
 	text = body ? json_dumps(body, JSON_COMPACT) : NULL;
 	json_decref(body);
+	era = store->era;
 	pthread_mutex_unlock(&store->lock);
 	if (status)
-		reply(fd, status, text);
+		reply(fd, status, era, text);
 	free(text);
 }
 
@@ -312,6 +336,7 @@
 	store->objects = json_object();
 	store->events = json_array();
 	store->revision = 100;
+	store->era = 1;
 	memcpy(store->address.ip, "127.0.0.1", sizeof("127.0.0.1"));
 	if (pd_os_listen(&store->address, &store->listener, NULL) != PD_OK ||
 	    pd_os_thread_start(&store->thread, "store-accept", accept_connections, store, NULL) !=
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -37,6 +37,9 @@
  * @events: all changes, oldest first: {kind, revision, object, tombstone}
  * @objects: objects by kind and name
  * @revision: revision of the last change
+ * @era: number of the store's history; each restore starts another one
+ * @copy: copy of @objects, which restores them; NULL for none
+ * @copy_revision: revision of @copy
  * @oldest_revision: watches that start at an earlier revision get status 410
  * @mode: how the store handles requests
  * @request_count: number of requests received
@@ -53,6 +56,9 @@
 	json_t *events;
 	json_t *objects;
 	uint64_t revision;
+	uint64_t era;
+	json_t *copy;
+	uint64_t copy_revision;
 	uint64_t oldest_revision;
 	enum platform_store_mode mode;
 	uint32_t request_count;
@@ -69,6 +75,13 @@
 void platform_store_set_mode(struct platform_store *store, enum platform_store_mode mode);
 /* Drops the history, so that all pending watches get status 410. */
 void platform_store_compact(struct platform_store *store);
+/* Copies all objects, for platform_store_restore(). */
+void platform_store_copy(struct platform_store *store);
+/*
+ * Replaces all objects by those of the last copy and starts another era: revisions go on after that
+ * of the copy, and watches from later ones get status 410.
+ */
+void platform_store_restore(struct platform_store *store);
 /* Returns the number of objects of the kind @kind. */
 size_t platform_store_object_count(struct platform_store *store, const char *kind);
 
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -81,6 +81,7 @@
  * @flood_statuses: number of responses to the last flood by hundreds of their status; [0] counts
  * the requests without a response
  * @kept_fd: client connection that stays open between commands; -1 if there is none
+ * @last_seq: sequence number of the last entry that an upstream wrote
  * @next_id: number of generated request ids
  */
 static struct {
@@ -97,6 +98,7 @@
 	const char *ingress_program;
 	uint32_t flood_statuses[6];
 	int kept_fd;
+	int last_seq;
 	uint32_t next_id;
 } deployment = {.kept_fd = -1};
 
@@ -133,7 +135,8 @@
 	pd_address_format(&upstream->address, address, sizeof(address));
 	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service", upstream->service,
 			 "address", address, "zone", zone, "version", "v1", "slots", 3, "state",
-			 state, "cold_remaining_ms", 0, "seq", 1, "born", (json_int_t)1000);
+			 state, "cold_remaining_ms", 0, "seq", ++deployment.last_seq, "born",
+			 (json_int_t)1000);
 }
 
 /* upstream ID SERVICE [ZONE]: starts and registers an upstream */
@@ -302,12 +305,18 @@
 	deployment.extra_services = atoi(words[1]);
 }
 
-/* store up|busy|silent|compact: sets the mode of the store, or drops its history */
+/* store up|busy|silent|compact|copy|restore: sets the mode of the store, drops its history, copies
+ * its contents or restores the last copy
+ */
 static void do_store(char **words, int count)
 {
 	(void)count;
 	if (!strcmp(words[1], "compact"))
 		platform_store_compact(&deployment.store);
+	else if (!strcmp(words[1], "copy"))
+		platform_store_copy(&deployment.store);
+	else if (!strcmp(words[1], "restore"))
+		platform_store_restore(&deployment.store);
 	else if (!strcmp(words[1], "busy"))
 		platform_store_set_mode(&deployment.store, PLATFORM_STORE_BUSY);
 	else if (!strcmp(words[1], "silent"))
