Sync: list all kinds again after the store was restored

Callers got 404 for a route that had been added and acknowledged: the change was missed until the configuration changed again.

Cause: a watch continues from a revision, which means nothing in another history. Usually the store answers 410; but an instance that isn't waiting in a watch while the store is restored (it pauses after a change, is paused, or watches from an earlier list) asks again when the new history may have passed its revision, and misses what lies below. Pages of one list had the same fault.

Now the number of the store's history is compared with that of each response, also of the checks that a watching instance makes each 1.2 s. When it changes, all kinds are listed again; a list that was begun in an earlier history starts again. Configurations and followers don't compare revisions of the store, so they aren't concerned.

--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -59,6 +59,14 @@
 	pthread_mutex_unlock(&sync->lock);
 }
 
+/* Records a complete list, unless the store was restored after it was read. */
+static void record_list(struct pd_sync_task *task, uint64_t era)
+{
+	pthread_mutex_lock(&task->sync->lock);
+	task->listed = era == task->sync->era;
+	pthread_mutex_unlock(&task->sync->lock);
+}
+
 static void set_listed(struct pd_sync_task *task, bool listed)
 {
 	pthread_mutex_lock(&task->sync->lock);
@@ -77,6 +85,10 @@
 			pd_log(PD_LOG_DEBUG, "renewal_pending", "kind=%s",
 			       pd_object_kind_name(task->kind));
 	}
+	/* Tasks that have only been listed wait for the mode to change. */
+	pthread_mutex_lock(&sync->lock);
+	pthread_cond_broadcast(&sync->changed);
+	pthread_mutex_unlock(&sync->lock);
 }
 
 void pd_sync_report_era(struct pd_sync *sync, uint64_t era, bool stale_ok)
@@ -94,6 +106,10 @@
 		return;
 	pd_log(PD_LOG_WARNING, "store_restored", "era=%" PRIu64 " before=%" PRIu64, era, before);
 	pd_count(PD_COUNT_store_restores);
+	/* The store accepts a watch from a lost revision that the new history has passed, and the
+	 * changes below it would be missed.
+	 */
+	pd_sync_restart_watches(sync);
 }
 
 bool pd_sync_is_current(struct pd_sync *sync)
@@ -316,7 +332,7 @@
 	 */
 	bool stale_ok = !task->listed_before;
 	struct pd_buf after = {0};
-	uint64_t revision = 0;
+	uint64_t revision = 0, era = 0;
 	bool first = true, more = true;
 	enum pd_code code = PD_OK;
 
@@ -333,10 +349,17 @@
 		if (first) {
 			handle_success(task);
 			revision = page.revision;
+			era = task->store.era;
 			if (task->kind == PD_OBJECT_UPSTREAMS)
 				pd_directory_list_begin(directory);
 		}
 		first = false;
+		if (task->store.era != era) {
+			pd_object_page_finish(&page);
+			code = pd_error_set(err, PD_LAYER_COORDINATION, PD_UNAVAILABLE,
+					    "store restored while a list was read");
+			break;
+		}
 		/* A stale list doesn't show when the objects were written. */
 		apply_page(task, &page, stale_ok ? 0 : pd_os_unix_ms());
 		more = page.has_more && pd_object_page_last_name(&page, &after);
@@ -347,7 +370,7 @@
 		return code;
 	if (task->kind == PD_OBJECT_UPSTREAMS)
 		pd_directory_list_end(directory);
-	set_listed(task, true);
+	record_list(task, era);
 	task->listed_before = true;
 	task->revision = revision;
 	pd_log(PD_LOG_INFO, "store_listed", "kind=%s revision=%" PRIu64,
@@ -425,6 +448,7 @@
 		return watch_once(task, err);
 	}
 	task->events_skipped = true;
+	drain_wake_pipe(task);
 	return list_all(task, err);
 }
 
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -36,7 +36,8 @@
  * @listed: the kind was listed, and changes since then are received by watching it; guarded by
  *	&pd_sync.lock
  * @listed_before: the kind was listed at least once since the start
- * @revision: revision of the store up to which changes were applied
+ * @revision: revision of the store up to which changes were applied; means nothing once another
+ *	&pd_sync.era was reported
  * @unreachable_since_us: time since which this task's calls to the store fail, in microseconds of
  *	pd_os_boot_us(); 0 while they succeed
  * @failures: number of consecutive failed calls
@@ -95,8 +96,8 @@
  * been lost.
  */
 void pd_sync_restart_watches(struct pd_sync *sync);
-/* Records the number of the store's history that a response stated. A stale read may have been
- * answered with data of an earlier history.
+/* Records the number of the store's history that a response stated; if it has changed, all kinds
+ * are listed again. A stale read may have been answered with data of an earlier history.
  */
 void pd_sync_report_era(struct pd_sync *sync, uint64_t era, bool stale_ok);
 /* Whether all kinds are watched and were listed since the last failure or restart. */
