Membership: register again when a restored store lacks this instance

Other instances didn't know instances that had registered after the copy from which the store was restored: nobody followed them, and the shares of limits and retry budgets were computed without them, until they restarted.

Cause: an instance registers once and never looks for its entry again. The class: what the system itself wrote is taken for granted. Now the first list of another history of the store decides whether the instance is registered; followers, too, register when their next list of the instances is due. Lists of the same history aren't used for this, since they may be some seconds old.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -133,12 +133,14 @@
  * struct listing - state while the instances are listed
  * @previous: sources from the previous list, with their retry times
  * @previous_count: number of entries in @previous
+ * @has_own_entry: an entry with the name of this instance is listed
  * @instances: all instances, this one first
  * @instance_count: number of entries in @instances
  */
 struct listing {
 	struct pd_source previous[PD_MEMBERSHIP_SOURCES_MAX];
 	size_t previous_count;
+	bool has_own_entry;
 	struct pd_instance_load instances[PD_MEMBERSHIP_INSTANCES_MAX];
 	size_t instance_count;
 };
@@ -170,6 +172,7 @@
 		    !pd_object_read_instance(&object, &entry))
 			continue;
 		if (pd_name_equal(&entry.name, &membership->self.name)) {
+			listing->has_own_entry = true;
 			membership->registered = is_own_entry(membership, &entry);
 			membership->entry_outdated = !membership->registered;
 			continue;
@@ -181,6 +184,17 @@
 	}
 }
 
+/* Forgets the registration if the store was restored since, and the list of the restored store
+ * lacks this instance. Lists of the same history may be too old to have its entry.
+ */
+static void check_registration(struct pd_membership *membership, const struct listing *listing)
+{
+	if (listing->has_own_entry || membership->registered_era != membership->store.era) {
+		membership->registered = membership->registered && listing->has_own_entry;
+		membership->registered_era = membership->store.era;
+	}
+}
+
 /* Applies a complete list: this instance's share of the load, and the relays. */
 static void apply_listing(struct pd_membership *membership, const struct listing *listing)
 {
@@ -219,8 +233,10 @@
 		pd_object_page_finish(&page);
 	}
 	pd_buf_finish(&after);
-	if (code == PD_OK)
+	if (code == PD_OK) {
+		check_registration(membership, &listing);
 		apply_listing(membership, &listing);
+	}
 	return code;
 }
 
@@ -237,6 +253,8 @@
 	else
 		code = pd_store_create(&membership->store, PD_OBJECT_INSTANCES, name, spec, &err);
 	membership->registered = code == PD_OK;
+	if (membership->registered)
+		membership->registered_era = membership->store.era;
 	membership->entry_outdated = code == PD_CONFLICT;
 	if (code != PD_OK && code != PD_CONFLICT)
 		pd_log_failure(PD_LOG_WARNING, "register_failed", &err);
@@ -449,6 +467,8 @@
 	session->next_list_us = now + LIST_INTERVAL_US;
 	if (list_instances(membership, &err) != PD_OK)
 		pd_log_failure(PD_LOG_INFO, "instances_not_listed", &err);
+	else if (!membership->registered)
+		register_self(membership);
 }
 
 /* While the source can't reach the store, tries to reach it directly when that is due. Returns true
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -47,6 +47,7 @@
  * @relays: larger instances of the same zone, to which requests may be relayed
  * @relay_count: number of entries in @relays
  * @registered: the store lists this instance with its current peer address
+ * @registered_era: number of the store's history in which @registered was established
  * @entry_outdated: the store lists this instance with another peer address, which must be replaced
  * @started_us: time at which @thread started, in microseconds of pd_os_boot_us()
  * @unreachable_since_us: time since which this instance's own calls to the store fail, in
@@ -69,6 +70,7 @@
 	struct pd_instance_entry relays[PD_MEMBERSHIP_RELAYS_MAX];
 	size_t relay_count;
 	bool registered;
+	uint64_t registered_era;
 	bool entry_outdated;
 	int64_t started_us;
 	int64_t unreachable_since_us;
