Rate limits: spread first permits by rank in place of random times

Seen in one of many runs of test_registry (rate_limits_change_and_end): 6 probes in 4 s to an upstream that takes no requests at all, 5 are allowed. All 12 instances learn of a limit together and sent their first probes at random times within 48 s, of which six fell into one window. Random times cluster, and the interval keeps the cluster as it is.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -101,19 +101,17 @@
 				       const struct pd_upstream *upstream, double limit_per_s)
 {
 	if (!registry->instance_count)
-		return (struct pd_rate_share){registry->share, registry->share};
+		return (struct pd_rate_share){
+			.share = registry->share, .probe_share = registry->share, .first_probe = 1};
 	return pd_rate_share_of(registry->instances, registry->instance_count, 0,
 				pd_name_str(&upstream->id), limit_per_s,
 				upstream->service->gathered);
 }
 
-static void set_rate_limit(struct pd_registry *registry, const struct pd_upstream *upstream,
+static void set_rate_limit(const struct pd_registry *registry, const struct pd_upstream *upstream,
 			   struct pd_rate_limit *limit, double limit_per_s, int64_t now_us)
 {
-	double random = (double)(pd_registry_random_locked(registry) >> 11) * 0x1p-53;
-
-	pd_rate_limit_set(limit, limit_per_s, rate_share(registry, upstream, limit_per_s), random,
-			  now_us);
+	pd_rate_limit_set(limit, limit_per_s, rate_share(registry, upstream, limit_per_s), now_us);
 }
 
 /* Starts or ends the limit of the upstream's cold start. */
--- a/ingress/rate_limit.c
+++ b/ingress/rate_limit.c
@@ -51,9 +51,10 @@
 				      size_t self, struct pd_str upstream, double limit_per_s,
 				      bool gathered)
 {
-	struct pd_rate_share share = {.probe_share = 1 / (double)count};
+	struct pd_rate_share share = {.probe_share = 1 / (double)count, .first_probe = 1};
 	struct holder *holders = calloc(count, sizeof(*holders));
 	struct holder own = make_holder(&instances[self], upstream, gathered);
+	size_t rank = 0, holder_count = 0;
 	double sum = 0;
 
 	if (!holders)
@@ -61,13 +62,17 @@
 	for (size_t i = 0; i < count; i++)
 		holders[i] = make_holder(&instances[i], upstream, gathered);
 	qsort(holders, count, sizeof(*holders), compare_scores);
-	for (size_t i = 0; i < count && (double)i < limit_per_s + SPARE_HOLDERS; i++) {
-		sum += holders[i].weight;
-		if (holders[i].score == own.score)
-			share.share = own.weight;
-	}
-	share.share /= sum;
+	while (rank + 1 < count && holders[rank].score != own.score)
+		rank++;
+	for (; holder_count < count && (double)holder_count < limit_per_s + SPARE_HOLDERS;
+	     holder_count++)
+		sum += holders[holder_count].weight;
 	free(holders);
+	share.first_probe = (double)(rank + 1) / (double)count;
+	if (rank < holder_count) {
+		share.share = own.weight / sum;
+		share.first_token = (double)rank / (double)holder_count;
+	}
 	return share;
 }
 
@@ -102,9 +107,9 @@
 }
 
 void pd_rate_limit_set(struct pd_rate_limit *limit, double limit_per_s, struct pd_rate_share share,
-		       double random, int64_t now_us)
+		       int64_t now_us)
 {
-	double tokens = limit->active ? current_tokens(limit, now_us) : random;
+	double tokens = limit->active ? current_tokens(limit, now_us) : share.first_token;
 
 	*limit = (struct pd_rate_limit){.active = true,
 					.limit_per_s = limit_per_s,
@@ -112,7 +117,7 @@
 					.tokens = tokens,
 					.updated_us = now_us};
 	limit->tokens = current_tokens(limit, now_us);
-	limit->probe_us = now_us + (int64_t)(random * probe_interval_us(limit));
+	limit->probe_us = now_us + (int64_t)(share.first_probe * probe_interval_us(limit));
 }
 
 void pd_rate_limit_end(struct pd_rate_limit *limit)
--- a/ingress/rate_limit.h
+++ b/ingress/rate_limit.h
@@ -11,8 +11,9 @@
  * the same ones, by weighted rendezvous hashing, and different ones for each upstream.
  *
  * A limit holds until a response states another one or none. Instances with a very small share or
- * none send probes, which add up to a part of the limit, to notice its end. First tokens and probes
- * are sent at random times, since all instances learn of a limit at about the same time.
+ * none send probes, which add up to a part of the limit, to notice its end. All instances learn of
+ * a limit at about the same time, so they send their first tokens and probes in the order of the
+ * hashing, evenly spread.
  *
  * The functions are not thread-safe: the registry's lock guards the limits. Points in time are in
  * microseconds of pd_os_boot_us().
@@ -40,10 +41,14 @@
  * struct pd_rate_share - share of this instance in the limit of one upstream
  * @share: share of the requests, 0 to 1
  * @probe_share: share of the probes, 0 to 1
+ * @first_token: part of a token with which the limit starts, 0 to 1
+ * @first_probe: time until the first probe, as a part of the interval of the probes, 0 to 1
  */
 struct pd_rate_share {
 	double share;
 	double probe_share;
+	double first_token;
+	double first_probe;
 };
 
 /**
@@ -80,10 +85,10 @@
 	int64_t probe_us;
 };
 
-/* Sets the limit that the upstream has stated; @random, 0 to 1, spreads the requests of the
- * instances. Tokens earned by a previous limit are kept, as far as the new one allows. */
+/* Sets the limit that the upstream has stated. Tokens earned by a previous limit are kept, as far
+ * as the new one allows. */
 void pd_rate_limit_set(struct pd_rate_limit *limit, double limit_per_s, struct pd_rate_share share,
-		       double random, int64_t now_us);
+		       int64_t now_us);
 /* Ends the limit. */
 void pd_rate_limit_end(struct pd_rate_limit *limit);
 /* Returns the time until a request may be sent, in microseconds; 0 if it may be sent now. */
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -504,11 +504,10 @@
 	ck_assert_ptr_nonnull(service);
 	ck_assert_int_eq(pd_registry_permit_wait_us(&fleet.instances[0], service, now), 0);
 	fleet_send(0, now);
-	/* The first wait is random, the others are the interval of the limit. */
 	for (int i = 0; i < 3; i++) {
 		now += 1000;
 		wait = pd_registry_permit_wait_us(&fleet.instances[0], service, now);
-		ck_assert_int_ge(wait, i ? 498000 : 1);
+		ck_assert_int_ge(wait, 498000);
 		ck_assert_int_le(wait, 501000);
 		fleet_send(0, now + wait - 1000);
 		ck_assert_uint_eq(fleet.refused, (size_t)i + 1);
