Registry: ignore entries that are older than known ones

After the store was restored from a copy, an instance sent requests to an upstream that it knew to be draining or gone: 56 in 0.3 s in the script.

Cause: the list of the restored store holds entries as they were at the time of the copy, and each entry that arrived replaced the known one. The same holds for stale lists, and for a source that is behind the one followed before.

Entries have the time of the upstream's start and a sequence number that rises with each entry it writes. Entries without the numbers can't be compared and count as before. The sequence number is part of the feed, whose format version is 4 now: beside an instance of the previous release, each watches the store itself, as with version 3.

Ruled out: that draining is final for each start of an upstream; the sequence tells the order without that assumption, and covers removed ones.

The soak wrote the same sequence number always, unlike the platform; it counts now.

--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -111,8 +111,9 @@
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_UPSTREAM, .upstream = *entry};
 
-	pd_registry_put(directory->registry, entry);
-	log_change(directory, &msg);
+	/* Followers get the entry that is known now, which may be a newer one. */
+	if (pd_registry_put(directory->registry, &msg.upstream))
+		log_change(directory, &msg);
 }
 
 void pd_directory_remove_upstream(struct pd_directory *directory, struct pd_str id,
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -6,9 +6,9 @@
 #include "msgpack_check.h"
 #include "os.h"
 
-/* Since 3, there are batches, and configurations state when they were received. */
-#define FORMAT_VERSION	     3
-#define UPSTREAM_FIELD_COUNT 8
+/* Since 4, upstreams have sequence numbers. */
+#define FORMAT_VERSION	     4
+#define UPSTREAM_FIELD_COUNT 9
 #define ARRAY_ITEMS_MAX	     (PD_FEED_ZONES_MAX + 2)
 
 static int append(void *data, const char *bytes, size_t len)
@@ -32,6 +32,7 @@
 	msgpack_pack_uint32(packer, entry->slots);
 	msgpack_pack_int64(packer, entry->cold_ms);
 	msgpack_pack_int64(packer, entry->started_unix_ms);
+	msgpack_pack_uint64(packer, entry->sequence);
 }
 
 static size_t field_count(const struct pd_feed_message *msg)
@@ -151,7 +152,9 @@
 	if (!to_name(&fields[0], &entry->id) || !to_name(&fields[1], &entry->service) ||
 	    !to_name(&fields[2], &entry->zone) || !to_address(&fields[3], &entry->address) ||
 	    !to_number(&fields[4], 1, &draining) || !to_number(&fields[5], UINT32_MAX, &slots) ||
-	    !to_number(&fields[6], INT64_MAX, &cold) || !to_number(&fields[7], INT64_MAX, &started))
+	    !to_number(&fields[6], INT64_MAX, &cold) ||
+	    !to_number(&fields[7], INT64_MAX, &started) ||
+	    !to_number(&fields[8], UINT64_MAX, &entry->sequence))
 		return false;
 	entry->draining = draining != 0;
 	entry->slots = (uint32_t)slots;
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -70,6 +70,7 @@
  * @address: address that the upstream listens on
  * @address_text: @address as IP:PORT
  * @started_unix_ms: Unix time of the upstream's start in milliseconds, from its entry; 0 if unknown
+ * @sequence: sequence number of the upstream's entry; 0 if unknown
  * @slots: maximum number of requests that the upstream executes concurrently
  * @draining: the upstream's entry states that it is draining; no requests are sent to it
  * @replaced: another instance responded at @address; no requests are sent there until the
@@ -106,6 +107,7 @@
 	struct sockaddr_in address;
 	char address_text[24];
 	int64_t started_unix_ms;
+	uint64_t sequence;
 	uint32_t slots;
 	bool draining;
 	bool replaced;
@@ -167,6 +169,21 @@
 	UT_hash_handle hh;
 };
 
+/**
+ * struct pd_removed_upstream - the last entry of an upstream that was removed
+ * @id: name of the entry; key of the hash table
+ * @started_unix_ms: Unix time of the upstream's start in milliseconds
+ * @sequence: sequence number of the entry
+ * @removed_us: time at which the upstream was removed
+ */
+struct pd_removed_upstream {
+	struct pd_name id;
+	int64_t started_unix_ms;
+	uint64_t sequence;
+	int64_t removed_us;
+	UT_hash_handle hh;
+};
+
 /**
  * struct pd_registry_options - settings of the registry
  * @zone: availability zone of this process
@@ -191,6 +208,7 @@
  * @zones: hash table of zones by name
  * @services: hash table of services by name
  * @upstreams: hash table of upstreams by id
+ * @removed: hash table of upstreams that were removed lately, by id
  * @routes: hash table of route statistics by the name of the route
  * @catalog: current version of the configuration; NULL until one is installed
  * @hold_removals: upstreams whose entries are missing are kept for now, since the leases of the
@@ -208,6 +226,7 @@
 	struct pd_zone *zones;
 	struct pd_service *services;
 	struct pd_upstream *upstreams;
+	struct pd_removed_upstream *removed;
 	struct pd_route_stats *routes;
 	struct pd_catalog *catalog;
 	bool hold_removals;
@@ -229,6 +248,8 @@
  * @slots: maximum number of requests that the upstream executes concurrently
  * @cold_ms: remaining time of the upstream's cold start in milliseconds; 0 or less if it isn't cold
  * @started_unix_ms: Unix time of the upstream's start in milliseconds; 0 if the entry has none
+ * @sequence: sequence number, which rises with each entry that the upstream writes after its start;
+ *	0 if the entry has none
  */
 struct pd_upstream_entry {
 	struct pd_name id;
@@ -242,11 +263,22 @@
 	uint32_t slots;
 	int64_t cold_ms;
 	int64_t started_unix_ms;
+	uint64_t sequence;
 };
 
-/* Adds an upstream or updates it. An entry with another address, service, zone or start time is a
- * new incarnation, which replaces the old one and its statistics. */
-void pd_registry_put(struct pd_registry *registry, const struct pd_upstream_entry *entry);
+/**
+ * pd_registry_put() - adds an upstream or updates it
+ * @registry: registry
+ * @entry: entry of the upstream
+ *
+ * An entry with another address, service, zone or start time is a new incarnation, which replaces
+ * the old one and its statistics. An entry that is older than the known one is ignored: the store
+ * may have been restored from a copy, or a list may be stale.
+ *
+ * Return: false if the entry is older than that of an upstream that was removed; otherwise, @entry
+ * holds the entry that is known now.
+ */
+bool pd_registry_put(struct pd_registry *registry, struct pd_upstream_entry *entry);
 /* Removes the upstream whose entry was deleted or is unreadable. While removals are held, the
  * removal only becomes pending. */
 void pd_registry_remove(struct pd_registry *registry, struct pd_str id, const char *reason);
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <ck_pr.h>
 #include <errno.h>
 #include <signal.h>
 #include <stdio.h>
@@ -205,7 +206,9 @@
 
 void fleet_write_upstream_entry(struct fleet_upstream *upstream, const char *state)
 {
+	static uint32_t last_sequence;
 	char address[PD_ADDRESS_TEXT_MAX_BYTES], service[32];
+	json_int_t sequence = ck_pr_faa_32(&last_sequence, 1) + 1;
 
 	/*
 	 * Clear withdrawn_us before instances can read the entry, and set it only after the store
@@ -219,12 +222,12 @@
 	if (state) {
 		pd_address_format(&upstream->proxy.address, address, sizeof(address));
 		fleet_service_name(upstream->service, service, sizeof(service));
-		platform_store_put(&fleet.store, "servers", upstream->standin.id,
-				   json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service",
-					     service, "address", address, "zone",
-					     zones[upstream->zone], "version", "v1", "slots", 3,
-					     "state", state, "cold_remaining_ms", 0, "seq", 1,
-					     "born", (json_int_t)upstream->incarnation * 1000));
+		platform_store_put(
+			&fleet.store, "servers", upstream->standin.id,
+			json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I}", "service", service,
+				  "address", address, "zone", zones[upstream->zone], "version",
+				  "v1", "slots", 3, "state", state, "cold_remaining_ms", 0, "seq",
+				  sequence, "born", (json_int_t)upstream->incarnation * 1000));
 	} else {
 		platform_store_remove(&fleet.store, "servers", upstream->standin.id);
 	}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -292,12 +292,14 @@
 	in.upstream.slots = 7;
 	in.upstream.cold_ms = 1234;
 	in.upstream.started_unix_ms = 1700000000000;
+	in.upstream.sequence = 7;
 	pd_feed_message_encode(&in, &frame);
 	ck_assert_int_eq(pd_feed_message_decode(payload(&frame), &out, &err), PD_OK);
 	ck_assert_str_eq(out.upstream.id.text, "i-1");
 	ck_assert_str_eq(out.upstream.address.text, "10.1.2.3:80");
 	ck_assert(out.upstream.draining);
 	ck_assert_int_eq(out.upstream.started_unix_ms, 1700000000000);
+	ck_assert_uint_eq(out.upstream.sequence, 7);
 	pd_feed_message_finish(&out);
 	/* Every truncated frame must be rejected. */
 	for (size_t len = 0; len + 4 < frame.len; len++)
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -124,6 +124,44 @@
 }
 END_TEST
 
+START_TEST(older_entries_do_not_take_back_newer_ones)
+{
+	/* Guards against requests to upstreams that are draining or have left: a store that was
+	 * restored from a copy lists them as they were before.
+	 */
+	struct pd_upstream_entry entry = make_entry("a", "here"), older;
+	int64_t now = pd_os_boot_us();
+
+	init_registry();
+	entry.sequence = 4;
+	older = entry;
+	entry.sequence = 5;
+	entry.draining = true;
+	ck_assert(pd_registry_put(&registry, &entry));
+	ck_assert(pd_registry_put(&registry, &older));
+	/* Followers get the newer entry. */
+	ck_assert(older.draining);
+	ck_assert_uint_eq(older.sequence, 5);
+	ck_assert_str_eq(pick_and_report(PD_REPORT_SUCCESS, now), "");
+	pd_registry_remove(&registry, PD_STR("a"), "test");
+	ck_assert(!pd_registry_put(&registry, &older));
+	ck_assert_str_eq(pick_and_report(PD_REPORT_SUCCESS, now), "");
+	/* The upstream itself writes again, as after its entry has expired in an outage. */
+	entry.sequence = 6;
+	entry.draining = false;
+	ck_assert(pd_registry_put(&registry, &entry));
+	ck_assert_str_eq(pick_and_report(PD_REPORT_SUCCESS, now), "a");
+	/* The sequence starts again with the upstream; the entry of the earlier start is older. */
+	older = entry;
+	entry.started_unix_ms = 2;
+	entry.sequence = 1;
+	ck_assert(pd_registry_put(&registry, &entry));
+	ck_assert(pd_registry_put(&registry, &older));
+	ck_assert_int_eq(older.started_unix_ms, 2);
+	pd_registry_finish(&registry);
+}
+END_TEST
+
 START_TEST(wrong_instance_gets_no_further_requests)
 {
 	/* Guards against load on another service, one of whose instances has taken over the address
@@ -627,6 +665,7 @@
 	const TTest *const tests[] = {
 		prefers_own_zone_and_ejects_failing_upstreams,
 		draining_removed_and_evacuated_get_no_requests,
+		older_entries_do_not_take_back_newer_ones,
 		wrong_instance_gets_no_further_requests,
 		complete_list_removes_missing_upstreams,
 		removals_are_held_for_expired_entries,
