Registry: keep a held removal pending when an older entry is listed

Found while reading the diff: while removals are held, an entry older than the known one, from a store that was restored, took back the pending removal of an upstream that had left. Test: older_entries_do_not_take_back_newer_ones, fails before.

--- a/ingress/rate_limit.h
+++ b/ingress/rate_limit.h
@@ -74,7 +74,7 @@
  * @share: share of this instance
  * @tokens: number of requests that may be sent, as of @updated_us
  * @updated_us: time at which @tokens was computed
- * @probe_us: time at which a probe may be sent, unless a request is sent or answered earlier
+ * @probe_us: time at which a probe may be sent, unless a request is sent earlier
  */
 struct pd_rate_limit {
 	bool active;
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -410,7 +410,6 @@
 	if (upstream && is_older(entry, upstream->started_unix_ms, upstream->sequence)) {
 		ignore_older(upstream, entry);
 		upstream->listed = true;
-		upstream->remove_pending = false;
 		return true;
 	}
 	if (!upstream && was_removed(registry, entry)) {
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -158,6 +158,17 @@
 	ck_assert(pd_registry_put(&registry, &entry));
 	ck_assert(pd_registry_put(&registry, &older));
 	ck_assert_int_eq(older.started_unix_ms, 2);
+	/* A removal that is held isn't taken back either. */
+	entry.sequence = 2;
+	ck_assert(pd_registry_put(&registry, &entry));
+	older = entry;
+	older.sequence = 1;
+	pd_registry_hold_removals(&registry);
+	pd_registry_remove(&registry, PD_STR("a"), "test");
+	ck_assert(pd_registry_put(&registry, &older));
+	pd_registry_release_removals(&registry);
+	pd_registry_apply_removals(&registry);
+	ck_assert_str_eq(pick_and_report(PD_REPORT_SUCCESS, now), "");
 	pd_registry_finish(&registry);
 }
 END_TEST
