Relays: stop relaying to an instance that is about to exit

Callers got 502 for requests that a smaller instance had relayed to a larger one 4.4 s after that one had received SIGTERM: it closed the connections on which they arrived.

Cause: a stopping instance serves on for some seconds and says in each response that it closes the connection, but the smaller one took no notice and went on relaying until the first failures. A relayed request can't be repeated, since parts of it may have been sent.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -512,6 +512,8 @@
 	switch (report->kind) {
 	case PD_REPORT_SUCCESS:
 		record_success(upstream, now_us);
+		if (report->leaving)
+			upstream->ejected_until_us = now_us + EJECTION_MAX_US;
 		add_service_time(upstream->service, report, now_us);
 		if (report->stats) {
 			add_route_latency(report->stats, (double)report->latency_us);
--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -140,6 +140,7 @@
 	exchange->queued = fields->queued;
 	exchange->has_limit = fields->has_limit;
 	exchange->limit_per_s = fields->limit_per_s;
+	exchange->closing = !msg->keep_alive;
 	exchange->reusable = exchange->reusable && msg->keep_alive && msg->framed &&
 			     exchange->state == PD_EXCHANGE_WAITING;
 	switch (fields->execution) {
--- a/ingress/exchange.h
+++ b/ingress/exchange.h
@@ -63,6 +63,7 @@
  * @queued: number of requests queued at the upstream
  * @has_limit: the response states a rate limit: @limit_per_s is valid
  * @limit_per_s: number of requests per second that the upstream takes from all instances together
+ * @closing: the response states that the upstream closes the connection
  * @overdue: the exchange was reported to the registry as overdue
  */
 struct pd_exchange {
@@ -83,6 +84,7 @@
 	double queued;
 	bool has_limit;
 	double limit_per_s;
+	bool closing;
 	bool overdue;
 };
 
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -204,6 +204,7 @@
 		.queued = exchange->queued,
 		.has_limit = exchange->has_limit,
 		.limit_per_s = exchange->limit_per_s,
+		.leaving = fanout->relay && exchange->closing,
 	};
 
 	pd_exchange_end(exchange, fanout->pool, &report, now_us);
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -381,6 +381,7 @@
  * @queued: number of requests queued at the upstream
  * @has_limit: the response states a rate limit: @limit_per_s is valid
  * @limit_per_s: number of requests per second that the upstream takes from all instances together
+ * @leaving: the upstream is a relay, which closes its connections because it is stopping
  */
 struct pd_report {
 	enum pd_report_kind kind;
@@ -391,6 +392,7 @@
 	double queued;
 	bool has_limit;
 	double limit_per_s;
+	bool leaving;
 };
 
 /* Ends a sub-request: updates the upstream's statistics and releases the reference that
