Registry: move rate limits and removed upstreams to files of their own

Found while reading the diff: evidence.c and registry.c had taken up two concerns. registry_limits.c applies the limits of upstreams, removed.c keeps the last entries of removed ones; no behaviour changes.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -2,7 +2,6 @@
  * DOC: Statistics of upstreams and zones from the results of requests, and the choice of an
  * upstream based on them
  */
-#include <inttypes.h>
 #include <math.h>
 #include <string.h>
 
@@ -42,10 +41,6 @@
 #define ZONE_SILENCE_US	       250000
 #define ZONE_OVERDUE_UPSTREAMS 4
 #define ZONE_PROBE_INTERVAL_US 250000
-/* Share of the request rate that a cold upstream tolerates which is used. The rest is a margin for
- * requests that are sent together, since the bound holds in each second.
- */
-#define COLD_LIMIT_SHARE 0.6
 /* Step of the 92nd percentile's estimate as a share of the estimate: a sample above it raises it by
  * 0.92 of the step, a sample below it lowers it by 0.08 of the step. */
 #define P92_STEP     0.05
@@ -96,48 +91,6 @@
 	       (!upstream->zone->evacuated && !upstream->zone->unreachable);
 }
 
-/* Returns the share of this instance in a rate limit of the upstream. */
-static struct pd_rate_share rate_share(const struct pd_registry *registry,
-				       const struct pd_upstream *upstream, double limit_per_s)
-{
-	if (!registry->instance_count)
-		return (struct pd_rate_share){
-			.share = registry->share, .probe_share = registry->share, .first_probe = 1};
-	return pd_rate_share_of(registry->instances, registry->instance_count, 0,
-				pd_name_str(&upstream->id), limit_per_s,
-				upstream->service->gathered);
-}
-
-static void set_rate_limit(const struct pd_registry *registry, const struct pd_upstream *upstream,
-			   struct pd_rate_limit *limit, double limit_per_s, int64_t now_us)
-{
-	pd_rate_limit_set(limit, limit_per_s, rate_share(registry, upstream, limit_per_s), now_us);
-}
-
-/* Starts or ends the limit of the upstream's cold start. */
-static void update_cold_limit(struct pd_registry *registry, struct pd_upstream *upstream,
-			      int64_t now_us)
-{
-	double limit_per_s = upstream->service->cold_per_s * COLD_LIMIT_SHARE;
-
-	if (now_us >= upstream->cold_until_us || limit_per_s <= 0)
-		pd_rate_limit_end(&upstream->cold_limit);
-	else if (!upstream->cold_limit.active || upstream->cold_limit.limit_per_s != limit_per_s)
-		set_rate_limit(registry, upstream, &upstream->cold_limit, limit_per_s, now_us);
-}
-
-/* Returns the time until the limits of the upstream allow a request; 0 if they allow one now. */
-static int64_t permit_wait_us(struct pd_registry *registry, struct pd_upstream *upstream,
-			      int64_t now_us)
-{
-	int64_t stated_us, cold_us;
-
-	update_cold_limit(registry, upstream, now_us);
-	stated_us = pd_rate_limit_wait_us(&upstream->rate_limit, now_us);
-	cold_us = pd_rate_limit_wait_us(&upstream->cold_limit, now_us);
-	return stated_us > cold_us ? stated_us : cold_us;
-}
-
 static void fill_candidate(struct pd_registry *registry, struct pd_upstream *upstream,
 			   struct pd_upstream *const *tried, size_t tried_count, int64_t now_us,
 			   struct pd_candidate *candidate)
@@ -146,7 +99,7 @@
 
 	candidate->usable = is_usable_locked(upstream) &&
 			    !was_tried(upstream, tried, tried_count) &&
-			    !permit_wait_us(registry, upstream, now_us);
+			    !pd_registry_limit_wait_us_locked(registry, upstream, now_us);
 	candidate->cold = now_us < upstream->cold_until_us;
 	candidate->ejected = now_us < upstream->ejected_until_us;
 	candidate->connected = upstream->idle != NULL;
@@ -188,11 +141,7 @@
 	if (upstream) {
 		upstream->references++;
 		upstream->in_flight++;
-		upstream->sent_count++;
-		if (upstream->rate_limit.active)
-			pd_count(PD_COUNT_limited_sent);
-		pd_rate_limit_consume(&upstream->rate_limit, now_us);
-		pd_rate_limit_consume(&upstream->cold_limit, now_us);
+		pd_registry_count_limited_locked(upstream, now_us);
 	}
 	pthread_mutex_unlock(&registry->lock);
 	return upstream;
@@ -206,7 +155,7 @@
 	pthread_mutex_lock(&registry->lock);
 	for (struct pd_upstream *u = service->upstreams; u && !found; u = u->next)
 		found = is_usable_locked(u) && !was_tried(u, tried, tried_count) &&
-			!permit_wait_us(registry, u, now_us);
+			!pd_registry_limit_wait_us_locked(registry, u, now_us);
 	pthread_mutex_unlock(&registry->lock);
 	return found;
 }
@@ -218,7 +167,7 @@
 
 	pthread_mutex_lock(&registry->lock);
 	for (struct pd_upstream *u = service->upstreams; u; u = u->next) {
-		int64_t wait_us = permit_wait_us(registry, u, now_us);
+		int64_t wait_us = pd_registry_limit_wait_us_locked(registry, u, now_us);
 
 		if (is_usable_locked(u) && (shortest_us < 0 || wait_us < shortest_us))
 			shortest_us = wait_us;
@@ -276,7 +225,7 @@
 		double expected;
 
 		if (!is_usable_locked(u) || now_us < u->ejected_until_us ||
-		    permit_wait_us(registry, u, now_us))
+		    pd_registry_limit_wait_us_locked(registry, u, now_us))
 			continue;
 		expected = expected_latency(u, mean_service_time_us, now_us);
 		if (best <= 0 || expected < best)
@@ -448,59 +397,6 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
-void pd_registry_update_rate_shares_locked(struct pd_registry *registry)
-{
-	int64_t now = pd_os_boot_us();
-	struct pd_upstream *upstream, *next;
-
-	HASH_ITER(hh, registry->upstreams, upstream, next)
-	{
-		struct pd_rate_limit *limits[] = {&upstream->rate_limit, &upstream->cold_limit};
-
-		for (size_t i = 0; i < sizeof(limits) / sizeof(limits[0]); i++) {
-			if (limits[i]->active)
-				set_rate_limit(registry, upstream, limits[i],
-					       limits[i]->limit_per_s, now);
-		}
-	}
-}
-
-static void log_limit_change(struct pd_upstream *upstream, double before, int64_t now_us)
-{
-	const struct pd_rate_limit *limit = &upstream->rate_limit;
-
-	pd_log(PD_LOG_INFO, limit->active ? "upstream_limited" : "upstream_limit_ended",
-	       "upstream=%s service=%s limit_per_s=%g before=%g share=%.4f sent=%" PRIu32
-	       " since_ms=%" PRId64,
-	       upstream->id.text, upstream->service->name.text,
-	       limit->active ? limit->limit_per_s : 0, before,
-	       limit->active ? limit->share.share : 0, upstream->sent_count,
-	       (now_us - upstream->limit_changed_us) / PD_USEC_PER_MSEC);
-	upstream->limit_changed_us = now_us;
-	upstream->sent_count = 0;
-}
-
-/* Records the rate limit that the response states, or that it states none any more. */
-static void record_limit(struct pd_registry *registry, struct pd_upstream *upstream,
-			 const struct pd_report *report, int64_t now_us)
-{
-	struct pd_rate_limit *limit = &upstream->rate_limit;
-	double before = limit->active ? limit->limit_per_s : 0;
-
-	if (report->has_limit) {
-		upstream->limit_stated_us = now_us;
-		if (limit->active && before == report->limit_per_s)
-			return;
-		set_rate_limit(registry, upstream, limit, report->limit_per_s, now_us);
-		log_limit_change(upstream, before, now_us);
-	} else if (limit->active && report->kind == PD_REPORT_SUCCESS &&
-		   now_us - report->latency_us >= upstream->limit_stated_us) {
-		/* A response to an older request may have been sent before the limit was stated. */
-		pd_rate_limit_end(limit);
-		log_limit_change(upstream, before, now_us);
-	}
-}
-
 static void apply_report(struct pd_registry *registry, struct pd_upstream *upstream,
 			 const struct pd_report *report, int64_t now_us)
 {
@@ -508,7 +404,7 @@
 		upstream->reported_load = report->load;
 		upstream->load_reported_us = now_us;
 	}
-	record_limit(registry, upstream, report, now_us);
+	pd_registry_record_limit_locked(registry, upstream, report, now_us);
 	switch (report->kind) {
 	case PD_REPORT_SUCCESS:
 		record_success(upstream, now_us);
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -10,6 +10,7 @@
 #include "os.h"
 #include "pool.h"
 #include "registry_private.h"
+#include "removed.h"
 
 /* Shares of the allowed retry ratio and slack that the instances use together. The rest is a margin
  * for instances that count a request in a later time window than its attempts. */
@@ -19,9 +20,6 @@
  */
 #define DEFAULT_SHARE	   (1.0 / 64)
 #define RETRY_CAPACITY_MIN 1.0
-/* Time for which older entries of an upstream that was removed are ignored. It exceeds the age of a
- * copy from which the store is restored, and the expiry of the entries that it restores. */
-#define REMOVED_KEEP_US (60 * PD_USEC_PER_SEC)
 /* Number of positions of a weighted round-robin at which an instance may start; not a multiple of
  * any usual sum of weights. */
 #define START_POSITIONS 997
@@ -46,14 +44,12 @@
 	struct pd_upstream *upstream = registry->upstreams, *next_upstream;
 	struct pd_service *service = registry->services, *next_service;
 	struct pd_zone *zone = registry->zones, *next_zone;
-	struct pd_removed_upstream *removed = registry->removed, *next_removed;
 	struct pd_route_stats *stats = registry->routes, *next_stats;
 
 	/* HASH_CLEAR() frees only the table; its elements stay linked and are freed below. */
 	HASH_CLEAR(hh, registry->upstreams);
 	HASH_CLEAR(hh, registry->services);
 	HASH_CLEAR(hh, registry->zones);
-	HASH_CLEAR(hh, registry->removed);
 	HASH_CLEAR(hh, registry->routes);
 	for (; upstream; upstream = next_upstream) {
 		next_upstream = upstream->hh.next;
@@ -67,10 +63,7 @@
 		next_zone = zone->hh.next;
 		free(zone);
 	}
-	for (; removed; removed = next_removed) {
-		next_removed = removed->hh.next;
-		free(removed);
-	}
+	pd_removed_finish(&registry->removed);
 	for (; stats; stats = next_stats) {
 		next_stats = stats->hh.next;
 		free(stats);
@@ -241,36 +234,6 @@
 	}
 }
 
-static void forget_removed(struct pd_registry *registry, struct pd_removed_upstream *removed)
-{
-	/* False positive of the analyzer, see remove_locked(). */
-	HASH_DEL(registry->removed, removed); /* NOLINT(clang-analyzer-*) */
-	free(removed);
-}
-
-/* Remembers the entry of an upstream that is removed, if it can be compared with others. */
-static void remember_removed(struct pd_registry *registry, const struct pd_upstream *upstream)
-{
-	struct pd_removed_upstream *removed;
-
-	if (!upstream->sequence)
-		return;
-	HASH_FIND(hh, registry->removed, upstream->id.text, upstream->id.len, removed);
-	if (removed)
-		forget_removed(registry, removed);
-	removed = calloc(1, sizeof(*removed));
-	if (!removed) {
-		pd_log(PD_LOG_ERROR, "removal_not_kept", "upstream=%s reason=no_memory",
-		       upstream->id.text);
-		return;
-	}
-	removed->id = upstream->id;
-	removed->started_unix_ms = upstream->started_unix_ms;
-	removed->sequence = upstream->sequence;
-	removed->removed_us = pd_os_boot_us();
-	HASH_ADD_KEYPTR(hh, registry->removed, removed->id.text, removed->id.len, removed);
-}
-
 static void remove_locked(struct pd_registry *registry, struct pd_upstream *upstream,
 			  const char *reason)
 {
@@ -279,7 +242,7 @@
 	/* False positive of the analyzer: it assumes that HASH_DEL() frees the table although the
 	 * table still holds other elements. */
 	HASH_DEL(registry->upstreams, upstream); /* NOLINT(clang-analyzer-*) */
-	remember_removed(registry, upstream);
+	pd_removed_add(&registry->removed, upstream);
 	unlink_from_service(upstream);
 	upstream->removed = true;
 	pd_pool_close_idle_locked(upstream);
@@ -359,27 +322,6 @@
 	entry->sequence = upstream->sequence;
 }
 
-/* Whether an entry was written before the one with @started_unix_ms and @sequence. Entries without
- * these numbers can't be compared. */
-static bool is_older(const struct pd_upstream_entry *entry, int64_t started_unix_ms,
-		     uint64_t sequence)
-{
-	if (!entry->sequence || !sequence)
-		return false;
-	if (entry->started_unix_ms != started_unix_ms)
-		return entry->started_unix_ms < started_unix_ms;
-	return entry->sequence < sequence;
-}
-
-/* Whether an entry was written before its upstream was removed. */
-static bool was_removed(struct pd_registry *registry, const struct pd_upstream_entry *entry)
-{
-	struct pd_removed_upstream *removed;
-
-	HASH_FIND(hh, registry->removed, entry->id.text, entry->id.len, removed);
-	return removed && is_older(entry, removed->started_unix_ms, removed->sequence + 1);
-}
-
 static void update_upstream(struct pd_upstream *upstream, const struct pd_upstream_entry *entry)
 {
 	if (upstream->draining != entry->draining)
@@ -407,12 +349,13 @@
 	struct pd_upstream *upstream;
 
 	HASH_FIND(hh, registry->upstreams, entry->id.text, entry->id.len, upstream);
-	if (upstream && is_older(entry, upstream->started_unix_ms, upstream->sequence)) {
+	if (upstream &&
+	    pd_upstream_entry_is_older(entry, upstream->started_unix_ms, upstream->sequence)) {
 		ignore_older(upstream, entry);
 		upstream->listed = true;
 		return true;
 	}
-	if (!upstream && was_removed(registry, entry)) {
+	if (!upstream && pd_removed_has(registry->removed, entry)) {
 		pd_log(PD_LOG_INFO, "upstream_entry_older",
 		       "upstream=%s sequence=%" PRIu64 " reason=removed", entry->id.text,
 		       entry->sequence);
@@ -518,25 +461,12 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
-/* Forgets the upstreams that were removed long ago. */
-static void expire_removed_locked(struct pd_registry *registry)
-{
-	struct pd_removed_upstream *removed, *next;
-	int64_t now = pd_os_boot_us();
-
-	HASH_ITER(hh, registry->removed, removed, next)
-	{
-		if (now - removed->removed_us > REMOVED_KEEP_US)
-			forget_removed(registry, removed);
-	}
-}
-
 void pd_registry_apply_removals(struct pd_registry *registry)
 {
 	struct pd_upstream *upstream, *next;
 
 	pthread_mutex_lock(&registry->lock);
-	expire_removed_locked(registry);
+	pd_removed_expire(&registry->removed, pd_os_boot_us());
 	HASH_ITER(hh, registry->upstreams, upstream, next)
 	{
 		if (upstream->remove_pending && !registry->hold_removals)
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -23,6 +23,7 @@
 #include "str.h"
 
 struct pd_conn;
+struct pd_removed_upstream;
 
 /**
  * struct pd_zone - an availability zone
@@ -169,21 +170,6 @@
 	UT_hash_handle hh;
 };
 
-/**
- * struct pd_removed_upstream - the last entry of an upstream that was removed
- * @id: name of the entry; key of the hash table
- * @started_unix_ms: Unix time of the upstream's start in milliseconds
- * @sequence: sequence number of the entry
- * @removed_us: time at which the upstream was removed
- */
-struct pd_removed_upstream {
-	struct pd_name id;
-	int64_t started_unix_ms;
-	uint64_t sequence;
-	int64_t removed_us;
-	UT_hash_handle hh;
-};
-
 /**
  * struct pd_registry_options - settings of the registry
  * @zone: availability zone of this process
--- /dev/null
+++ b/ingress/removed.c
@@ -0,0 +1,82 @@
+#include "removed.h"
+
+#include <stdlib.h>
+
+#include "log.h"
+#include "os.h"
+
+/* Time for which an entry is kept. It exceeds the age of a copy from which the store is restored,
+ * and the expiry of the entries that it restores. */
+#define KEEP_US (60 * PD_USEC_PER_SEC)
+
+bool pd_upstream_entry_is_older(const struct pd_upstream_entry *entry, int64_t started_unix_ms,
+				uint64_t sequence)
+{
+	if (!entry->sequence || !sequence)
+		return false;
+	if (entry->started_unix_ms != started_unix_ms)
+		return entry->started_unix_ms < started_unix_ms;
+	return entry->sequence < sequence;
+}
+
+static void forget(struct pd_removed_upstream **table, struct pd_removed_upstream *removed)
+{
+	/* False positive of the analyzer: it assumes that HASH_DEL() frees the table although the
+	 * table still holds other elements. */
+	HASH_DEL(*table, removed); /* NOLINT(clang-analyzer-*) */
+	free(removed);
+}
+
+void pd_removed_add(struct pd_removed_upstream **table, const struct pd_upstream *upstream)
+{
+	struct pd_removed_upstream *removed;
+
+	if (!upstream->sequence)
+		return;
+	HASH_FIND(hh, *table, upstream->id.text, upstream->id.len, removed);
+	if (removed)
+		forget(table, removed);
+	removed = calloc(1, sizeof(*removed));
+	if (!removed) {
+		pd_log(PD_LOG_ERROR, "removal_not_kept", "upstream=%s reason=no_memory",
+		       upstream->id.text);
+		return;
+	}
+	removed->id = upstream->id;
+	removed->started_unix_ms = upstream->started_unix_ms;
+	removed->sequence = upstream->sequence;
+	removed->removed_us = pd_os_boot_us();
+	HASH_ADD_KEYPTR(hh, *table, removed->id.text, removed->id.len, removed);
+}
+
+bool pd_removed_has(const struct pd_removed_upstream *table, const struct pd_upstream_entry *entry)
+{
+	const struct pd_removed_upstream *removed;
+
+	HASH_FIND(hh, table, entry->id.text, entry->id.len, removed);
+	return removed &&
+	       pd_upstream_entry_is_older(entry, removed->started_unix_ms, removed->sequence + 1);
+}
+
+void pd_removed_expire(struct pd_removed_upstream **table, int64_t now_us)
+{
+	struct pd_removed_upstream *removed, *next;
+
+	HASH_ITER(hh, *table, removed, next)
+	{
+		if (now_us - removed->removed_us > KEEP_US)
+			forget(table, removed);
+	}
+}
+
+void pd_removed_finish(struct pd_removed_upstream **table)
+{
+	struct pd_removed_upstream *removed = *table, *next;
+
+	/* HASH_CLEAR() frees only the table; its elements stay linked. */
+	HASH_CLEAR(hh, *table);
+	for (; removed; removed = next) {
+		next = removed->hh.next;
+		free(removed);
+	}
+}
