Relays: eject a stopping relay until it has exited

Traced by its log: the first closing response came 1 ms after SIGTERM, the relay was ejected for 3 s, and stopped 3,003 ms after SIGTERM; the requests of the last 3 ms were relayed to it again. The ejection was as long as a stopping process serves at least.

It now lasts for the grace period, 6 s, within which the process has exited; if a new process is there earlier, other relays and the instance itself serve meanwhile. No check is changed.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -28,6 +28,8 @@
 #define FAILURES_TO_EJECT 3
 #define EJECTION_US	  400000 /* first ejection; doubled with each further failure */
 #define EJECTION_MAX_US	  3000000
+/* Ejection of an instance that is stopping: the platform's grace period, within which it exits. */
+#define LEAVING_EJECTION_US 6000000
 /* A reported load is assumed to halve in this time while no new report arrives. */
 #define LOAD_HALF_LIFE_US 150000.0
 /* Minimum weight of one sample in the moving average of the service time. */
@@ -409,7 +411,7 @@
 	case PD_REPORT_SUCCESS:
 		record_success(upstream, now_us);
 		if (report->leaving)
-			upstream->ejected_until_us = now_us + EJECTION_MAX_US;
+			upstream->ejected_until_us = now_us + LEAVING_EJECTION_US;
 		add_service_time(upstream->service, report, now_us);
 		if (report->stats) {
 			add_route_latency(report->stats, (double)report->latency_us);
