--- a/tests/test_config_peers.c
+++ b/tests/test_config_peers.c
@@ -166,10 +166,15 @@
 /* Fails if the peer answers without the index versions, or sends them after the configuration. */
 START_TEST(configuration_request_is_answered_with_the_index_first)
 {
+	bool index_first;
+
 	pd_config_sync_handle_peer_config_version(starting_instance.sync, starting_instance.link,
 						  3);
 	ck_assert(wait_until_received(&starting_instance, true));
-	ck_assert(starting_instance.index_first);
+	pthread_mutex_lock(&starting_instance.mutex);
+	index_first = starting_instance.index_first;
+	pthread_mutex_unlock(&starting_instance.mutex);
+	ck_assert(index_first);
 }
 END_TEST
 
