Sync: read the state of a task under the lock

A task read whether its kind is listed without the lock under which another task sets it. The membership's thread could do so before; since all kinds are listed again after a restore of the store, the tasks do it for each other.

The task now reads it under the lock. With the thread sanitizer, restore_register, restore_watch and restore_drain pass in three runs each, nine at a time.

--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -74,6 +74,16 @@
 	pthread_mutex_unlock(&task->sync->lock);
 }
 
+static bool is_listed(struct pd_sync_task *task)
+{
+	bool listed;
+
+	pthread_mutex_lock(&task->sync->lock);
+	listed = task->listed;
+	pthread_mutex_unlock(&task->sync->lock);
+	return listed;
+}
+
 void pd_sync_restart_watches(struct pd_sync *sync)
 {
 	for (size_t i = 0; i < PD_SYNC_TASK_COUNT; i++) {
@@ -443,7 +453,7 @@
 static enum pd_code fetch_changes(struct pd_sync_task *task, bool was_inactive,
 				  struct pd_error *err)
 {
-	if (task->listed && !should_skip_events(task, was_inactive)) {
+	if (is_listed(task) && !should_skip_events(task, was_inactive)) {
 		task->events_skipped = false;
 		return watch_once(task, err);
 	}
