Tests: build the simulation of the router on arm64

Ruled out: building that file without the vectorizer, which would need a rule of its own in the Makefile for one loop.

Change: the loop compares the values itself. The result is the same: the service times are finite and not negative.

Before: `make all tests` fails on arm64.

--- a/tests/router_sim.c
+++ b/tests/router_sim.c
@@ -445,9 +445,15 @@
 	double result;
 
 	for (int q = 0; q < SIM_QUERIES; q++) {
-		for (int i = 0; i < SIM_SERVICES; i++)
-			latency[q] = fmax(latency[q],
-					  fmin(service_times[q][i][0], service_times[q][i][1]));
+		/* Not fmax(): gcc 12 for arm64 fails with an internal error when it vectorizes a
+		 * reduction with fmax() and fmin().
+		 */
+		for (int i = 0; i < SIM_SERVICES; i++) {
+			double fastest = fmin(service_times[q][i][0], service_times[q][i][1]);
+
+			if (fastest > latency[q])
+				latency[q] = fastest;
+		}
 	}
 	result = p99(latency, SIM_QUERIES);
 	free(latency);
