Tests: reproduce requests to upstreams that leave or ask for a pause

Cause: Server-Leaving in the responses of upstreams, and Retry-After in their 503 responses, are read nowhere.

Change: the stand-in's upstreams send both (commands leaving, staying, retry_after, reborn, request_retry).

--- a/standins/platform_upstream.c
+++ b/standins/platform_upstream.c
@@ -63,6 +63,20 @@
 	pthread_mutex_unlock(&upstream->lock);
 }
 
+void platform_upstream_set_retry_after(struct platform_upstream *upstream, const char *retry_after)
+{
+	pthread_mutex_lock(&upstream->lock);
+	snprintf(upstream->retry_after, sizeof(upstream->retry_after), "%s", retry_after);
+	pthread_mutex_unlock(&upstream->lock);
+}
+
+void platform_upstream_set_leaving(struct platform_upstream *upstream, bool leaving)
+{
+	pthread_mutex_lock(&upstream->lock);
+	upstream->leaving = leaving;
+	pthread_mutex_unlock(&upstream->lock);
+}
+
 static void send_buffer(int fd, const struct pd_buf *out)
 {
 	pd_os_write_full(fd, out->data, out->len, NULL);
@@ -96,11 +110,16 @@
 	}
 }
 
-static void append_limit(struct pd_buf *out, struct platform_upstream *upstream)
+/* Appends what the upstream asks of its senders. */
+static void append_directives(struct pd_buf *out, struct platform_upstream *upstream, bool rejected)
 {
 	pthread_mutex_lock(&upstream->lock);
 	if (upstream->limit[0])
 		pd_buf_printf(out, "Server-Limit: %s\r\n", upstream->limit);
+	if (upstream->leaving)
+		pd_buf_append_str(out, PD_STR("Server-Leaving: 1\r\n"));
+	if (rejected && upstream->retry_after[0])
+		pd_buf_printf(out, "Retry-After: %s\r\n", upstream->retry_after);
 	pthread_mutex_unlock(&upstream->lock);
 }
 
@@ -112,7 +131,7 @@
 		      pd_http_reason(status), PD_STR_ARG(id));
 	pd_buf_printf(out, "X-Server-Stamp: %s.%.*s\r\nX-Server-Load: 1,0,3\r\n", upstream->id,
 		      PD_STR_ARG(id));
-	append_limit(out, upstream);
+	append_directives(out, upstream, false);
 }
 
 /* Makes close() of @fd send a reset. */
@@ -307,7 +326,7 @@
 	} else if (mode == PLATFORM_UPSTREAM_SHED) {
 		pd_buf_append_str(&out, PD_STR("HTTP/1.1 503 Service Unavailable\r\n"
 					       "X-Not-Executed: 1\r\n"));
-		append_limit(&out, upstream);
+		append_directives(&out, upstream, true);
 		pd_buf_append_str(&out, PD_STR("Content-Length: 0\r\n\r\n"));
 	} else {
 		return send_response(upstream, mode, response_delay_ms, fd, id);
--- a/standins/platform_upstream.h
+++ b/standins/platform_upstream.h
@@ -81,7 +81,7 @@
  * @address: address at which the upstream listens
  * @listener: listening socket
  * @thread: thread that accepts connections
- * @lock: guards the members from @mode to @limit
+ * @lock: guards the members from @mode to @leaving
  * @mode: how the upstream handles requests
  * @delay_ms: delay of responses in the mode PLATFORM_UPSTREAM_LATE, in milliseconds
  * @received_count: number of requests received
@@ -90,6 +90,9 @@
  * @last_executed: method, target and start of the body of the last executed request
  * @limit: rate limit that all responses state, as a decimal number of requests per second; empty
  * for none
+ * @retry_after: value of Retry-After in the responses of the mode PLATFORM_UPSTREAM_SHED; empty for
+ * none
+ * @leaving: all responses to requests for this instance state that it is leaving
  * @records_by_request: the records of a response depend on the request id, see
  * platform_upstream_record(); set before platform_upstream_start()
  * @on_request: called for each request before the response is sent; NULL for none; set before
@@ -109,6 +112,8 @@
 	uint32_t endless_count;
 	char last_executed[1024];
 	char limit[16];
+	char retry_after[32];
+	bool leaving;
 	bool records_by_request;
 	void (*on_request)(struct platform_upstream *upstream,
 			   const struct platform_upstream_request *request);
@@ -135,5 +140,9 @@
 
 /* Sets the rate limit that the upstream states in its responses; empty for none. */
 void platform_upstream_set_limit(struct platform_upstream *upstream, const char *limit);
+/* Sets the pause that the upstream asks for when it rejects a request; empty for none. */
+void platform_upstream_set_retry_after(struct platform_upstream *upstream, const char *retry_after);
+/* Sets whether the upstream states in its responses that it is leaving. */
+void platform_upstream_set_leaving(struct platform_upstream *upstream, bool leaving);
 
 #endif
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -126,9 +126,9 @@
 	exit(EXIT_FAILURE);
 }
 
-/* Returns the entry with which the upstream registers in the store. */
-static json_t *create_entry(const struct platform_upstream *upstream, const char *zone,
-			    const char *state)
+/* Returns the entry of an upstream that was started at @started_ms. */
+static json_t *create_entry_of_start(const struct platform_upstream *upstream, const char *zone,
+				     const char *state, json_int_t started_ms)
 {
 	char address[PD_ADDRESS_TEXT_MAX_BYTES];
 
@@ -136,7 +136,14 @@
 	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service", upstream->service,
 			 "address", address, "zone", zone, "version", "v1", "slots", 3, "state",
 			 state, "cold_remaining_ms", 0, "seq", ++deployment.last_seq, "born",
-			 (json_int_t)1000);
+			 started_ms);
+}
+
+/* Returns the entry with which the upstream registers in the store. */
+static json_t *create_entry(const struct platform_upstream *upstream, const char *zone,
+			    const char *state)
+{
+	return create_entry_of_start(upstream, zone, state, 1000);
 }
 
 /* upstream ID SERVICE [ZONE]: starts and registers an upstream */
@@ -164,6 +171,30 @@
 	platform_upstream_set_limit(find_upstream(words[1]), count > 2 ? words[2] : "");
 }
 
+/* retry_after ID [SECONDS]: sets the pause that an upstream asks for when it rejects a request;
+ * none without SECONDS
+ */
+static void do_retry_after(char **words, int count)
+{
+	platform_upstream_set_retry_after(find_upstream(words[1]), count > 2 ? words[2] : "");
+}
+
+/* leaving ID, staying ID: sets whether an upstream states in its responses that it is leaving */
+static void do_leaving(char **words, int count)
+{
+	(void)count;
+	platform_upstream_set_leaving(find_upstream(words[1]), !strcmp(words[0], "leaving"));
+}
+
+/* reborn ID: registers an upstream again as one that has started anew, under the same id */
+static void do_reborn(char **words, int count)
+{
+	(void)count;
+	platform_upstream_set_leaving(find_upstream(words[1]), false);
+	platform_store_put(&deployment.store, "servers", words[1],
+			   create_entry_of_start(find_upstream(words[1]), "here", "ready", 2000));
+}
+
 /* drain ID: sets the state "draining" in the entry of an upstream */
 static void do_drain(char **words, int count)
 {
@@ -673,6 +704,30 @@
 		pd_os_close(&fd);
 }
 
+/* request_retry METHOD TARGET: sends a request and prints the Retry-After of the refusal, in
+ * seconds; "none" if the response has none
+ */
+static void do_request_retry(char **words, int count)
+{
+	int fd = connect_to_instance();
+	struct pd_buf request = {0};
+	struct pd_http_message msg;
+	struct pd_str value;
+
+	if (fd < 0)
+		return;
+	append_request(words, count, &request);
+	pd_http_message_init(&msg, PD_HTTP_RESPONSE, HEAD_MAX_BYTES, BODY_MAX_BYTES);
+	if (pd_os_write_full(fd, request.data, request.len, NULL) == PD_OK &&
+	    read_reply(fd, &msg) && pd_http_message_field(&msg, "Retry-After", &value))
+		append_output("%.*s", PD_STR_ARG(value));
+	else
+		append_output("none");
+	pd_http_message_finish(&msg);
+	pd_buf_finish(&request);
+	pd_os_close(&fd);
+}
+
 static void count_flood_reply(int fd, const struct pd_buf *request)
 {
 	struct pd_http_message msg;
@@ -905,6 +960,10 @@
 	{"upstream", 3, do_upstream},
 	{"mode", 3, do_mode},
 	{"limit", 2, do_limit},
+	{"retry_after", 2, do_retry_after},
+	{"leaving", 2, do_leaving},
+	{"staying", 2, do_leaving},
+	{"reborn", 2, do_reborn},
 	{"drain", 2, do_drain},
 	{"gone", 2, do_gone},
 	{"back", 2, do_back},
@@ -934,6 +993,7 @@
 	{"sleep", 2, do_sleep},
 	{"request", 3, do_request},
 	{"kept", 3, do_request},
+	{"request_retry", 3, do_request_retry},
 	{"flood", 5, do_flood},
 	{"flooded", 2, do_flooded},
 	{"leave", 4, do_leave},
