Permits: one module decides whether an upstream may get a request

Cause: Server-Leaving and Retry-After were read nowhere, and what upstreams ask of their senders was spread over evidence, registry and rate limits: each caller combined removed, draining, replaced, evacuated and limits by itself.

Ruled out: passing "leaving" on by the feed. A leaving upstream serves on for drain_timeout_ms, so that each instance learns it from the first response without a loss for the caller; a new kind of message would be a new version of the feed. Ejecting a pausing upstream: an ejected one is still used when no other is left. Keeping the pause in the upstream alone: an entry that is removed and written again would end it.

Change: ingress/permit states for each upstream whether a request may be sent, or else the reason and from when. First attempts, retries, hedges, probes of rate limits, relayed requests, kept connections and probes of zones ask it. What an upstream has stated belongs to one start of it and outlives its entry. An instance prolongs a pause by a random time, and clients get a Retry-After that is spread beyond its end. A permit expires after 400 ms, so that a process that was suspended between the choice and the connection doesn't send a request by an old permit. Also closed now: idle connections to an upstream that is draining, or whose address has another instance.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -84,26 +84,17 @@
 	return false;
 }
 
-static bool is_usable_locked(const struct pd_upstream *upstream)
-{
-	if (upstream->removed || upstream->draining || upstream->replaced)
-		return false;
-	/* Evacuation and unreachability of a zone apply to upstreams, not to instances. */
-	return upstream->service->internal ||
-	       (!upstream->zone->evacuated && !upstream->zone->unreachable);
-}
-
 static void fill_candidate(struct pd_registry *registry, struct pd_upstream *upstream,
 			   struct pd_upstream *const *tried, size_t tried_count, int64_t now_us,
 			   struct pd_candidate *candidate)
 {
+	struct pd_permit permit = pd_permit_check_locked(registry, upstream, now_us);
 	double weight = pd_load_weight(now_us - upstream->load_reported_us);
 
-	candidate->usable = is_usable_locked(upstream) &&
-			    !was_tried(upstream, tried, tried_count) &&
-			    !pd_registry_limit_wait_us_locked(registry, upstream, now_us);
-	candidate->cold = now_us < upstream->cold_until_us;
-	candidate->ejected = now_us < upstream->ejected_until_us;
+	candidate->usable =
+		permit.block == PD_BLOCK_NONE && !was_tried(upstream, tried, tried_count);
+	candidate->cold = permit.cold;
+	candidate->ejected = permit.ejected;
 	candidate->connected = upstream->idle != NULL;
 	candidate->at_connection_limit =
 		!upstream->idle && pd_pool_at_connection_limit_locked(upstream);
@@ -143,51 +134,25 @@
 	if (upstream) {
 		upstream->references++;
 		upstream->in_flight++;
-		pd_registry_count_limited_locked(upstream, now_us);
+		pd_permit_consume_locked(upstream, now_us);
 	}
 	pthread_mutex_unlock(&registry->lock);
 	return upstream;
 }
 
-bool pd_registry_has_usable(struct pd_registry *registry, struct pd_service *service,
-			    struct pd_upstream *const *tried, size_t tried_count, int64_t now_us)
-{
-	bool found = false;
-
-	pthread_mutex_lock(&registry->lock);
-	for (struct pd_upstream *u = service->upstreams; u && !found; u = u->next)
-		found = is_usable_locked(u) && !was_tried(u, tried, tried_count) &&
-			!pd_registry_limit_wait_us_locked(registry, u, now_us);
-	pthread_mutex_unlock(&registry->lock);
-	return found;
-}
-
-int64_t pd_registry_permit_wait_us(struct pd_registry *registry, struct pd_service *service,
-				   int64_t now_us)
+struct pd_permit pd_registry_permit(struct pd_registry *registry, struct pd_service *service,
+				    struct pd_upstream *const *tried, size_t tried_count,
+				    int64_t now_us)
 {
-	int64_t shortest_us = -1;
+	struct pd_permit best = {.block = PD_BLOCK_NO_UPSTREAM, .wait_us = PD_PERMIT_NEVER};
 
 	pthread_mutex_lock(&registry->lock);
 	for (struct pd_upstream *u = service->upstreams; u; u = u->next) {
-		int64_t wait_us = pd_registry_limit_wait_us_locked(registry, u, now_us);
-
-		if (is_usable_locked(u) && (shortest_us < 0 || wait_us < shortest_us))
-			shortest_us = wait_us;
+		if (!was_tried(u, tried, tried_count))
+			best = pd_permit_better(best, pd_permit_check_locked(registry, u, now_us));
 	}
 	pthread_mutex_unlock(&registry->lock);
-	return shortest_us;
-}
-
-bool pd_registry_has_healthy(struct pd_registry *registry, struct pd_service *service,
-			     int64_t now_us)
-{
-	bool found = false;
-
-	pthread_mutex_lock(&registry->lock);
-	for (struct pd_upstream *u = service->upstreams; u && !found; u = u->next)
-		found = is_usable_locked(u) && now_us >= u->ejected_until_us;
-	pthread_mutex_unlock(&registry->lock);
-	return found;
+	return best;
 }
 
 /* Returns the expected latency of a request sent now to this upstream: the service time, plus the
@@ -224,10 +189,10 @@
 	mean_service_time_us = service->service_time_us * service_time_decay(service, now_us);
 	for (struct pd_upstream *u = service->upstreams; u && mean_service_time_us > 0;
 	     u = u->next) {
+		struct pd_permit permit = pd_permit_check_locked(registry, u, now_us);
 		double expected;
 
-		if (!is_usable_locked(u) || now_us < u->ejected_until_us ||
-		    pd_registry_limit_wait_us_locked(registry, u, now_us))
+		if (permit.block != PD_BLOCK_NONE || permit.ejected)
 			continue;
 		expected = expected_latency(u, mean_service_time_us, now_us);
 		if (best <= 0 || expected < best)
@@ -399,6 +364,19 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
+void pd_registry_record_directives_locked(struct pd_registry *registry,
+					  struct pd_upstream *upstream,
+					  const struct pd_directives *directives, int64_t sent_us,
+					  int64_t now_us)
+{
+	if (upstream->service->internal)
+		return;
+	pd_permit_record_locked(registry, upstream, directives, now_us);
+	pd_permit_record_limit_locked(registry, upstream, directives, sent_us, now_us);
+	if (pd_permit_is_final_locked(upstream))
+		pd_pool_close_idle_locked(upstream);
+}
+
 static void apply_report(struct pd_registry *registry, struct pd_upstream *upstream,
 			 const struct pd_report *report, int64_t now_us)
 {
@@ -406,11 +384,15 @@
 		upstream->reported_load = report->load;
 		upstream->load_reported_us = now_us;
 	}
-	pd_registry_record_limit_locked(registry, upstream, report, now_us);
+	if (report->kind != PD_REPORT_WRONG_INSTANCE)
+		pd_registry_record_directives_locked(
+			registry, upstream, &report->directives,
+			report->kind == PD_REPORT_SUCCESS ? now_us - report->latency_us : 0,
+			now_us);
 	switch (report->kind) {
 	case PD_REPORT_SUCCESS:
 		record_success(upstream, now_us);
-		if (report->leaving)
+		if (report->relay_stopping)
 			upstream->ejected_until_us = now_us + LEAVING_EJECTION_US;
 		add_service_time(upstream->service, report, now_us);
 		if (report->stats) {
@@ -433,6 +415,7 @@
 		break;
 	case PD_REPORT_WRONG_INSTANCE:
 		upstream->replaced = true;
+		pd_pool_close_idle_locked(upstream);
 		pd_log(PD_LOG_INFO, "upstream_replaced", "upstream=%s service=%s address=%s",
 		       upstream->id.text, upstream->service->name.text, upstream->address_text);
 		break;
@@ -469,7 +452,7 @@
 	bool has_upstreams = false;
 
 	for (const struct pd_upstream *u = service->upstreams; u; u = u->next) {
-		if (u->removed || u->draining || u->replaced)
+		if (pd_permit_is_final_locked(u))
 			continue;
 		if (!u->zone->unreachable)
 			return false;
@@ -515,7 +498,7 @@
 		if (found || !zone->unreachable || now_us < zone->next_probe_us)
 			continue;
 		for (struct pd_upstream *u = registry->upstreams; u; u = u->hh.next) {
-			if (u->zone != zone || u->draining)
+			if (u->zone != zone || !pd_permit_allows_probe_locked(u, now_us))
 				continue;
 			/* Reservoir sampling: all upstreams of the zone are equally likely. */
 			if (pd_registry_random_locked(registry) % ++zone_upstreams == 0)
--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -93,6 +93,12 @@
 	struct msghdr msg = {.msg_iov = iov};
 	ssize_t n;
 
+	/* The process may have been suspended since the permit was given. */
+	if (!exchange->sent && pd_os_boot_us() > exchange->permit_until_us) {
+		exchange->reusable = false;
+		exchange->state = PD_EXCHANGE_EXPIRED;
+		return;
+	}
 	msg.msg_iovlen = (size_t)fill_unsent(exchange, iov);
 	n = sendmsg(exchange->conn->fd, &msg, MSG_NOSIGNAL | MSG_DONTWAIT);
 	if (n < 0) {
@@ -138,8 +144,7 @@
 	exchange->has_load = fields->has_load;
 	exchange->load = (double)fields->running + fields->queued;
 	exchange->queued = fields->queued;
-	exchange->has_limit = fields->has_limit;
-	exchange->limit_per_s = fields->limit_per_s;
+	exchange->directives = fields->directives;
 	exchange->closing = !msg->keep_alive;
 	exchange->reusable = exchange->reusable && msg->keep_alive && msg->framed &&
 			     exchange->state == PD_EXCHANGE_WAITING;
@@ -264,6 +269,7 @@
 	exchange->upstream = upstream;
 	exchange->request = request;
 	exchange->started_us = now_us;
+	exchange->permit_until_us = now_us + PD_PERMIT_VALID_US;
 	exchange->reusable = max_idle_us > 0;
 	exchange->tail_len = pd_platform_write_tail(exchange->tail, sizeof(exchange->tail),
 						    left_ms > 0 ? (uint64_t)left_ms : 0,
--- a/ingress/exchange.h
+++ b/ingress/exchange.h
@@ -24,6 +24,7 @@
 	PD_EXCHANGE_REJECTED, /* the upstream states that it didn't execute the request */
 	PD_EXCHANGE_WRONG_INSTANCE, /* another instance responded and didn't execute the request */
 	PD_EXCHANGE_UNREACHABLE, /* the connection failed before anything was sent */
+	PD_EXCHANGE_EXPIRED, /* the permit expired before anything was sent */
 	PD_EXCHANGE_BROKEN, /* no complete response after sending; the request may have executed */
 };
 
@@ -53,6 +54,8 @@
  * @tail_len: length of @tail in bytes
  * @sent: number of bytes of head, tail and body sent so far
  * @started_us: time at which the exchange started, in microseconds of pd_os_boot_us()
+ * @permit_until_us: time until which the request may begin to be sent, in microseconds of
+ *	pd_os_boot_us()
  * @discarded: number of bytes received so far in interim responses and in responses to earlier
  *	requests
  * @received: data was received from the upstream during this exchange
@@ -61,8 +64,7 @@
  * @has_load: the response states the upstream's load: @load and @queued are valid
  * @load: number of requests running or queued at the upstream
  * @queued: number of requests queued at the upstream
- * @has_limit: the response states a rate limit: @limit_per_s is valid
- * @limit_per_s: number of requests per second that the upstream takes from all instances together
+ * @directives: what the response states about further requests to the upstream
  * @closing: the response states that the upstream closes the connection
  * @overdue: the exchange was reported to the registry as overdue
  */
@@ -76,14 +78,14 @@
 	size_t sent;
 	size_t discarded;
 	int64_t started_us;
+	int64_t permit_until_us;
 	bool received;
 	bool reusable;
 	bool stale;
 	bool has_load;
 	double load;
 	double queued;
-	bool has_limit;
-	double limit_per_s;
+	struct pd_directives directives;
 	bool closing;
 	bool overdue;
 };
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -96,6 +96,14 @@
 	       leg->attempts, leg->executions);
 }
 
+/* Returns the best permit of the upstreams that weren't tried yet. */
+static struct pd_permit leg_permit(const struct pd_fanout *fanout, const struct pd_leg *leg,
+				   int64_t now_us)
+{
+	return pd_registry_permit(fanout->pool->registry, leg->service, leg->tried,
+				  leg->tried_count, now_us);
+}
+
 /* Sends an attempt to an upstream that wasn't tried yet; false if there is none. */
 static bool send_attempt(struct pd_fanout *fanout, struct pd_leg *leg, int64_t now_us)
 {
@@ -143,7 +151,7 @@
 		fail_leg(fanout, leg, reason);
 		return;
 	}
-	if (!pd_registry_has_usable(registry, leg->service, leg->tried, leg->tried_count, now_us)) {
+	if (leg_permit(fanout, leg, now_us).block != PD_BLOCK_NONE) {
 		fail_leg(fanout, leg, reason);
 		return;
 	}
@@ -202,9 +210,8 @@
 		.has_load = exchange->has_load,
 		.load = exchange->load,
 		.queued = exchange->queued,
-		.has_limit = exchange->has_limit,
-		.limit_per_s = exchange->limit_per_s,
-		.leaving = fanout->relay && exchange->closing,
+		.directives = exchange->directives,
+		.relay_stopping = fanout->relay && exchange->closing,
 	};
 
 	pd_exchange_end(exchange, fanout->pool, &report, now_us);
@@ -251,6 +258,17 @@
 	       (long long)(now_us - exchange->started_us) / 1000);
 }
 
+/* Allows another attempt at an upstream to which nothing was sent. */
+static void remove_tried(struct pd_leg *leg, const struct pd_upstream *upstream)
+{
+	for (uint8_t i = 0; i < leg->tried_count; i++) {
+		if (leg->tried[i] == upstream) {
+			leg->tried[i] = leg->tried[--leg->tried_count];
+			return;
+		}
+	}
+}
+
 /* Handles an exchange in one of its final states. */
 static void handle_final_state(struct pd_fanout *fanout, struct pd_leg *leg,
 			       struct pd_exchange *exchange, int64_t now_us)
@@ -273,6 +291,12 @@
 		end_exchange(fanout, exchange, PD_REPORT_UNREACHABLE, now_us);
 		retry_leg(fanout, leg, "unreached", false, now_us);
 		break;
+	case PD_EXCHANGE_EXPIRED:
+		log_exchange(fanout, leg, exchange, "permit_expired", now_us);
+		remove_tried(leg, exchange->upstream);
+		end_exchange(fanout, exchange, PD_REPORT_ABANDONED, now_us);
+		retry_leg(fanout, leg, "permit_expired", false, now_us);
+		break;
 	case PD_EXCHANGE_BROKEN: {
 		bool stale = exchange->stale;
 
@@ -325,7 +349,7 @@
 	if (!late_upstream || !fanout->route->idempotent || !find_unused_exchange(leg) ||
 	    leg->attempts >= fanout->route->max_attempts ||
 	    fanout->broken_connections >= BROKEN_CONNECTIONS_MAX ||
-	    !pd_registry_has_usable(registry, leg->service, leg->tried, leg->tried_count, now_us) ||
+	    leg_permit(fanout, leg, now_us).block != PD_BLOCK_NONE ||
 	    !pd_registry_consume_retry(registry, leg->service))
 		return;
 	if (!send_attempt(fanout, leg, now_us))
@@ -598,8 +622,10 @@
 		return;
 	}
 	for (size_t i = 0; i < fanout->leg_count; i++) {
-		if (!send_attempt(fanout, &fanout->legs[i], now))
-			fail_leg(fanout, &fanout->legs[i], "no_upstream");
+		struct pd_leg *leg = &fanout->legs[i];
+
+		if (!send_attempt(fanout, leg, now))
+			fail_leg(fanout, leg, pd_block_name(leg_permit(fanout, leg, now).block));
 	}
 	for (size_t i = 0; i < fanout->leg_count; i++)
 		handle_ended_exchanges(fanout, &fanout->legs[i], now);
--- a/ingress/policy.c
+++ b/ingress/policy.c
@@ -35,6 +35,8 @@
 #define PERMIT_RETRY_MAX_MS 1000
 /* A request that crashed its upstreams is refused for a minute after the last crash. */
 #define CRASHES_RETRY_MS 60000
+/* Maximum time after which a request may be retried that a pause of the upstreams doesn't allow. */
+#define PAUSE_RETRY_MAX_MS 60000
 
 int64_t pd_policy_hedge_delay(const struct pd_route *route, double p92_us)
 {
@@ -103,9 +105,24 @@
 	return wait_ms < PERMIT_RETRY_MAX_MS ? (uint32_t)wait_ms : PERMIT_RETRY_MAX_MS;
 }
 
-uint32_t pd_policy_retry_after_ms(enum pd_refusal refusal, int64_t permit_wait_us)
+/* Returns the time until the pause has ended, and a random one of up to a quarter of it, so that
+ * the clients don't all return in the same moment. Other instances are in the same situation, so
+ * that an earlier retry would be refused by those, too.
+ */
+static uint32_t pause_retry_ms(int64_t wait_us, uint64_t random)
+{
+	int64_t wait_ms = (wait_us + PD_USEC_PER_MSEC - 1) / PD_USEC_PER_MSEC;
+
+	if (wait_ms > PAUSE_RETRY_MAX_MS)
+		wait_ms = PAUSE_RETRY_MAX_MS;
+	return (uint32_t)(wait_ms + (int64_t)(random % (uint64_t)(wait_ms / 4 + 1)));
+}
+
+uint32_t pd_policy_retry_after_ms(enum pd_refusal refusal, int64_t permit_wait_us, uint64_t random)
 {
 	switch (refusal) {
+	case PD_REFUSAL_PAUSED:
+		return pause_retry_ms(permit_wait_us, random);
 	case PD_REFUSAL_RATE_LIMITED:
 		return permit_retry_ms(permit_wait_us);
 	case PD_REFUSAL_ISOLATED:
--- a/ingress/policy.h
+++ b/ingress/policy.h
@@ -87,6 +87,7 @@
 	PD_REFUSAL_NO_UPSTREAM, /* too few services have a usable upstream */
 	PD_REFUSAL_UPSTREAMS_OVERLOADED, /* the upstreams reject requests or have long queues */
 	PD_REFUSAL_RATE_LIMITED, /* upstreams have reached their rate limits */
+	PD_REFUSAL_PAUSED, /* upstreams have asked for a pause */
 	PD_REFUSAL_OVERLOADED, /* this instance has too many requests or too little memory */
 	PD_REFUSAL_CRASHES, /* several upstreams crashed while they executed the same request */
 };
@@ -95,11 +96,13 @@
  * pd_policy_retry_after_ms() - time after which the client may retry a refused request
  * @refusal: reason for the refusal
  * @permit_wait_us: time until this instance may send the request, in microseconds, if the reason is
- *	PD_REFUSAL_RATE_LIMITED; other instances may send it sooner, so that the time is bounded
+ *	PD_REFUSAL_RATE_LIMITED or PD_REFUSAL_PAUSED. Other instances may have a part of a rate
+ *	limit left, so that its time is bounded.
+ * @random: random number, which spreads the clients that return after a pause
  *
  * Return: time in milliseconds, after which the cause has usually passed; 0 if another instance may
  * be able to serve the request at once.
  */
-uint32_t pd_policy_retry_after_ms(enum pd_refusal refusal, int64_t permit_wait_us);
+uint32_t pd_policy_retry_after_ms(enum pd_refusal refusal, int64_t permit_wait_us, uint64_t random);
 
 #endif
--- a/ingress/pool.c
+++ b/ingress/pool.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "counters.h"
+#include "headers.h"
 #include "log.h"
 #include "os.h"
 #include "registry_private.h"
@@ -272,7 +273,7 @@
 {
 	struct pd_upstream *upstream = conn->upstream;
 
-	if (upstream->removed || upstream->draining || conn->idle_limit_us <= 0 ||
+	if (pd_permit_is_final_locked(upstream) || conn->idle_limit_us <= 0 ||
 	    count_idle(upstream) >= connection_limit(upstream)) {
 		close_locked(pool, conn);
 		return;
@@ -308,6 +309,17 @@
 	DRAIN_FAILED, /* the connection can't be reused */
 };
 
+/* Records what a response that isn't needed states about further requests. */
+static void record_drained_response(struct pd_conn *conn, int64_t now_us)
+{
+	struct pd_response_fields fields;
+
+	pd_platform_read_response(&conn->msg, &fields);
+	if (fields.execution != PD_RESPONSE_WRONG_INSTANCE)
+		pd_registry_record_directives_locked(conn->pool->registry, conn->upstream,
+						     &fields.directives, 0, now_us);
+}
+
 /* Reads received bytes of a response that isn't needed. */
 static enum drain_result drain_available(struct pd_conn *conn, int64_t now_us)
 {
@@ -331,6 +343,7 @@
 			return used == (size_t)n ? DRAIN_INCOMPLETE : DRAIN_FAILED;
 		}
 		pd_conn_update_idle_limit(conn);
+		record_drained_response(conn, now_us);
 		return used == (size_t)n && conn->msg.keep_alive ? DRAIN_DONE : DRAIN_FAILED;
 	default:
 		return DRAIN_FAILED;
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -183,7 +183,7 @@
 		sum += instances[i].load;
 	if (sum > 0)
 		set_share_locked(registry, instances[0].load / sum);
-	pd_registry_update_rate_shares_locked(registry);
+	pd_permit_update_shares_locked(registry);
 }
 
 void pd_registry_set_instances(struct pd_registry *registry,
@@ -282,7 +282,8 @@
 	memcpy(upstream->address_text, entry->address.text, sizeof(upstream->address_text));
 	upstream->started_unix_ms = entry->started_unix_ms;
 	upstream->latency_ratio = 1;
-	upstream->limit_changed_us = pd_os_boot_us();
+	upstream->terms.limit_changed_us = pd_os_boot_us();
+	pd_removed_restore_terms(registry->removed, entry, &upstream->terms);
 	upstream->next = service->upstreams;
 	service->upstreams = upstream;
 	service->upstream_count++;
@@ -331,6 +332,8 @@
 	upstream->slots = entry->slots;
 	upstream->sequence = entry->sequence;
 	upstream->replaced = false;
+	if (pd_permit_is_final_locked(upstream))
+		pd_pool_close_idle_locked(upstream);
 	upstream->cold_until_us =
 		entry->cold_ms > 0 ? pd_os_boot_us() + entry->cold_ms * PD_USEC_PER_MSEC : 0;
 }
@@ -355,7 +358,7 @@
 		upstream->listed = true;
 		return true;
 	}
-	if (!upstream && pd_removed_has(registry->removed, entry)) {
+	if (!upstream && pd_removed_has(registry->removed, entry, pd_os_boot_us())) {
 		pd_log(PD_LOG_INFO, "upstream_entry_older",
 		       "upstream=%s sequence=%" PRIu64 " reason=removed", entry->id.text,
 		       entry->sequence);
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -19,6 +19,7 @@
 #include "budget.h"
 #include "catalog.h"
 #include "error.h"
+#include "permit.h"
 #include "rate_limit.h"
 #include "str.h"
 
@@ -90,12 +91,7 @@
  * @in_flight: number of requests of this process that are in flight to the upstream
  * @reported_load: number of running or queued requests that the upstream last reported
  * @load_reported_us: time at which @reported_load was received
- * @rate_limit: rate limit that the upstream states
- * @cold_limit: rate limit of the service's upstreams during their cold start; only active while the
- *	upstream is cold
- * @limit_stated_us: time at which a response last stated a rate limit
- * @limit_changed_us: time at which @rate_limit was last set to another limit or ended
- * @sent_count: number of requests that this process sent since @limit_changed_us
+ * @terms: what the upstream has stated about further requests in its responses
  * @overdue_period: silence period of the zone in which the upstream was last counted as overdue
  * @connections: number of open connections from this process to the upstream, idle ones included
  * @idle: list of idle connections, most recently used first
@@ -125,11 +121,7 @@
 	uint32_t in_flight;
 	double reported_load;
 	int64_t load_reported_us;
-	struct pd_rate_limit rate_limit;
-	struct pd_rate_limit cold_limit;
-	int64_t limit_stated_us;
-	int64_t limit_changed_us;
-	uint32_t sent_count;
+	struct pd_terms terms;
 	uint32_t overdue_period;
 	uint32_t connections;
 	struct pd_conn *idle;
@@ -320,22 +312,16 @@
  * Takes a reference to the upstream and counts a request in flight to it; pd_registry_report()
  * undoes both. The request also counts towards the upstream's rate limit.
  *
- * Return: the upstream, or NULL if none is usable or all have reached their rate limits.
+ * Return: the upstream, or NULL if no upstream has a permit.
  */
 struct pd_upstream *pd_registry_pick(struct pd_registry *registry, struct pd_service *service,
 				     struct pd_upstream *const *tried, size_t tried_count,
 				     int64_t now_us);
-/* Whether the service has a usable upstream outside @tried to which a request may be sent now,
- * ejected ones included. */
-bool pd_registry_has_usable(struct pd_registry *registry, struct pd_service *service,
-			    struct pd_upstream *const *tried, size_t tried_count, int64_t now_us);
-/* Returns the time in microseconds until the rate limits allow a request to a usable upstream of
- * the service, 0 if one may be sent now; -1 if no upstream is usable. */
-int64_t pd_registry_permit_wait_us(struct pd_registry *registry, struct pd_service *service,
-				   int64_t now_us);
-/* Whether the service has a usable upstream that isn't ejected. */
-bool pd_registry_has_healthy(struct pd_registry *registry, struct pd_service *service,
-			     int64_t now_us);
+/* Returns the best permit of the service's upstreams outside @tried: whether a request may be sent
+ * to one of them now, or else from when, and why. */
+struct pd_permit pd_registry_permit(struct pd_registry *registry, struct pd_service *service,
+				    struct pd_upstream *const *tried, size_t tried_count,
+				    int64_t now_us);
 /* Returns the expected latency in microseconds of a sub-request sent now to the upstream of the
  * service with the shortest queue; 0 if unknown. */
 int64_t pd_registry_expected_latency_us(struct pd_registry *registry, struct pd_service *service,
@@ -365,9 +351,8 @@
  * @has_load: the response states the upstream's load: @load and @queued are valid
  * @load: number of requests running or queued at the upstream
  * @queued: number of requests queued at the upstream
- * @has_limit: the response states a rate limit: @limit_per_s is valid
- * @limit_per_s: number of requests per second that the upstream takes from all instances together
- * @leaving: the upstream is a relay, which closes its connections because it is stopping
+ * @directives: what the response states about further requests to the upstream
+ * @relay_stopping: the upstream is a relay, which closes its connections because it is stopping
  */
 struct pd_report {
 	enum pd_report_kind kind;
@@ -376,9 +361,8 @@
 	bool has_load;
 	double load;
 	double queued;
-	bool has_limit;
-	double limit_per_s;
-	bool leaving;
+	struct pd_directives directives;
+	bool relay_stopping;
 };
 
 /* Ends a sub-request: updates the upstream's statistics and releases the reference that
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -100,6 +100,7 @@
 	case PD_REFUSAL_NOT_CONFIGURED:
 	case PD_REFUSAL_OVERLOADED:
 	case PD_REFUSAL_RATE_LIMITED:
+	case PD_REFUSAL_PAUSED:
 		return PD_RELAY_NOT_SERVED;
 	case PD_REFUSAL_NO_UPSTREAM:
 	case PD_REFUSAL_UPSTREAMS_OVERLOADED:
@@ -110,11 +111,11 @@
 }
 
 /* Sends a refusal of a request that no upstream has executed or is executing. @permit_wait_us is
- * the time until the rate limits allow the request, if they are the reason. */
+ * the time until the upstreams permit the request, if that is the reason. */
 static bool refuse_for(struct request *request, enum pd_refusal refusal, const char *reason,
 		       int64_t permit_wait_us)
 {
-	uint32_t retry_ms = pd_policy_retry_after_ms(refusal, permit_wait_us);
+	uint32_t retry_ms = pd_policy_retry_after_ms(refusal, permit_wait_us, pd_os_random_seed());
 	struct pd_buf head = {0};
 
 	request->status = HTTP_STATUS_SERVICE_UNAVAILABLE;
@@ -210,12 +211,78 @@
 	return written;
 }
 
+static int compare_permits(const void *a, const void *b)
+{
+	int64_t left = ((const struct pd_permit *)a)->wait_us;
+	int64_t right = ((const struct pd_permit *)b)->wait_us;
+
+	return (left > right) - (left < right);
+}
+
+/* Returns the permit for a successful response: that of the last one of as many legs as are needed.
+ */
+static struct pd_permit needed_permit(struct request *request, const struct pd_fanout *fanout)
+{
+	struct pd_permit needed = {.block = PD_BLOCK_NO_UPSTREAM, .wait_us = PD_PERMIT_NEVER};
+	struct pd_permit *permits = calloc(fanout->leg_count, sizeof(*permits));
+	int64_t now = pd_os_boot_us();
+
+	if (!permits)
+		return needed;
+	for (size_t i = 0; i < fanout->leg_count; i++)
+		permits[i] = pd_registry_permit(&request->ingress->registry,
+						fanout->legs[i].service, NULL, 0, now);
+	qsort(permits, fanout->leg_count, sizeof(*permits), compare_permits);
+	if (fanout->needed <= fanout->leg_count)
+		needed = permits[fanout->needed - 1];
+	free(permits);
+	return needed;
+}
+
+static bool refuse_no_upstreams(struct request *request, enum pd_block block)
+{
+	bool isolated;
+
+	if (block == PD_BLOCK_LEAVING)
+		return refuse(request, PD_REFUSAL_NO_UPSTREAM, "upstreams are leaving");
+
+	pthread_mutex_lock(&request->ingress->lock);
+	isolated = request->ingress->isolated;
+	pthread_mutex_unlock(&request->ingress->lock);
+	return refuse(request, isolated ? PD_REFUSAL_ISOLATED : PD_REFUSAL_NO_UPSTREAM,
+		      isolated ? "out of reach" : "too few services have an upstream");
+}
+
+/* Refuses a request that too few upstreams permit now. */
+static bool refuse_blocked(struct request *request, const struct pd_permit *permit)
+{
+	pd_log(PD_LOG_INFO, "request_blocked", "id=%.*s block=%s wait_ms=%" PRId64,
+	       PD_STR_ARG(request->fields.request_id), pd_block_name(permit->block),
+	       permit->wait_us == PD_PERMIT_NEVER ? -1 : permit->wait_us / PD_USEC_PER_MSEC);
+	if (permit->wait_us == PD_PERMIT_NEVER)
+		return refuse_no_upstreams(request, permit->block);
+	if (permit->block == PD_BLOCK_PAUSED) {
+		pd_count(PD_COUNT_paused_refused);
+		return refuse_for(request, PD_REFUSAL_PAUSED, "upstreams have asked for a pause",
+				  permit->wait_us);
+	}
+	pd_count(PD_COUNT_limited_refused);
+	return refuse_for(request, PD_REFUSAL_RATE_LIMITED, "upstreams are at their rate limits",
+			  permit->wait_us);
+}
+
 /* Responds to a request for which too few upstreams have responded. */
 static bool respond_failure(struct request *request, const struct pd_fanout *fanout)
 {
-	if (pd_fanout_not_executed(fanout))
+	if (pd_fanout_not_executed(fanout)) {
+		struct pd_permit permit = needed_permit(request, fanout);
+
+		/* The upstreams may have asked for a pause when they rejected the request. */
+		if (permit.block != PD_BLOCK_NONE && permit.wait_us != PD_PERMIT_NEVER)
+			return refuse_blocked(request, &permit);
 		return refuse(request, PD_REFUSAL_UPSTREAMS_OVERLOADED,
 			      "no upstream took the request");
+	}
 	if (fanout->end == PD_FANOUT_DEADLINE)
 		return respond_text(request, HTTP_STATUS_GATEWAY_TIMEOUT, "deadline");
 	return respond_text(request, HTTP_STATUS_BAD_GATEWAY, "upstreams failed");
@@ -241,36 +308,6 @@
 	return respond_failure(request, fanout);
 }
 
-static int compare_waits(const void *a, const void *b)
-{
-	int64_t left = *(const int64_t *)a, right = *(const int64_t *)b;
-
-	return (left > right) - (left < right);
-}
-
-/* Returns the time in microseconds until enough legs may be sent for a successful response, 0 if
- * they may be sent now; -1 if too few legs have a usable upstream, or memory runs out. */
-static int64_t permit_wait_us(struct request *request, const struct pd_fanout *fanout)
-{
-	int64_t now = pd_os_boot_us(), wait_us = -1;
-	int64_t *waits = calloc(fanout->leg_count, sizeof(*waits));
-	size_t count = 0;
-
-	if (!waits)
-		return -1;
-	for (size_t i = 0; i < fanout->leg_count; i++) {
-		waits[count] = pd_registry_permit_wait_us(&request->ingress->registry,
-							  fanout->legs[i].service, now);
-		count += waits[count] >= 0;
-	}
-	if (count >= fanout->needed) {
-		qsort(waits, count, sizeof(*waits), compare_waits);
-		wait_us = waits[fanout->needed - 1];
-	}
-	free(waits);
-	return wait_us;
-}
-
 static void set_services(struct request *request, struct pd_fanout *fanout)
 {
 	struct pd_route *route = request->route;
@@ -349,17 +386,6 @@
 	       request->fields.deadline_ms);
 }
 
-static bool refuse_no_upstreams(struct request *request)
-{
-	bool isolated;
-
-	pthread_mutex_lock(&request->ingress->lock);
-	isolated = request->ingress->isolated;
-	pthread_mutex_unlock(&request->ingress->lock);
-	return refuse(request, isolated ? PD_REFUSAL_ISOLATED : PD_REFUSAL_NO_UPSTREAM,
-		      isolated ? "out of reach" : "too few services have an upstream");
-}
-
 /* Logs the longest expected latency of the legs of a request that wasn't admitted. */
 static void log_expected(const struct request *request, const struct pd_fanout *fanout,
 			 const int64_t *expected)
@@ -456,14 +482,17 @@
 static bool relay_request(struct request *request, bool *written)
 {
 	struct pd_service *relays = request->ingress->relays;
+	struct pd_permit permit;
 	struct pd_route route = make_relay_route(request->route);
 	struct pd_route *own_route = request->route;
 	struct pd_buf head = {0};
 	struct pd_fanout fanout;
 	bool served = false;
 
-	if (request->relayed || own_route->kind != PD_ROUTE_GATHER || !relays ||
-	    !pd_registry_has_healthy(&request->ingress->registry, relays, pd_os_boot_us()))
+	if (request->relayed || own_route->kind != PD_ROUTE_GATHER || !relays)
+		return false;
+	permit = pd_registry_permit(&request->ingress->registry, relays, NULL, 0, pd_os_boot_us());
+	if (permit.block != PD_BLOCK_NONE || permit.ejected)
 		return false;
 	if (!pd_fanout_init(&fanout, 1))
 		return false;
@@ -497,8 +526,8 @@
 	struct pd_route *route = request->route;
 	size_t legs = route->kind == PD_ROUTE_GATHER ? route->target_count : 1;
 	struct pd_buf head = {0};
+	struct pd_permit permit;
 	struct pd_fanout fanout;
-	int64_t wait_us;
 	bool written;
 
 	if (!pd_fanout_init(&fanout, legs))
@@ -506,15 +535,11 @@
 	pd_platform_write_head(&request->client->msg, &head);
 	set_services(request, &fanout);
 	fill_fanout(request, &fanout, &head);
-	wait_us = permit_wait_us(request, &fanout);
+	permit = needed_permit(request, &fanout);
 	if (head.failed) {
 		written = refuse(request, PD_REFUSAL_OVERLOADED, "memory");
-	} else if (wait_us < 0) {
-		written = refuse_no_upstreams(request);
-	} else if (wait_us > 0) {
-		pd_count(PD_COUNT_limited_refused);
-		written = refuse_for(request, PD_REFUSAL_RATE_LIMITED,
-				     "upstreams are at their rate limits", wait_us);
+	} else if (permit.block != PD_BLOCK_NONE) {
+		written = refuse_blocked(request, &permit);
 	} else if (pd_crashes_is_blocked(&request->ingress->directory.crashes, fanout.fingerprint,
 					 pd_os_boot_us())) {
 		written = refuse(request, PD_REFUSAL_CRASHES, "the request crashed its upstreams");
--- a/src/counters.h
+++ b/src/counters.h
@@ -81,6 +81,7 @@
 	X(store_restores)                                                                          \
 	X(limited_sent)                                                                            \
 	X(limited_refused)                                                                         \
+	X(paused_refused)                                                                          \
 	X(claims_made)                                                                             \
 	X(claims_duplicate)                                                                        \
 	X(claims_refused)
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -399,8 +399,8 @@
 		return;
 	}
 	if (upstream->id.text[0] == 'a') {
-		report.has_limit = fleet.limit_per_s >= 0;
-		report.limit_per_s = report.has_limit ? fleet.limit_per_s : 0;
+		report.directives.has_limit = fleet.limit_per_s >= 0;
+		report.directives.limit_per_s = report.directives.has_limit ? fleet.limit_per_s : 0;
 		ck_assert_uint_lt(fleet.sent_count, FLEET_SENT_MAX);
 		fleet.sent[fleet.sent_count++] = now;
 	}
@@ -551,11 +551,11 @@
 	fleet.limit_per_s = 2;
 	HASH_FIND(hh, fleet.instances[0].services, "s", 1, service);
 	ck_assert_ptr_nonnull(service);
-	ck_assert_int_eq(pd_registry_permit_wait_us(&fleet.instances[0], service, now), 0);
+	ck_assert_int_eq(pd_registry_permit(&fleet.instances[0], service, NULL, 0, now).wait_us, 0);
 	fleet_send(0, now);
 	for (int i = 0; i < 3; i++) {
 		now += 1000;
-		wait = pd_registry_permit_wait_us(&fleet.instances[0], service, now);
+		wait = pd_registry_permit(&fleet.instances[0], service, NULL, 0, now).wait_us;
 		ck_assert_int_ge(wait, 498000);
 		ck_assert_int_le(wait, 501000);
 		fleet_send(0, now + wait - 1000);
@@ -585,8 +585,8 @@
 	second = pd_registry_pick(&registry, find_service(), NULL, 0, now + 1000);
 	ck_assert_ptr_nonnull(first);
 	ck_assert_ptr_eq(first, second);
-	stated.has_limit = true;
-	stated.limit_per_s = 1;
+	stated.directives.has_limit = true;
+	stated.directives.limit_per_s = 1;
 	pd_registry_report(&registry, second, &stated, now + 2000);
 	pd_registry_report(&registry, first, &older, now + 50000);
 	ck_assert_ptr_null(pd_registry_pick(&registry, find_service(), NULL, 0, now + 60000));
