Store: read objects one by one when a page isn't readable as a whole

Cause: the JSON library rejects a whole page for one number that is too large, one doubled or invalid string, or deep nesting, so that an instance that lists or watches got nothing of the page, and every next try met the same page. Nesting of up to 2,048 levels is accepted and parsed recursively on threads with 256 KB of stack. Numbers out of range were converted to integers without a check.

Ruled out: other flags of the library: it has none for numbers too large. Removing an upstream whose entry turns odd (as before): another writer would take a running upstream out of use.

Change: platform/json_scan finds the parts of a text without recursion and limits nesting to 64 levels. A page that can't be parsed as a whole is parsed object by object; an odd one is logged once with its name and the reason (entry_unreadable), counted (entries_unreadable) and left out. A known upstream keeps its last readable entry, and counts as draining if the odd one states that. The next page starts after the last object that has a name. Ports 0, counts and times out of range, doubled fields and wrong types are errors, in entries, the feed, the settings and the load of a response. The fuzz target "page" puts arbitrary text between two readable objects, with a corpus of odd ones.

--- a/fuzz/platform.c
+++ b/fuzz/platform.c
@@ -10,7 +10,9 @@
 #include "feed_message.h"
 #include "headers.h"
 #include "http.h"
+#include "json_scan.h"
 #include "objects.h"
+#include "settings_file.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
@@ -30,11 +32,13 @@
 
 static void parse_objects(struct pd_str bytes)
 {
-	json_t *json = json_loadb(bytes.data, bytes.len, 0, NULL);
+	struct pd_ingress_settings settings;
 	struct pd_object_page page;
 	struct pd_error err;
+	json_t *json = pd_json_load(bytes, &err);
 
 	pd_catalog_release(pd_object_read_config(json, &err));
+	pd_settings_read_json(json, "settings", &settings, &err);
 	json_decref(json);
 	if (pd_object_page_read(bytes, bytes.len % 2, &page, &err) != PD_OK)
 		return;
@@ -42,8 +46,15 @@
 		struct pd_upstream_entry entry;
 		struct pd_object object;
 
-		if (pd_object_page_get(&page, i, &object))
-			pd_object_read_upstream(&object, &entry, &err);
+		struct pd_instance_entry instance;
+		struct pd_name event;
+		uint64_t fingerprint;
+
+		if (!pd_object_page_get(&page, i, &object))
+			continue;
+		pd_object_read_upstream(&object, &entry, &err);
+		pd_object_read_instance(&object, &instance);
+		pd_object_read_crash(object.name, &fingerprint, &event);
 	}
 	pd_object_page_finish(&page);
 }
--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -6,6 +6,7 @@
 
 #include "counters.h"
 #include "feed_batch.h"
+#include "json_scan.h"
 #include "log.h"
 #include "objects.h"
 #include "os.h"
@@ -116,6 +117,14 @@
 		log_change(directory, &msg);
 }
 
+void pd_directory_keep_upstream(struct pd_directory *directory, struct pd_str id, bool draining)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_UPSTREAM};
+
+	if (pd_registry_keep(directory->registry, id, draining, &msg.upstream))
+		log_change(directory, &msg);
+}
+
 void pd_directory_remove_upstream(struct pd_directory *directory, struct pd_str id,
 				  const char *reason)
 {
@@ -220,10 +229,13 @@
 enum pd_code pd_directory_put_config_text(struct pd_directory *directory, struct pd_str text,
 					  int64_t received_unix_ms, struct pd_error *err)
 {
-	json_t *spec = json_loadb(text.data ? text.data : "", text.len, 0, NULL);
+	json_t *spec = pd_json_load(text, err);
 	int64_t version;
-	enum pd_code code = install_config(directory, spec, received_unix_ms, &version, err);
+	enum pd_code code;
 
+	if (!spec)
+		return pd_error_wrap(err, PD_LAYER_COORDINATION, PD_INVALID, "configuration");
+	code = install_config(directory, spec, received_unix_ms, &version, err);
 	json_decref(spec);
 	if (code == PD_OK && version >= 0)
 		store_config(directory, version, text, received_unix_ms);
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -107,6 +107,8 @@
 /* Adds or updates an upstream. */
 void pd_directory_put_upstream(struct pd_directory *directory,
 			       const struct pd_upstream_entry *entry);
+/* Keeps an upstream whose entry has become unreadable, see pd_registry_keep(). */
+void pd_directory_keep_upstream(struct pd_directory *directory, struct pd_str id, bool draining);
 /* Removes an upstream, unless removals are held; @reason is for the log. */
 void pd_directory_remove_upstream(struct pd_directory *directory, struct pd_str id,
 				  const char *reason);
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -138,7 +138,7 @@
 
 	memset(view, 0, sizeof(*view));
 	if (!to_str(object, &text) || pd_address_parse(text, &address, NULL) != PD_OK ||
-	    !pd_str_copy(text, view->text, sizeof(view->text)))
+	    !address.port || !pd_str_copy(text, view->text, sizeof(view->text)))
 		return false;
 	view->in.sin_family = AF_INET;
 	view->in.sin_port = htons(address.port);
@@ -152,7 +152,7 @@
 	if (!to_name(&fields[0], &entry->id) || !to_name(&fields[1], &entry->service) ||
 	    !to_name(&fields[2], &entry->zone) || !to_address(&fields[3], &entry->address) ||
 	    !to_number(&fields[4], 1, &draining) || !to_number(&fields[5], UINT32_MAX, &slots) ||
-	    !to_number(&fields[6], INT64_MAX, &cold) ||
+	    !to_number(&fields[6], PD_UPSTREAM_COLD_MAX_MS, &cold) ||
 	    !to_number(&fields[7], INT64_MAX, &started) ||
 	    !to_number(&fields[8], UINT64_MAX, &entry->sequence))
 		return false;
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -169,8 +169,12 @@
 
 	for (size_t i = 0; i < pd_object_page_count(page); i++) {
 		if (!pd_object_page_get(page, i, &object) ||
-		    !pd_object_read_instance(&object, &entry))
+		    !pd_object_read_instance(&object, &entry)) {
+			pd_sync_report_unreadable(
+				membership->sync, PD_OBJECT_INSTANCES, object.name,
+				object.unreadable ? object.unreadable : "a field is invalid");
 			continue;
+		}
 		if (pd_name_equal(&entry.name, &membership->self.name)) {
 			listing->has_own_entry = true;
 			membership->registered = is_own_entry(membership, &entry);
@@ -229,8 +233,13 @@
 		}
 		first = false;
 		process_page(membership, &page, &listing);
-		more = page.has_more && pd_object_page_last_name(&page, &after);
+		more = page.has_more;
+		if (more && !pd_object_page_last_name(&page, &after))
+			code = pd_error_set(err, PD_LAYER_COORDINATION, PD_INVALID,
+					    "no object of a page has a name");
 		pd_object_page_finish(&page);
+		if (code != PD_OK)
+			break;
 	}
 	pd_buf_finish(&after);
 	if (code == PD_OK) {
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -323,17 +323,22 @@
 	entry->sequence = upstream->sequence;
 }
 
+static void set_draining(struct pd_upstream *upstream, bool draining)
+{
+	pd_log(PD_LOG_INFO, "upstream_state", "upstream=%s service=%s draining=%d",
+	       upstream->id.text, upstream->service->name.text, draining);
+	upstream->draining = draining;
+	if (draining)
+		pd_pool_close_idle_locked(upstream);
+}
+
 static void update_upstream(struct pd_upstream *upstream, const struct pd_upstream_entry *entry)
 {
 	if (upstream->draining != entry->draining)
-		pd_log(PD_LOG_INFO, "upstream_state", "upstream=%s service=%s draining=%d",
-		       upstream->id.text, upstream->service->name.text, entry->draining);
-	upstream->draining = entry->draining;
+		set_draining(upstream, entry->draining);
 	upstream->slots = entry->slots;
 	upstream->sequence = entry->sequence;
 	upstream->replaced = false;
-	if (pd_permit_is_final_locked(upstream))
-		pd_pool_close_idle_locked(upstream);
 	upstream->cold_until_us =
 		entry->cold_ms > 0 ? pd_os_boot_us() + entry->cold_ms * PD_USEC_PER_MSEC : 0;
 }
@@ -388,6 +393,24 @@
 	return known;
 }
 
+bool pd_registry_keep(struct pd_registry *registry, struct pd_str id, bool draining,
+		      struct pd_upstream_entry *entry)
+{
+	struct pd_upstream *upstream;
+
+	pthread_mutex_lock(&registry->lock);
+	HASH_FIND(hh, registry->upstreams, id.data, id.len, upstream);
+	if (upstream) {
+		export_upstream(upstream, entry);
+		entry->draining = entry->draining || draining;
+		if (entry->draining != upstream->draining)
+			set_draining(upstream, entry->draining);
+		upstream->listed = true;
+	}
+	pthread_mutex_unlock(&registry->lock);
+	return upstream != NULL;
+}
+
 void pd_registry_remove(struct pd_registry *registry, struct pd_str id, const char *reason)
 {
 	struct pd_upstream *upstream;
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -216,6 +216,9 @@
 void pd_registry_init(struct pd_registry *registry, const struct pd_registry_options *options);
 void pd_registry_finish(struct pd_registry *registry);
 
+/* Maximum remaining time of a cold start in an entry that counts as readable: one day. */
+#define PD_UPSTREAM_COLD_MAX_MS 86400000
+
 /**
  * struct pd_upstream_entry - entry of an upstream in the platform's list
  * @id: name of the entry
@@ -257,8 +260,22 @@
  * holds the entry that is known now.
  */
 bool pd_registry_put(struct pd_registry *registry, struct pd_upstream_entry *entry);
-/* Removes the upstream whose entry was deleted or is unreadable. While removals are held, the
- * removal only becomes pending. */
+/**
+ * pd_registry_keep() - keeps an upstream whose entry has become unreadable
+ * @registry: registry
+ * @id: name of the entry
+ * @draining: the entry nevertheless states that the upstream is draining
+ * @entry: set to the entry that is known
+ *
+ * The last readable entry stays in use: a running upstream writes its entry again, and the entry of
+ * one that has ended is deleted.
+ *
+ * Return: false if no upstream with that entry is known.
+ */
+bool pd_registry_keep(struct pd_registry *registry, struct pd_str id, bool draining,
+		      struct pd_upstream_entry *entry);
+/* Removes the upstream whose entry was deleted. While removals are held, the removal only becomes
+ * pending. */
 void pd_registry_remove(struct pd_registry *registry, struct pd_str id, const char *reason);
 /* Enclose the pd_registry_put() calls for a complete list: upstreams that aren't put between the
  * two calls are removed. */
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -210,6 +210,35 @@
 	}
 }
 
+/* Adds a hash to those of the unreadable objects; false if it is one of them. */
+static bool add_unreadable(struct pd_sync *sync, uint64_t hash)
+{
+	size_t known = sync->unreadable_count < PD_SYNC_UNREADABLE_MAX ? sync->unreadable_count
+								       : PD_SYNC_UNREADABLE_MAX;
+	bool added = true;
+
+	pthread_mutex_lock(&sync->lock);
+	for (size_t i = 0; i < known && added; i++)
+		added = sync->unreadable[i] != hash;
+	if (added)
+		sync->unreadable[sync->unreadable_count++ % PD_SYNC_UNREADABLE_MAX] = hash;
+	pthread_mutex_unlock(&sync->lock);
+	return added;
+}
+
+void pd_sync_report_unreadable(struct pd_sync *sync, enum pd_object_kind kind, struct pd_str name,
+			       const char *reason)
+{
+	char quoted[PD_LOG_QUOTE_MAX_BYTES];
+	uint64_t hash = pd_str_hash(name, pd_str_hash(pd_str_from(reason), (uint64_t)kind));
+
+	if (!add_unreadable(sync, hash))
+		return;
+	pd_count(PD_COUNT_entries_unreadable);
+	pd_log(PD_LOG_WARNING, "entry_unreadable", "kind=%s name=%s reason=\"%s\"",
+	       pd_object_kind_name(kind), pd_log_quote(name, quoted), reason);
+}
+
 static void apply_upstream(struct pd_sync *sync, const struct pd_object *object)
 {
 	struct pd_upstream_entry entry;
@@ -220,8 +249,8 @@
 		return;
 	}
 	if (pd_object_read_upstream(object, &entry, &err) != PD_OK) {
-		pd_log_failure(PD_LOG_WARNING, "upstream_entry_unreadable", &err);
-		pd_directory_remove_upstream(sync->directory, object->name, "entry_unreadable");
+		pd_sync_report_unreadable(sync, PD_OBJECT_UPSTREAMS, object->name, err.text);
+		pd_directory_keep_upstream(sync->directory, object->name, entry.draining);
 		return;
 	}
 	pd_directory_put_upstream(sync->directory, &entry);
@@ -241,11 +270,19 @@
 {
 	struct pd_name zone;
 
-	if (!pd_name_set(&zone, object->name))
+	if (!pd_name_set(&zone, object->name)) {
+		pd_sync_report_unreadable(sync, PD_OBJECT_EVACUATIONS, object->name,
+					  "the name is too long");
 		return;
+	}
 	remove_evacuated(sync, &zone);
-	if (!object->removed && sync->evacuated_count < PD_FEED_ZONES_MAX)
+	if (object->removed)
+		return;
+	if (sync->evacuated_count < PD_FEED_ZONES_MAX)
 		sync->evacuated[sync->evacuated_count++] = zone;
+	else
+		pd_sync_report_unreadable(sync, PD_OBJECT_EVACUATIONS, object->name,
+					  "too many zones are evacuated");
 }
 
 static void apply_crash(struct pd_sync *sync, const struct pd_object *object)
@@ -253,8 +290,13 @@
 	struct pd_name event;
 	uint64_t fingerprint;
 
-	if (!object->removed && pd_object_read_crash(object->name, &fingerprint, &event))
+	if (object->removed)
+		return;
+	if (pd_object_read_crash(object->name, &fingerprint, &event))
 		pd_directory_add_crash(sync->directory, fingerprint, &event);
+	else
+		pd_sync_report_unreadable(sync, PD_OBJECT_CRASHES, object->name,
+					  "the name isn't that of a crash report");
 }
 
 /* Applies the objects or events of a page, which the store had at @received_unix_ms. */
@@ -268,8 +310,11 @@
 		return;
 	}
 	for (size_t i = 0; i < pd_object_page_count(page); i++) {
-		if (!pd_object_page_get(page, i, &object))
+		if (!pd_object_page_get(page, i, &object)) {
+			pd_sync_report_unreadable(task->sync, task->kind, object.name,
+						  "the object has no name");
 			continue;
+		}
 		switch (task->kind) {
 		case PD_OBJECT_UPSTREAMS:
 			apply_upstream(task->sync, &object);
@@ -372,8 +417,13 @@
 		}
 		/* A stale list doesn't show when the objects were written. */
 		apply_page(task, &page, stale_ok ? 0 : pd_os_unix_ms());
-		more = page.has_more && pd_object_page_last_name(&page, &after);
+		more = page.has_more;
+		if (more && !pd_object_page_last_name(&page, &after))
+			code = pd_error_set(err, PD_LAYER_COORDINATION, PD_INVALID,
+					    "no object of a page has a name");
 		pd_object_page_finish(&page);
+		if (code != PD_OK)
+			break;
 	}
 	pd_buf_finish(&after);
 	if (code != PD_OK)
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -61,11 +61,13 @@
 };
 
 #define PD_SYNC_TASK_COUNT 4
+/* Number of unreadable objects that are remembered, so that each is logged and counted once. */
+#define PD_SYNC_UNREADABLE_MAX 64
 
 /**
  * struct pd_sync - synchronisation with the store
  * @directory: directory to which changes are applied
- * @lock: guards @address, @mode, @era and &pd_sync_task.listed
+ * @lock: guards @address, @mode, @era, @unreadable and &pd_sync_task.listed
  * @changed: signalled when @mode is set
  * @address: address of the store
  * @mode: how changes are received
@@ -73,6 +75,8 @@
  * @tasks: one task for each kind of object
  * @evacuated: names of the evacuated zones; used only by the task for evacuations
  * @evacuated_count: number of entries in @evacuated
+ * @unreadable: hashes of the unreadable objects that were logged last, with their reasons
+ * @unreadable_count: number of unreadable objects that were logged
  */
 struct pd_sync {
 	struct pd_directory *directory;
@@ -84,6 +88,8 @@
 	struct pd_sync_task tasks[PD_SYNC_TASK_COUNT];
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
 	size_t evacuated_count;
+	uint64_t unreadable[PD_SYNC_UNREADABLE_MAX];
+	size_t unreadable_count;
 };
 
 void pd_sync_init(struct pd_sync *sync, struct pd_directory *directory,
@@ -100,6 +106,11 @@
  * are listed again. A stale read may have been answered with data of an earlier history.
  */
 void pd_sync_report_era(struct pd_sync *sync, uint64_t era, bool stale_ok);
+/* Logs and counts an object that can't be used, with its name and the reason; only once for each
+ * object and reason.
+ */
+void pd_sync_report_unreadable(struct pd_sync *sync, enum pd_object_kind kind, struct pd_str name,
+			       const char *reason);
 /* Whether all kinds are watched and were listed since the last failure or restart. */
 bool pd_sync_is_current(struct pd_sync *sync);
 
--- a/src/counters.h
+++ b/src/counters.h
@@ -79,6 +79,7 @@
 	X(feed_bytes_out)                                                                          \
 	X(feed_slow_writes)                                                                        \
 	X(store_restores)                                                                          \
+	X(entries_unreadable)                                                                      \
 	X(limited_sent)                                                                            \
 	X(limited_refused)                                                                         \
 	X(paused_refused)                                                                          \
--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -58,6 +58,38 @@
 	pthread_mutex_unlock(&store->lock);
 }
 
+void platform_store_put_raw(struct platform_store *store, const char *kind, const char *name,
+			    const char *text)
+{
+	char reference[32];
+
+	pthread_mutex_lock(&store->lock);
+	if (store->raw_count == PLATFORM_STORE_RAW_MAX)
+		abort();
+	snprintf(reference, sizeof(reference), "@raw-%zu@", store->raw_count);
+	store->raw[store->raw_count++] = strdup(text);
+	put_locked(store, kind, name, json_string(reference));
+	pthread_mutex_unlock(&store->lock);
+}
+
+/* Replaces the references to raw contents in a response, which is freed; returns the new one. */
+static char *insert_raw_locked(const struct platform_store *store, char *text)
+{
+	struct pd_buf out = {0};
+	const char *at = text, *reference;
+
+	while ((reference = strstr(at, "\"@raw-"))) {
+		size_t index = strtoul(reference + strlen("\"@raw-"), NULL, 10);
+
+		pd_buf_append(&out, at, (size_t)(reference - at));
+		pd_buf_append(&out, store->raw[index], strlen(store->raw[index]));
+		at = strchr(reference + 1, '"') + 1;
+	}
+	pd_buf_append(&out, at, strlen(at));
+	free(text);
+	return out.data;
+}
+
 static bool remove_locked(struct platform_store *store, const char *kind, const char *name)
 {
 	json_t *object = json_object_get(objects_of_kind(store, kind), name);
@@ -280,6 +312,8 @@
 	/* The threads share the objects and their reference counts, so this needs the lock. */
 	text = body ? json_dumps(body, JSON_COMPACT) : NULL;
 	json_decref(body);
+	if (text && store->raw_count)
+		text = insert_raw_locked(store, text);
 	era = store->era;
 	pthread_mutex_unlock(&store->lock);
 	if (status)
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -27,6 +27,8 @@
 	PLATFORM_STORE_SILENT,
 };
 
+#define PLATFORM_STORE_RAW_MAX 32
+
 /**
  * struct platform_store - the store and its server
  * @address: address at which the store listens
@@ -46,6 +48,8 @@
  * @watch_count: number of watches started
  * @on_write: if set, called with the contents of an object that a request writes, before the object
  * is stored; called with @lock held
+ * @raw: contents of objects that are sent as they are, in place of the string "@raw-INDEX"
+ * @raw_count: number of entries in @raw
  */
 struct platform_store {
 	struct pd_address address;
@@ -64,6 +68,8 @@
 	uint32_t request_count;
 	uint32_t watch_count;
 	void (*on_write)(const char *kind, const char *name, json_t *spec);
+	char *raw[PLATFORM_STORE_RAW_MAX];
+	size_t raw_count;
 };
 
 /* Starts the store at a free port; all members of @store but @on_write must be zero. */
@@ -71,6 +77,11 @@
 /* Creates or replaces an object with the contents @spec, whose reference it takes over. */
 void platform_store_put(struct platform_store *store, const char *kind, const char *name,
 			json_t *spec);
+/* The same with any text as the contents, which needn't be JSON that a library reads. At most
+ * PLATFORM_STORE_RAW_MAX times.
+ */
+void platform_store_put_raw(struct platform_store *store, const char *kind, const char *name,
+			    const char *text);
 void platform_store_remove(struct platform_store *store, const char *kind, const char *name);
 void platform_store_set_mode(struct platform_store *store, enum platform_store_mode mode);
 /* Drops the history, so that all pending watches get status 410. */
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -226,6 +226,26 @@
 			   json_loads(words[2], JSON_DECODE_ANY, NULL));
 }
 
+/* raw_object KIND NAME TEXT: writes an object with any text as its contents; in it, ^N stands for N
+ * times the character that follows
+ */
+static void do_raw_object(char **words, int count)
+{
+	struct pd_buf text = {0};
+
+	(void)count;
+	for (const char *position = words[3]; *position; position++) {
+		long times = 1;
+
+		if (*position == '^')
+			times = strtol(position + 1, (char **)&position, 10);
+		for (; times > 0; times--)
+			pd_buf_append(&text, position, 1);
+	}
+	platform_store_put_raw(&deployment.store, words[1], words[2], text.data);
+	pd_buf_finish(&text);
+}
+
 /*
  * rename ID NEW_ID: changes the id under which an upstream responds but not its entry, as when
  * another instance has been started at the same address
@@ -957,55 +977,31 @@
 };
 
 static const struct command commands[] = {
-	{"upstream", 3, do_upstream},
-	{"mode", 3, do_mode},
-	{"limit", 2, do_limit},
-	{"retry_after", 2, do_retry_after},
-	{"leaving", 2, do_leaving},
-	{"staying", 2, do_leaving},
-	{"reborn", 2, do_reborn},
-	{"drain", 2, do_drain},
-	{"gone", 2, do_gone},
-	{"back", 2, do_back},
-	{"entry", 3, do_entry},
-	{"rename", 3, do_rename},
-	{"evacuate", 2, do_evacuate},
-	{"return", 2, do_evacuate},
-	{"route", 2, do_route},
-	{"forget", 1, do_forget},
-	{"publish", 2, do_publish},
-	{"storm", 4, do_storm},
-	{"services", 2, do_services},
-	{"store", 2, do_store},
-	{"storelink", 2, do_storelink},
-	{"objects", 2, do_objects},
-	{"start", 1, do_start},
-	{"term", 1, do_signal},
-	{"hup", 1, do_signal},
-	{"kill", 1, do_signal},
-	{"pause", 1, do_signal},
-	{"resume", 1, do_signal},
-	{"use", 2, do_use},
-	{"instance", 2, do_instance},
-	{"size", 3, do_size},
-	{"link", 3, do_link},
-	{"exit", 1, do_exit},
-	{"sleep", 2, do_sleep},
-	{"request", 3, do_request},
-	{"kept", 3, do_request},
-	{"request_retry", 3, do_request_retry},
-	{"flood", 5, do_flood},
-	{"flooded", 2, do_flooded},
-	{"leave", 4, do_leave},
-	{"raw", 2, do_raw},
-	{"ready", 1, do_ready},
-	{"metric", 2, do_metric},
-	{"runs", 2, do_upstream_info},
-	{"arrivals", 2, do_upstream_info},
-	{"last", 2, do_upstream_info},
-	{"arrivals_reset", 2, do_arrivals_reset},
-	{"logged", 2, do_logged},
-	{"endless", 2, do_endless},
+	{"upstream", 3, do_upstream},  {"mode", 3, do_mode},
+	{"limit", 2, do_limit},	       {"retry_after", 2, do_retry_after},
+	{"leaving", 2, do_leaving},    {"staying", 2, do_leaving},
+	{"reborn", 2, do_reborn},      {"drain", 2, do_drain},
+	{"gone", 2, do_gone},	       {"back", 2, do_back},
+	{"entry", 3, do_entry},	       {"raw_object", 4, do_raw_object},
+	{"rename", 3, do_rename},      {"evacuate", 2, do_evacuate},
+	{"return", 2, do_evacuate},    {"route", 2, do_route},
+	{"forget", 1, do_forget},      {"publish", 2, do_publish},
+	{"storm", 4, do_storm},	       {"services", 2, do_services},
+	{"store", 2, do_store},	       {"storelink", 2, do_storelink},
+	{"objects", 2, do_objects},    {"start", 1, do_start},
+	{"term", 1, do_signal},	       {"hup", 1, do_signal},
+	{"kill", 1, do_signal},	       {"pause", 1, do_signal},
+	{"resume", 1, do_signal},      {"use", 2, do_use},
+	{"instance", 2, do_instance},  {"size", 3, do_size},
+	{"link", 3, do_link},	       {"exit", 1, do_exit},
+	{"sleep", 2, do_sleep},	       {"request", 3, do_request},
+	{"kept", 3, do_request},       {"request_retry", 3, do_request_retry},
+	{"flood", 5, do_flood},	       {"flooded", 2, do_flooded},
+	{"leave", 4, do_leave},	       {"raw", 2, do_raw},
+	{"ready", 1, do_ready},	       {"metric", 2, do_metric},
+	{"runs", 2, do_upstream_info}, {"arrivals", 2, do_upstream_info},
+	{"last", 2, do_upstream_info}, {"arrivals_reset", 2, do_arrivals_reset},
+	{"logged", 2, do_logged},      {"endless", 2, do_endless},
 	{"memory", 2, do_memory},
 };
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -12,6 +12,7 @@
 #include "http.h"
 #include "merge.h"
 #include "objects.h"
+#include "os.h"
 #include "settings_file.h"
 #include "suite.h"
 
@@ -364,6 +365,162 @@
 }
 END_TEST
 
+/* Reads a page of objects, or of events, with one odd object between two readable ones; returns
+ * the number of its entries that can be used.
+ */
+static size_t read_odd_page(const char *odd, bool events, struct pd_buf *reason)
+{
+	static const char object[] =
+		"{\"meta\":{\"name\":\"good%d\"},\"spec\":{\"service\":\"s\",\"zone\":\"z\","
+		"\"address\":\"127.0.0.1:9\",\"state\":\"ready\",\"slots\":3}}";
+	const char *wrap = events ? "{\"tombstone\":false,\"object\":" : "";
+	const char *end = events ? "}" : "";
+	struct pd_buf text = {0}, last = {0};
+	struct pd_object_page page;
+	struct pd_error err;
+	size_t usable = 0;
+
+	pd_buf_printf(&text, "{\"at\":7,\"has_more\":true,\"%s\":[", events ? "events" : "items");
+	for (int i = 1; i <= 2; i++) {
+		pd_buf_append_str(&text, pd_str_from(wrap));
+		pd_buf_printf(&text, object, i);
+		pd_buf_printf(&text, "%s,%s", end, wrap);
+		pd_buf_append_str(&text, pd_str_from(odd));
+		pd_buf_printf(&text, "%s%s", end, i == 1 ? "," : "]}");
+	}
+	ck_assert_int_eq(pd_object_page_read(pd_buf_str(&text), events, &page, &err), PD_OK);
+	ck_assert_uint_eq(page.revision, 7);
+	ck_assert(page.has_more);
+	ck_assert_uint_eq(pd_object_page_count(&page), 4);
+	ck_assert(pd_object_page_last_name(&page, &last));
+	for (size_t i = 0; i < pd_object_page_count(&page); i++) {
+		struct pd_upstream_entry entry;
+		struct pd_object entry_object;
+
+		if (!pd_object_page_get(&page, i, &entry_object))
+			continue;
+		if (pd_object_read_upstream(&entry_object, &entry, &err) == PD_OK) {
+			usable++;
+			continue;
+		}
+		pd_buf_clear(reason);
+		pd_buf_append_str(reason, pd_str_from(err.text));
+	}
+	pd_object_page_finish(&page);
+	pd_buf_finish(&text);
+	pd_buf_finish(&last);
+	return usable;
+}
+
+#define ODD(spec) "{\"meta\":{\"name\":\"odd\"},\"spec\":" spec "}"
+#define SOUND_FIELDS                                                                               \
+	"\"service\":\"s\",\"zone\":\"z\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\""
+
+START_TEST(one_odd_object_does_not_hide_the_others)
+{
+	/* Guards against a page that is rejected as a whole because of one object of another
+	 * writer, and against an error that doesn't say what is wrong with it.
+	 */
+	static const struct {
+		const char *odd;
+		const char *reason;
+	} cases[] = {
+		{ODD("{\"slots\":99999999999999999999}"), "too big integer"},
+		{ODD("{\"slots\":1e999}"), "real number overflow"},
+		{ODD("{\"service\":\"s\",\"service\":\"t\"}"), "duplicate object key"},
+		{ODD("{\"service\":\"\xff\"}"), "unable to decode byte"},
+		{ODD("{" SOUND_FIELDS ",\"slots\":\"3\"}"), "odd: slots"},
+		{ODD("{" SOUND_FIELDS ",\"slots\":0}"), "odd: slots"},
+		{ODD("{" SOUND_FIELDS ",\"slots\":5e9}"), "odd: slots"},
+		{ODD("{" SOUND_FIELDS ",\"slots\":3,\"cold_remaining_ms\":1e300}"),
+		 "odd: cold_remaining_ms"},
+		{ODD("{" SOUND_FIELDS ",\"slots\":3,\"cold_remaining_ms\":\"1\"}"),
+		 "odd: cold_remaining_ms"},
+		{ODD("{" SOUND_FIELDS ",\"slots\":3,\"born\":1e18}"), "odd: born"},
+		{ODD("{" SOUND_FIELDS ",\"slots\":3,\"seq\":-1}"), "odd: seq"},
+		{ODD("{\"service\":\"s\",\"zone\":\"z\",\"address\":\"127.0.0.1:65536\"}"),
+		 "odd: address"},
+		{ODD("{\"service\":\"s\",\"zone\":\"z\",\"address\":\"127.0.0.1:0\"}"),
+		 "odd: address"},
+		{ODD("{\"service\":\"s\",\"zone\":\"z\",\"address\":\"127.0.0.1:-1\"}"),
+		 "odd: address"},
+		{ODD("[]"), "odd: service"},
+		{ODD("null"), "odd: service"},
+		{"{\"meta\":{\"name\":\"odd\"}}", "odd: service"},
+		{"\"text\"", ""},
+		{"nothing", ""},
+		{"{\"spec\":{}}", ""},
+		{"{\"meta\":{\"name\":7},\"spec\":{}}", ""},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		for (int events = 0; events < 2; events++) {
+			struct pd_buf reason = {0};
+
+			ck_assert_msg(read_odd_page(cases[i].odd, events, &reason) == 2, "%s",
+				      cases[i].odd);
+			ck_assert_msg(strstr(reason.data ? reason.data : "", cases[i].reason) !=
+					      NULL,
+				      "%s: %s", cases[i].odd, reason.data);
+			pd_buf_finish(&reason);
+		}
+	}
+}
+END_TEST
+
+static void *read_nested_page(void *arg)
+{
+	struct pd_buf odd = {0}, reason = {0};
+	size_t depth = *(const size_t *)arg;
+
+	pd_buf_append_str(&odd, PD_STR("{\"meta\":{\"name\":\"odd\"},\"spec\":"));
+	for (size_t i = 0; i < depth; i++)
+		pd_buf_append_str(&odd, PD_STR("[{\"a\":"));
+	pd_buf_append_str(&odd, PD_STR("1"));
+	for (size_t i = 0; i < depth; i++)
+		pd_buf_append_str(&odd, PD_STR("}]"));
+	pd_buf_append_str(&odd, PD_STR("}"));
+	ck_assert_uint_eq(read_odd_page(odd.data, false, &reason), 2);
+	ck_assert_ptr_nonnull(strstr(reason.data, "nested more than"));
+	pd_buf_finish(&odd);
+	pd_buf_finish(&reason);
+	return NULL;
+}
+
+START_TEST(nested_objects_fit_the_stack_of_a_thread)
+{
+	/* Guards against a process that ends because a deeply nested object, which the JSON library
+	 * would accept, overflows the stack of a thread.
+	 */
+	static const size_t depths[] = {40, 500, 1000, 100000};
+
+	for (size_t i = 0; i < sizeof(depths) / sizeof(depths[0]); i++) {
+		size_t depth = depths[i];
+		struct pd_error err;
+		pthread_t thread;
+
+		ck_assert_int_eq(
+			pd_os_thread_start(&thread, "nested", read_nested_page, &depth, &err),
+			PD_OK);
+		pthread_join(thread, NULL);
+	}
+}
+END_TEST
+
+START_TEST(draining_is_read_from_an_odd_entry)
+{
+	/* Guards against requests to a draining upstream whose entry has another invalid field. */
+	json_t *spec = json_pack("{s:s,s:s}", "state", "draining", "slots", "3");
+	struct pd_object object = {.name = PD_STR("a"), .spec = spec};
+	struct pd_upstream_entry entry;
+	struct pd_error err;
+
+	ck_assert_int_eq(pd_object_read_upstream(&object, &entry, &err), PD_INVALID);
+	ck_assert(entry.draining);
+	json_decref(spec);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -379,6 +536,9 @@
 		upstream_message_round_trip,
 		heartbeat_round_trip,
 		settings_errors_name_key_or_line,
+		one_odd_object_does_not_hide_the_others,
+		nested_objects_fit_the_stack_of_a_thread,
+		draining_is_read_from_an_odd_entry,
 	};
 
 	return suite_run("platform", tests, sizeof(tests) / sizeof(tests[0]));
