Exchange: prove that a request didn't run when its new connection is reset

Cause: an upstream that is over its limit of connections accepts a connection and resets it. A request that may run only once was sent as soon as the connection was established, so that the reset came after it and nothing proved that it hadn't run: 502.

Ruled out: reading from the socket which bytes were acknowledged: unacknowledged bytes may have been received as well. Kept connections for such requests: one that turns out to be closed leaves the same doubt.

Change: such a request is sent when the upstream has kept the connection for two round trips (2 to 10 ms).

--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -3,6 +3,8 @@
 #include <ck_pr.h>
 #include <errno.h>
 #include <inttypes.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -21,11 +23,17 @@
 /* An abandoned request whose response hasn't arrived after this time is cancelled by closing its
  * connection. */
 #define DRAIN_TIMEOUT_US 400000
+/* Bounds of the time for which an upstream must keep a new connection before a request that may run
+ * only once is sent on it.
+ */
+#define SETTLE_MIN_US 2000
+#define SETTLE_MAX_US 10000
 
 bool pd_exchange_is_live(const struct pd_exchange *exchange)
 {
 	switch (exchange->state) {
 	case PD_EXCHANGE_CONNECTING:
+	case PD_EXCHANGE_SETTLING:
 	case PD_EXCHANGE_SENDING:
 	case PD_EXCHANGE_WAITING:
 		return true;
@@ -111,6 +119,24 @@
 		exchange->state = PD_EXCHANGE_WAITING;
 }
 
+/* Returns the time for which an upstream must keep a new connection: two round trips, since it
+ * accepts the connection half a round trip after it is established here.
+ */
+static int64_t settle_time_us(int fd)
+{
+	struct tcp_info info;
+	socklen_t len = sizeof(info);
+	int64_t time_us;
+
+	memset(&info, 0, sizeof(info));
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len))
+		return SETTLE_MIN_US;
+	time_us = 2 * (int64_t)info.tcpi_rtt;
+	if (time_us < SETTLE_MIN_US)
+		return SETTLE_MIN_US;
+	return time_us < SETTLE_MAX_US ? time_us : SETTLE_MAX_US;
+}
+
 static void finish_connect(struct pd_exchange *exchange)
 {
 	socklen_t len = sizeof(int);
@@ -121,10 +147,35 @@
 		exchange->state = PD_EXCHANGE_UNREACHABLE;
 		return;
 	}
+	if (exchange->settle) {
+		exchange->state = PD_EXCHANGE_SETTLING;
+		exchange->settle_until_us = pd_os_boot_us() + settle_time_us(exchange->conn->fd);
+		return;
+	}
+	exchange->state = PD_EXCHANGE_SENDING;
+	send_request(exchange);
+}
+
+void pd_exchange_check_settled(struct pd_exchange *exchange, int64_t now_us)
+{
+	if (exchange->state != PD_EXCHANGE_SETTLING || now_us < exchange->settle_until_us)
+		return;
 	exchange->state = PD_EXCHANGE_SENDING;
 	send_request(exchange);
 }
 
+/* Ends an exchange whose connection has an event before the request was sent. */
+static void check_refused(struct pd_exchange *exchange)
+{
+	char byte;
+	ssize_t n = recv(exchange->conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+		return;
+	exchange->reusable = false;
+	exchange->state = PD_EXCHANGE_REFUSED;
+}
+
 /* Whether the response belongs to this request: a duplicate response to an earlier request may
  * arrive late on a reused connection. Rejections may lack the request id, so that a response
  * without one is accepted on a new connection. */
@@ -250,7 +301,9 @@
 
 void pd_exchange_step(struct pd_exchange *exchange)
 {
-	if (exchange->state == PD_EXCHANGE_CONNECTING)
+	if (exchange->state == PD_EXCHANGE_SETTLING)
+		check_refused(exchange);
+	else if (exchange->state == PD_EXCHANGE_CONNECTING)
 		finish_connect(exchange);
 	else if (exchange->state == PD_EXCHANGE_SENDING)
 		send_request(exchange);
@@ -271,6 +324,7 @@
 	exchange->started_us = now_us;
 	exchange->permit_until_us = now_us + PD_PERMIT_VALID_US;
 	exchange->reusable = max_idle_us > 0;
+	exchange->settle = max_idle_us == 0;
 	exchange->tail_len = pd_platform_write_tail(exchange->tail, sizeof(exchange->tail),
 						    left_ms > 0 ? (uint64_t)left_ms : 0,
 						    pd_name_str(&upstream->id));
--- a/ingress/exchange.h
+++ b/ingress/exchange.h
@@ -18,12 +18,14 @@
 enum pd_exchange_state {
 	PD_EXCHANGE_UNUSED,
 	PD_EXCHANGE_CONNECTING,
+	PD_EXCHANGE_SETTLING, /* connected; waits whether the upstream keeps the connection */
 	PD_EXCHANGE_SENDING,
 	PD_EXCHANGE_WAITING,
 	PD_EXCHANGE_ANSWERED, /* the upstream sent a complete response to this request */
 	PD_EXCHANGE_REJECTED, /* the upstream states that it didn't execute the request */
 	PD_EXCHANGE_WRONG_INSTANCE, /* another instance responded and didn't execute the request */
 	PD_EXCHANGE_UNREACHABLE, /* the connection failed before anything was sent */
+	PD_EXCHANGE_REFUSED, /* the upstream closed a new connection before anything was sent */
 	PD_EXCHANGE_EXPIRED, /* the permit expired before anything was sent */
 	PD_EXCHANGE_BROKEN, /* no complete response after sending; the request may have executed */
 };
@@ -54,6 +56,8 @@
  * @tail_len: length of @tail in bytes
  * @sent: number of bytes of head, tail and body sent so far
  * @started_us: time at which the exchange started, in microseconds of pd_os_boot_us()
+ * @settle: the request is only sent once the upstream has kept a new connection for a while
+ * @settle_until_us: end of that while, in microseconds of pd_os_boot_us()
  * @permit_until_us: time until which the request may begin to be sent, in microseconds of
  *	pd_os_boot_us()
  * @discarded: number of bytes received so far in interim responses and in responses to earlier
@@ -78,6 +82,8 @@
 	size_t sent;
 	size_t discarded;
 	int64_t started_us;
+	bool settle;
+	int64_t settle_until_us;
 	int64_t permit_until_us;
 	bool received;
 	bool reusable;
@@ -97,8 +103,11 @@
  * @upstream: upstream from pd_registry_pick(), whose reference the exchange takes over
  * @request: common part of the request, which must stay valid until the exchange ends
  * @deadline_us: time by which the upstream must respond, in microseconds of pd_os_boot_us()
- * @max_idle_us: longest idle time of a connection that is reused, in microseconds; 0 to always open
- *		 a new connection
+ * @max_idle_us: longest idle time of a connection that is reused, in microseconds; 0 for a request
+ *		 that may run only once: it gets a new connection, and is sent when the upstream has
+ *		 kept that for about two round trips. An upstream that is over its limit of
+ *		 connections accepts and then resets them; the request would have been sent by then,
+ *		 and nothing would prove that it didn't run.
  * @now_us: current time, in microseconds of pd_os_boot_us()
  *
  * If connecting or sending fails at once, the exchange has its final state already.
@@ -114,6 +123,8 @@
 short pd_exchange_events(const struct pd_exchange *exchange);
 /* Continues the exchange after an event on the descriptor. */
 void pd_exchange_step(struct pd_exchange *exchange);
+/* Sends the request if the connection has settled. */
+void pd_exchange_check_settled(struct pd_exchange *exchange, int64_t now_us);
 /* Ends the exchange, once its response (if any) has been moved out of the connection: returns the
  * connection to the pool or closes it, and passes @report to the registry. */
 void pd_exchange_end(struct pd_exchange *exchange, struct pd_pool *pool,
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -291,6 +291,11 @@
 		end_exchange(fanout, exchange, PD_REPORT_UNREACHABLE, now_us);
 		retry_leg(fanout, leg, "unreached", false, now_us);
 		break;
+	case PD_EXCHANGE_REFUSED:
+		log_exchange(fanout, leg, exchange, "connection_refused", now_us);
+		end_exchange(fanout, exchange, PD_REPORT_FAILURE, now_us);
+		retry_leg(fanout, leg, "refused", false, now_us);
+		break;
 	case PD_EXCHANGE_EXPIRED:
 		log_exchange(fanout, leg, exchange, "permit_expired", now_us);
 		remove_tried(leg, exchange->upstream);
@@ -408,6 +413,8 @@
 		if (leg->state != PD_LEG_OPEN)
 			continue;
 		check_connect_timeouts(fanout, leg, now_us);
+		for (int e = 0; e < PD_LEG_EXCHANGES; e++)
+			pd_exchange_check_settled(&leg->exchanges[e], now_us);
 		if (leg->state == PD_LEG_OPEN && leg->hedge_us && now_us >= leg->hedge_us)
 			hedge_leg(fanout, leg, now_us);
 		handle_ended_exchanges(fanout, leg, now_us);
@@ -454,6 +461,8 @@
 			if (leg->exchanges[e].state == PD_EXCHANGE_CONNECTING)
 				next = earlier(next, leg->exchanges[e].started_us +
 							     connect_timeout_us(fanout));
+			if (leg->exchanges[e].state == PD_EXCHANGE_SETTLING)
+				next = earlier(next, leg->exchanges[e].settle_until_us);
 		}
 	}
 	return next;
--- a/standins/platform_upstream.c
+++ b/standins/platform_upstream.c
@@ -27,6 +27,7 @@
 	[PLATFORM_UPSTREAM_GARBLE] = "garble",
 	[PLATFORM_UPSTREAM_EXTRA] = "extra",
 	[PLATFORM_UPSTREAM_LATE] = "late",
+	[PLATFORM_UPSTREAM_OVERFULL] = "overfull",
 	[PLATFORM_UPSTREAM_ENDLESS_HEAD] = "endless-head",
 	[PLATFORM_UPSTREAM_ENDLESS_BODY] = "endless-body",
 	[PLATFORM_UPSTREAM_ENDLESS_CHUNKS] = "endless-chunks",
@@ -359,6 +360,16 @@
 	return NULL;
 }
 
+static bool is_overfull(struct platform_upstream *upstream)
+{
+	bool overfull;
+
+	pthread_mutex_lock(&upstream->lock);
+	overfull = upstream->mode == PLATFORM_UPSTREAM_OVERFULL;
+	pthread_mutex_unlock(&upstream->lock);
+	return overfull;
+}
+
 static void *accept_connections(void *arg)
 {
 	struct platform_upstream *upstream = arg;
@@ -370,6 +381,12 @@
 
 		if (!connection)
 			abort();
+		if (is_overfull(upstream)) {
+			free(connection);
+			reset_on_close(fd);
+			pd_os_close(&fd);
+			continue;
+		}
 		*connection = (struct connection){upstream, fd};
 		if (pd_os_thread_start(&thread, "upstream", serve_connection, connection, NULL) !=
 		    PD_OK)
--- a/standins/platform_upstream.h
+++ b/standins/platform_upstream.h
@@ -30,6 +30,8 @@
  * @PLATFORM_UPSTREAM_GARBLE: executes them and responds with bytes that aren't HTTP
  * @PLATFORM_UPSTREAM_EXTRA: executes them and sends the response twice
  * @PLATFORM_UPSTREAM_LATE: executes them and responds after delay_ms
+ * @PLATFORM_UPSTREAM_OVERFULL: resets each new connection, as an upstream does that is over its
+ * limit of connections
  * @PLATFORM_UPSTREAM_ENDLESS_HEAD: executes them and sends a header field without end
  * @PLATFORM_UPSTREAM_ENDLESS_BODY: executes them and sends a body without length and without end
  * @PLATFORM_UPSTREAM_ENDLESS_CHUNKS: executes them and sends chunks without end
@@ -52,6 +54,7 @@
 	PLATFORM_UPSTREAM_GARBLE,
 	PLATFORM_UPSTREAM_EXTRA,
 	PLATFORM_UPSTREAM_LATE,
+	PLATFORM_UPSTREAM_OVERFULL,
 	PLATFORM_UPSTREAM_ENDLESS_HEAD,
 	PLATFORM_UPSTREAM_ENDLESS_BODY,
 	PLATFORM_UPSTREAM_ENDLESS_CHUNKS,
