Rate limits: make up for the requests sent before a limit is known

Cause: an instance learns a limit from the response to a request that it sent without a token. A fleet of 112 sends dozens of requests until all have learnt it, each instance that restarts sends two or three more in a burst, and the instances with a share start with up to a token each on top. Together with the shares this exceeded what four seconds allow.

Ruled out: shares that change as instances come and go (a restarted instance has the same name and so the same share), and a limit that is stated anew (its tokens are kept). Not tried: passing limits on by the feed, which would be a new version of it; only the source's view would spread.

Change: a new limit starts with fewer tokens: the requests that this instance sent within about a second, and this share of about one request of each instance without a share, are made up for, at most two seconds' worth. While the first request to an upstream is unanswered, another upstream is preferred.

Before: test_registry, instances_that_restart_in_a_burst_keep_to_a_rate_limit: 33 requests of 32 allowed (112 instances, 4.5 per second). After: all seven fleets keep to it.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -94,6 +94,7 @@
 	candidate->usable =
 		permit.block == PD_BLOCK_NONE && !was_tried(upstream, tried, tried_count);
 	candidate->cold = permit.cold;
+	candidate->unanswered = permit.unanswered;
 	candidate->ejected = permit.ejected;
 	candidate->connected = upstream->idle != NULL;
 	candidate->at_connection_limit =
@@ -384,7 +385,8 @@
 		upstream->reported_load = report->load;
 		upstream->load_reported_us = now_us;
 	}
-	if (report->kind != PD_REPORT_WRONG_INSTANCE)
+	if (report->kind == PD_REPORT_SUCCESS || report->kind == PD_REPORT_FAILURE ||
+	    report->kind == PD_REPORT_REJECTED)
 		pd_registry_record_directives_locked(
 			registry, upstream, &report->directives,
 			report->kind == PD_REPORT_SUCCESS ? now_us - report->latency_us : 0,
--- a/ingress/permit.c
+++ b/ingress/permit.c
@@ -1,6 +1,7 @@
 #include "permit.h"
 
 #include <inttypes.h>
+#include <math.h>
 
 #include "counters.h"
 #include "log.h"
@@ -12,6 +13,8 @@
  * requests that are sent together, since the bound holds in each second.
  */
 #define COLD_LIMIT_SHARE 0.6
+/* Time in which the weight of a sent request halves in pd_terms.sent_lately. */
+#define SENT_HALF_LIFE_US (0.5 * PD_USEC_PER_SEC)
 /* An instance prolongs a pause by a random time of up to this share of it and up to this maximum,
  * so that the instances don't all return in the same moment.
  */
@@ -81,10 +84,19 @@
 				upstream->service->gathered);
 }
 
+static double sent_lately(const struct pd_terms *terms, int64_t now_us)
+{
+	double age_us = (double)(now_us - terms->sent_us);
+
+	return age_us <= 0 ? terms->sent_lately
+			   : terms->sent_lately * exp2(-age_us / SENT_HALF_LIFE_US);
+}
+
 static void set_rate_limit(const struct pd_registry *registry, const struct pd_upstream *upstream,
 			   struct pd_rate_limit *limit, double limit_per_s, int64_t now_us)
 {
-	pd_rate_limit_set(limit, limit_per_s, rate_share(registry, upstream, limit_per_s), now_us);
+	pd_rate_limit_set(limit, limit_per_s, rate_share(registry, upstream, limit_per_s),
+			  sent_lately(&upstream->terms, now_us), now_us);
 }
 
 /* Starts or ends the limit of the upstream's cold start. */
@@ -114,7 +126,10 @@
 {
 	struct pd_permit permit = {.block = final_block(upstream),
 				   .ejected = now_us < upstream->ejected_until_us,
-				   .cold = now_us < upstream->cold_until_us};
+				   .cold = now_us < upstream->cold_until_us,
+				   .unanswered = !upstream->terms.answered &&
+						 !upstream->service->internal &&
+						 upstream->in_flight > 0};
 
 	if (permit.block == PD_BLOCK_NONE)
 		permit.block = zone_block(upstream);
@@ -156,6 +171,8 @@
 	struct pd_terms *terms = &upstream->terms;
 
 	terms->sent_count++;
+	terms->sent_lately = sent_lately(terms, now_us) + 1;
+	terms->sent_us = now_us;
 	if (terms->rate_limit.active)
 		pd_count(PD_COUNT_limited_sent);
 	pd_rate_limit_consume(&terms->rate_limit, now_us);
@@ -188,6 +205,7 @@
 void pd_permit_record_locked(struct pd_registry *registry, struct pd_upstream *upstream,
 			     const struct pd_directives *directives, int64_t now_us)
 {
+	upstream->terms.answered = true;
 	if (directives->leaving && !upstream->terms.leaving) {
 		upstream->terms.leaving = true;
 		pd_log(PD_LOG_INFO, "upstream_leaving",
--- a/ingress/permit.h
+++ b/ingress/permit.h
@@ -60,12 +60,15 @@
  *	end isn't known
  * @ejected: the upstream has failed lately; it is used only if no other one can be
  * @cold: the upstream is in its cold start; it is used only if no warm one can be
+ * @unanswered: a request is in flight to the upstream, and none has been answered yet, so that its
+ *	limits aren't known; another one is sent only if no other upstream can be used
  */
 struct pd_permit {
 	enum pd_block block;
 	int64_t wait_us;
 	bool ejected;
 	bool cold;
+	bool unanswered;
 };
 
 #define PD_PERMIT_NEVER INT64_MAX
@@ -91,6 +94,7 @@
 
 /**
  * struct pd_terms - what one start of an upstream has stated, and the use of its limits
+ * @answered: it has sent a response to this process
  * @leaving: it is leaving; this has no end
  * @paused_until_us: end of its pause; 0 or past if there is none
  * @rate_limit: rate limit that it states
@@ -99,8 +103,12 @@
  * @limit_stated_us: time at which a response last stated a rate limit
  * @limit_changed_us: time at which @rate_limit was last set to another limit or ended
  * @sent_count: number of requests that this process sent since @limit_changed_us
+ * @sent_lately: number of requests that this process sent, of which each counts half as much after
+ *	half a second; as of @sent_us
+ * @sent_us: time at which a request was last sent
  */
 struct pd_terms {
+	bool answered;
 	bool leaving;
 	int64_t paused_until_us;
 	struct pd_rate_limit rate_limit;
@@ -108,6 +116,8 @@
 	int64_t limit_stated_us;
 	int64_t limit_changed_us;
 	uint32_t sent_count;
+	double sent_lately;
+	int64_t sent_us;
 };
 
 /* Returns whether a request may be sent to the upstream now. */
--- a/ingress/pick.c
+++ b/ingress/pick.c
@@ -9,6 +9,7 @@
  * the limited number that the upstream accepts. */
 #define CONNECT_COST	      0.8
 #define CONNECTION_LIMIT_COST 3.0
+#define UNANSWERED_COST	      50.0
 #define COLD_COST	      100.0
 #define EJECTED_COST	      1000.0
 #define TIE_COST	      0.1 /* upstreams whose costs differ by less are chosen at random */
@@ -29,6 +30,8 @@
 		cost += CONNECT_COST;
 	if (candidate->at_connection_limit)
 		cost += CONNECTION_LIMIT_COST;
+	if (candidate->unanswered)
+		cost += UNANSWERED_COST;
 	if (candidate->cold)
 		cost += COLD_COST;
 	if (candidate->ejected)
--- a/ingress/pick.h
+++ b/ingress/pick.h
@@ -16,6 +16,7 @@
  * @usable: the upstream isn't draining, its zone is neither evacuated nor unreachable, it has not
  *	    been tried yet, and its rate limit allows a request
  * @cold: the upstream is in its cold start
+ * @unanswered: a request is in flight to the upstream, and none has been answered yet
  * @ejected: the upstream is ejected after repeated failures or timeouts
  * @at_connection_limit: a new connection would exceed this process's share of the connections that
  *			 the upstream accepts
@@ -31,6 +32,7 @@
 struct pd_candidate {
 	bool usable;
 	bool cold;
+	bool unanswered;
 	bool ejected;
 	bool at_connection_limit;
 	bool connected;
--- a/ingress/rate_limit.c
+++ b/ingress/rate_limit.c
@@ -11,6 +11,10 @@
 #define CAPACITY_MIN 1.5
 /* Number of instances that have a share, beyond one for each request per second. */
 #define SPARE_HOLDERS 2
+/* Maximum time, in seconds, for which a new limit isn't used in order to make up for the requests
+ * that were sent before it was known.
+ */
+#define MAKE_UP_MAX_S 2.0
 /* Minimum load of an instance, so that all of them have a place in the order. */
 #define LOAD_MIN 1e-6
 /* Rate of the probes of all instances together: as a share of the limit, and at least. */
@@ -47,6 +51,16 @@
 	return (struct holder){.score = -log(uniform) / weight, .weight = weight};
 }
 
+/* Returns the number of requests that the instances without a share send before all of them know
+ * the limit: about one for each, as far as they are made up for.
+ */
+static double unknown_requests(size_t without_share, double limit_per_s)
+{
+	double most = MAKE_UP_MAX_S * limit_per_s;
+
+	return (double)without_share < most ? (double)without_share : most;
+}
+
 struct pd_rate_share pd_rate_share_of(const struct pd_instance_load *instances, size_t count,
 				      size_t self, struct pd_str upstream, double limit_per_s,
 				      bool gathered)
@@ -71,7 +85,9 @@
 	share.first_probe = (double)(rank + 1) / (double)count;
 	if (rank < holder_count) {
 		share.share = own.weight / sum;
-		share.first_token = (double)rank / (double)holder_count;
+		share.first_tokens =
+			(double)rank / (double)holder_count -
+			share.share * unknown_requests(count - holder_count, limit_per_s);
 	}
 	return share;
 }
@@ -106,10 +122,24 @@
 	return PD_USEC_PER_SEC / (probes_per_s * limit->share.probe_share);
 }
 
+/* Returns the tokens with which a limit starts after @lately requests of this instance. The last
+ * one of them is that which made the limit known; it needn't be made up for.
+ */
+static double first_tokens(double limit_per_s, const struct pd_rate_share *share, double lately)
+{
+	double most = MAKE_UP_MAX_S * limit_per_s * share->share;
+	double owed = lately - 1;
+
+	if (owed > most)
+		owed = most;
+	return owed > 0 ? share->first_tokens - owed : share->first_tokens;
+}
+
 void pd_rate_limit_set(struct pd_rate_limit *limit, double limit_per_s, struct pd_rate_share share,
-		       int64_t now_us)
+		       double lately, int64_t now_us)
 {
-	double tokens = limit->active ? current_tokens(limit, now_us) : share.first_token;
+	double tokens = limit->active ? current_tokens(limit, now_us)
+				      : first_tokens(limit_per_s, &share, lately);
 
 	*limit = (struct pd_rate_limit){.active = true,
 					.limit_per_s = limit_per_s,
--- a/ingress/rate_limit.h
+++ b/ingress/rate_limit.h
@@ -13,7 +13,8 @@
  * A limit holds until a response states another one or none. Instances with a very small share or
  * none send probes, which add up to a part of the limit, to notice its end. All instances learn of
  * a limit at about the same time, so they send their first tokens and probes in the order of the
- * hashing, evenly spread.
+ * hashing, evenly spread. Each of them learns it from a response to a request that it sent without
+ * a token; the instances with a share make up for these requests before they send others.
  *
  * The functions are not thread-safe: the registry's lock guards the limits. Points in time are in
  * microseconds of pd_os_boot_us().
@@ -41,13 +42,14 @@
  * struct pd_rate_share - share of this instance in the limit of one upstream
  * @share: share of the requests, 0 to 1
  * @probe_share: share of the probes, 0 to 1
- * @first_token: part of a token with which the limit starts, 0 to 1
+ * @first_tokens: number of tokens with which the limit starts; less than 0 for the requests that
+ *	the instances send before they know the limit, but more than -2 seconds' share
  * @first_probe: time until the first probe, as a part of the interval of the probes, 0 to 1
  */
 struct pd_rate_share {
 	double share;
 	double probe_share;
-	double first_token;
+	double first_tokens;
 	double first_probe;
 };
 
@@ -86,9 +88,10 @@
 };
 
 /* Sets the limit that the upstream has stated. Tokens earned by a previous limit are kept, as far
- * as the new one allows. */
+ * as the new one allows. Without a previous limit, the @lately requests that this instance sent
+ * within about a second before are made up for. */
 void pd_rate_limit_set(struct pd_rate_limit *limit, double limit_per_s, struct pd_rate_share share,
-		       int64_t now_us);
+		       double lately, int64_t now_us);
 /* Ends the limit. */
 void pd_rate_limit_end(struct pd_rate_limit *limit);
 /* Returns the time until a request may be sent, in microseconds; 0 if it may be sent now. */
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -516,6 +516,135 @@
 }
 END_TEST
 
+/**
+ * struct pending - a request that is being executed
+ * @instance: index of the instance that sent it
+ * @upstream: upstream that executes it
+ * @due_us: time of its response
+ */
+struct pending {
+	size_t instance;
+	struct pd_upstream *upstream;
+	int64_t due_us;
+};
+
+static struct pending pending[FLEET_SENT_MAX];
+static size_t pending_count;
+
+/* Sends a request whose response arrives after @latency_us. */
+static void fleet_begin(size_t instance, int64_t now, int64_t latency_us)
+{
+	struct pd_registry *sender = &fleet.instances[instance];
+	struct pd_upstream *upstream;
+	struct pd_service *service;
+
+	HASH_FIND(hh, sender->services, "s", 1, service);
+	ck_assert_ptr_nonnull(service);
+	upstream = pd_registry_pick(sender, service, NULL, 0, now);
+	if (!upstream) {
+		fleet.refused++;
+		return;
+	}
+	if (upstream->id.text[0] == 'a')
+		fleet.sent[fleet.sent_count++] = now;
+	ck_assert_uint_lt(pending_count, FLEET_SENT_MAX);
+	pending[pending_count++] = (struct pending){instance, upstream, now + latency_us};
+}
+
+/* Reports the responses that are due; "a" states its limit in them. */
+static void fleet_respond(int64_t now, int64_t latency_us)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < pending_count; i++) {
+		struct pd_report report = {.kind = PD_REPORT_SUCCESS, .latency_us = latency_us};
+
+		if (pending[i].due_us > now) {
+			pending[kept++] = pending[i];
+			continue;
+		}
+		if (pending[i].upstream->id.text[0] == 'a' && fleet.limit_per_s >= 0) {
+			report.directives.has_limit = true;
+			report.directives.limit_per_s = fleet.limit_per_s;
+		}
+		pd_registry_report(&fleet.instances[pending[i].instance], pending[i].upstream,
+				   &report, now);
+	}
+	pending_count = kept;
+}
+
+/* Replaces an instance by one that has just started and has listed the instances. */
+static void fleet_restart(size_t instance)
+{
+	struct pd_registry_options options = {.retry_ratio = 0.2, .retry_slack = 100};
+	struct pd_upstream_entry limited = make_entry("a", "here"), other = make_entry("b", "here");
+	size_t kept = 0;
+
+	for (size_t i = 0; i < pending_count; i++) {
+		if (pending[i].instance != instance)
+			pending[kept++] = pending[i];
+	}
+	pending_count = kept;
+	ck_assert(pd_name_set(&options.zone, PD_STR("here")));
+	pd_registry_finish(&fleet.instances[instance]);
+	pd_registry_init(&fleet.instances[instance], &options);
+	set_instances(&fleet.instances[instance], instance, fleet.count);
+	pd_registry_put(&fleet.instances[instance], &limited);
+	pd_registry_put(&fleet.instances[instance], &other);
+}
+
+START_TEST(instances_that_restart_in_a_burst_keep_to_a_rate_limit)
+{
+	/* Guards against more requests than an upstream's limit allows when it states the limit
+	 * during a burst, while half of the instances restart one after the other: each of them
+	 * begins without knowing the limit.
+	 */
+	static const struct {
+		size_t instances;
+		double limit_per_s;
+		double demand_per_s; /* of one instance */
+		int64_t restart_interval_us;
+	} cases[] = {{12, 13.7, 11.4, 700000}, {12, 13.7, 11.4, 350000}, {12, 8.5, 9, 500000},
+		     {112, 8.5, 0.9, 80000},   {112, 4.5, 0.9, 80000},	 {112, 4.5, 0.9, 40000},
+		     {18, 20, 12, 300000}};
+	const int64_t latency_us = 60000, step_us = 1000;
+
+	for (size_t c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		double due = 0, per_step;
+		size_t turn = 0, restarted = 0;
+		int64_t next_restart_us;
+
+		fleet_init(cases[c].instances, true);
+		fleet.limit_per_s = -1;
+		pending_count = 0;
+		per_step = cases[c].demand_per_s * (double)fleet.count * (double)step_us / 1e6;
+		next_restart_us = (int64_t)((FLEET_EPOCH_S + 7) * 1000000);
+		for (int64_t at_us = 0; at_us < 16000000; at_us += step_us) {
+			int64_t now = (int64_t)(FLEET_EPOCH_S * 1000000) + at_us;
+
+			if (at_us == 8000000)
+				fleet.limit_per_s = cases[c].limit_per_s;
+			fleet_respond(now, latency_us);
+			if (now >= next_restart_us && restarted < fleet.count / 2) {
+				fleet_restart(2 * restarted++);
+				next_restart_us += cases[c].restart_interval_us;
+			}
+			/* Three requests arrive together, as in a burst. */
+			for (due += per_step; due >= 3; due -= 3) {
+				for (int i = 0; i < 3; i++)
+					fleet_begin(turn % fleet.count, now, latency_us);
+				turn += 7;
+			}
+		}
+		ck_assert_msg(fleet_most_in_window(8, 16) <= allowed_in_window(fleet.limit_per_s),
+			      "case %zu: %zu requests of %zu", c, fleet_most_in_window(8, 16),
+			      allowed_in_window(fleet.limit_per_s));
+		pending_count = 0;
+		fleet_finish();
+	}
+}
+END_TEST
+
 START_TEST(rate_limits_change_and_end_with_the_next_response)
 {
 	/* Guards against the use of an old limit: a lower one holds at once, and the end of a limit
@@ -686,6 +815,7 @@
 		instances_together_keep_to_a_rate_limit_and_use_it,
 		instances_together_spare_a_cold_upstream,
 		other_upstreams_take_the_requests_beyond_a_rate_limit,
+		instances_that_restart_in_a_burst_keep_to_a_rate_limit,
 		rate_limits_change_and_end_with_the_next_response,
 		rate_limits_state_when_a_request_may_be_sent,
 		old_response_does_not_end_a_rate_limit,
