Membership: no table ends at 1,024 instances, 128 sources or 64 upstreams

Cause: instances beyond 1,024 were left out of the division of limits, so that the shares of a fleet of 1,037 add up to more than the whole. In a zone with more than 128 instances the first 128 that were listed were kept as sources, not the highest-ranked ones, so that its instances followed different ones. In a zone with more than 16 larger instances all small ones relayed to the same 16. Of a service with more than 64 upstreams the others were never used.

Change: the list of instances grows as needed; memory that runs out is an error, and the last list stays in use. The highest-ranked sources are kept. Each instance chooses its 16 relays by rendezvous hashing. The upstreams that are compared start at a random one.

The tests of sources, relays and upstreams follow from the code that returned when its table was full; they were not run on it. test_registry: shares of 1,100 instances add up to 1 within 1e-9, 6,000 upstreams of 780 services.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -107,6 +107,22 @@
 	candidate->slots = upstream->slots;
 }
 
+/* Returns the first upstream that is compared: a random one if the service has more upstreams than
+ * are compared.
+ */
+static struct pd_upstream *first_candidate(struct pd_registry *registry,
+					   const struct pd_service *service)
+{
+	struct pd_upstream *first = service->upstreams;
+	size_t skip = 0;
+
+	if (service->upstream_count > CANDIDATES_MAX)
+		skip = (pd_registry_random_locked(registry) >> 8) % service->upstream_count;
+	for (; skip; skip--)
+		first = first->next;
+	return first;
+}
+
 static struct pd_upstream *pick_locked(struct pd_registry *registry, struct pd_service *service,
 				       struct pd_upstream *const *tried, size_t tried_count,
 				       int64_t now_us)
@@ -116,7 +132,9 @@
 	size_t count = 0;
 	long best;
 
-	for (struct pd_upstream *u = service->upstreams; u && count < CANDIDATES_MAX; u = u->next) {
+	for (struct pd_upstream *u = first_candidate(registry, service);
+	     u && count < service->upstream_count && count < CANDIDATES_MAX;
+	     u = u->next ? u->next : service->upstreams) {
 		fill_candidate(registry, u, tried, tried_count, now_us, &candidates[count]);
 		upstreams[count++] = u;
 	}
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -1,6 +1,7 @@
 #include "membership.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "counters.h"
@@ -54,6 +55,8 @@
  */
 #define FIRST_LIST_DELAY_US (2500 * PD_USEC_PER_MSEC)
 #define LIST_INTERVAL_US    (12 * PD_USEC_PER_SEC)
+/* Number of instances for which a list has room at first. */
+#define LISTING_CAPACITY 64
 /* Maximum time for which a configuration is held while further messages arrive. */
 #define CONFIG_HOLD_MAX_US (100 * PD_USEC_PER_MSEC)
 /* Time limit for listing all kinds again after an outage, which takes some milliseconds. */
@@ -92,18 +95,21 @@
 	return 0;
 }
 
-/* Inserts an instance into the sources, in the order of rank, if it belongs to the same zone and
- * ranks above this instance.
- */
-static void add_source(struct pd_membership *membership, const struct pd_instance_entry *entry,
-		       int64_t retry_us)
+void pd_membership_add_source(struct pd_membership *membership,
+			      const struct pd_instance_entry *entry, int64_t retry_us)
 {
 	size_t at = membership->source_count;
 
-	if (at == PD_MEMBERSHIP_SOURCES_MAX ||
-	    !pd_name_equal(&entry->zone, &membership->self.zone) ||
+	if (!pd_name_equal(&entry->zone, &membership->self.zone) ||
 	    !pd_membership_ranks_before(&entry->name, &membership->self.name))
 		return;
+	if (at == PD_MEMBERSHIP_SOURCES_MAX) {
+		if (!pd_membership_ranks_before(&entry->name,
+						&membership->sources[at - 1].entry.name))
+			return;
+		at--;
+		membership->source_count--;
+	}
 	for (; at > 0 &&
 	       pd_membership_ranks_before(&entry->name, &membership->sources[at - 1].entry.name);
 	     at--)
@@ -112,13 +118,35 @@
 	membership->source_count++;
 }
 
-/* Adds an instance to the relays if it belongs to the same zone and is sufficiently larger. */
-static void add_relay(struct pd_membership *membership, const struct pd_instance_entry *entry)
+/* Rendezvous hashing: the relays with the lowest scores are used, and each instance computes other
+ * scores.
+ */
+static uint64_t relay_score(const struct pd_membership *membership,
+			    const struct pd_instance_entry *entry)
+{
+	return pd_str_hash(pd_name_str(&entry->name),
+			   pd_str_hash(pd_name_str(&membership->self.name), 0));
+}
+
+void pd_membership_add_relay(struct pd_membership *membership,
+			     const struct pd_instance_entry *entry)
 {
-	if (membership->relay_count < PD_MEMBERSHIP_RELAYS_MAX &&
-	    pd_name_equal(&entry->zone, &membership->self.zone) &&
-	    pd_relay_is_larger(membership->self.cpu_share, entry->cpu_share))
+	size_t worst = 0;
+
+	if (!pd_name_equal(&entry->zone, &membership->self.zone) ||
+	    !pd_relay_is_larger(membership->self.cpu_share, entry->cpu_share))
+		return;
+	if (membership->relay_count < PD_MEMBERSHIP_RELAYS_MAX) {
 		membership->relays[membership->relay_count++] = *entry;
+		return;
+	}
+	for (size_t i = 1; i < membership->relay_count; i++) {
+		if (relay_score(membership, &membership->relays[i]) >
+		    relay_score(membership, &membership->relays[worst]))
+			worst = i;
+	}
+	if (relay_score(membership, entry) < relay_score(membership, &membership->relays[worst]))
+		membership->relays[worst] = *entry;
 }
 
 /* Load of an instance relative to others. It grows faster than the processor share, because larger
@@ -136,19 +164,33 @@
  * @has_own_entry: an entry with the name of this instance is listed
  * @instances: all instances, this one first
  * @instance_count: number of entries in @instances
+ * @capacity: number of entries for which @instances has room
+ * @failed: memory ran out, so that instances are missing in @instances
  */
 struct listing {
 	struct pd_source previous[PD_MEMBERSHIP_SOURCES_MAX];
 	size_t previous_count;
 	bool has_own_entry;
-	struct pd_instance_load instances[PD_MEMBERSHIP_INSTANCES_MAX];
+	struct pd_instance_load *instances;
 	size_t instance_count;
+	size_t capacity;
+	bool failed;
 };
 
 static void add_instance(struct listing *listing, const struct pd_instance_entry *entry)
 {
-	if (listing->instance_count == PD_MEMBERSHIP_INSTANCES_MAX)
-		return;
+	if (listing->instance_count == listing->capacity) {
+		size_t capacity = listing->capacity ? 2 * listing->capacity : LISTING_CAPACITY;
+		struct pd_instance_load *instances =
+			reallocarray(listing->instances, capacity, sizeof(*instances));
+
+		if (!instances) {
+			listing->failed = true;
+			return;
+		}
+		listing->instances = instances;
+		listing->capacity = capacity;
+	}
 	listing->instances[listing->instance_count++] = (struct pd_instance_load){
 		.hash = pd_str_hash(pd_name_str(&entry->name), 0), .load = load_weight(entry)};
 }
@@ -182,9 +224,10 @@
 			continue;
 		}
 		add_instance(listing, &entry);
-		add_relay(membership, &entry);
-		add_source(membership, &entry,
-			   find_retry_us(listing->previous, listing->previous_count, &entry.name));
+		pd_membership_add_relay(membership, &entry);
+		pd_membership_add_source(
+			membership, &entry,
+			find_retry_us(listing->previous, listing->previous_count, &entry.name));
 	}
 }
 
@@ -242,10 +285,14 @@
 			break;
 	}
 	pd_buf_finish(&after);
+	if (code == PD_OK && listing.failed)
+		code = pd_error_set(err, PD_LAYER_COORDINATION, PD_NO_MEMORY,
+				    "out of memory for the list of instances");
 	if (code == PD_OK) {
 		check_registration(membership, &listing);
 		apply_listing(membership, &listing);
 	}
+	free(listing.instances);
 	return code;
 }
 
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -21,9 +21,8 @@
 #include "store_client.h"
 #include "sync.h"
 
-#define PD_MEMBERSHIP_INSTANCES_MAX 1024 /* instances of all zones that share limits */
-#define PD_MEMBERSHIP_SOURCES_MAX   128 /* possible sources that are kept */
-#define PD_MEMBERSHIP_RELAYS_MAX    16 /* larger instances of the zone that are used as relays */
+#define PD_MEMBERSHIP_SOURCES_MAX 128 /* possible sources that are kept */
+#define PD_MEMBERSHIP_RELAYS_MAX  16 /* larger instances of the zone that are used as relays */
 
 /**
  * struct pd_source - an instance of the same zone that this one could follow
@@ -83,6 +82,16 @@
 			struct pd_sync *sync, const struct pd_instance_entry *self);
 enum pd_code pd_membership_start(struct pd_membership *membership, struct pd_error *err);
 
+/* Adds an instance to the sources if it belongs to the same zone and ranks above this one; if the
+ * list is full, the lowest-ranked instance is left out. @retry_us as &pd_source.next_retry_us.
+ */
+void pd_membership_add_source(struct pd_membership *membership,
+			      const struct pd_instance_entry *entry, int64_t retry_us);
+/* Adds an instance to the relays if it belongs to the same zone and is sufficiently larger. If
+ * there are more than are used, each instance uses others, so that all of them get requests.
+ */
+void pd_membership_add_relay(struct pd_membership *membership,
+			     const struct pd_instance_entry *entry);
 /* True if @a ranks above @b: an instance follows the highest-ranked one that it reaches. */
 bool pd_membership_ranks_before(const struct pd_name *a, const struct pd_name *b);
 
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -485,6 +485,21 @@
 				     "front", address, "cpu_share", 1.0));
 }
 
+/* instances COUNT: registers instances of another zone, which don't run */
+static void do_instances(char **words, int count)
+{
+	(void)count;
+	for (int i = 0; i < atoi(words[1]); i++) {
+		char name[32];
+
+		snprintf(name, sizeof(name), "elsewhere-%d", i);
+		platform_store_put(&deployment.store, "instances", name,
+				   json_pack("{s:s,s:s,s:s,s:f}", "zone", "elsewhere", "address",
+					     "127.0.0.1:9", "front", "127.0.0.1:9", "cpu_share",
+					     1.0));
+	}
+}
+
 /* size NAME CORES: sets the number of processors of an instance that isn't started yet */
 static void do_size(char **words, int count)
 {
@@ -977,31 +992,57 @@
 };
 
 static const struct command commands[] = {
-	{"upstream", 3, do_upstream},  {"mode", 3, do_mode},
-	{"limit", 2, do_limit},	       {"retry_after", 2, do_retry_after},
-	{"leaving", 2, do_leaving},    {"staying", 2, do_leaving},
-	{"reborn", 2, do_reborn},      {"drain", 2, do_drain},
-	{"gone", 2, do_gone},	       {"back", 2, do_back},
-	{"entry", 3, do_entry},	       {"raw_object", 4, do_raw_object},
-	{"rename", 3, do_rename},      {"evacuate", 2, do_evacuate},
-	{"return", 2, do_evacuate},    {"route", 2, do_route},
-	{"forget", 1, do_forget},      {"publish", 2, do_publish},
-	{"storm", 4, do_storm},	       {"services", 2, do_services},
-	{"store", 2, do_store},	       {"storelink", 2, do_storelink},
-	{"objects", 2, do_objects},    {"start", 1, do_start},
-	{"term", 1, do_signal},	       {"hup", 1, do_signal},
-	{"kill", 1, do_signal},	       {"pause", 1, do_signal},
-	{"resume", 1, do_signal},      {"use", 2, do_use},
-	{"instance", 2, do_instance},  {"size", 3, do_size},
-	{"link", 3, do_link},	       {"exit", 1, do_exit},
-	{"sleep", 2, do_sleep},	       {"request", 3, do_request},
-	{"kept", 3, do_request},       {"request_retry", 3, do_request_retry},
-	{"flood", 5, do_flood},	       {"flooded", 2, do_flooded},
-	{"leave", 4, do_leave},	       {"raw", 2, do_raw},
-	{"ready", 1, do_ready},	       {"metric", 2, do_metric},
-	{"runs", 2, do_upstream_info}, {"arrivals", 2, do_upstream_info},
-	{"last", 2, do_upstream_info}, {"arrivals_reset", 2, do_arrivals_reset},
-	{"logged", 2, do_logged},      {"endless", 2, do_endless},
+	{"upstream", 3, do_upstream},
+	{"mode", 3, do_mode},
+	{"limit", 2, do_limit},
+	{"retry_after", 2, do_retry_after},
+	{"leaving", 2, do_leaving},
+	{"staying", 2, do_leaving},
+	{"reborn", 2, do_reborn},
+	{"drain", 2, do_drain},
+	{"gone", 2, do_gone},
+	{"back", 2, do_back},
+	{"entry", 3, do_entry},
+	{"raw_object", 4, do_raw_object},
+	{"rename", 3, do_rename},
+	{"evacuate", 2, do_evacuate},
+	{"return", 2, do_evacuate},
+	{"route", 2, do_route},
+	{"forget", 1, do_forget},
+	{"publish", 2, do_publish},
+	{"storm", 4, do_storm},
+	{"services", 2, do_services},
+	{"store", 2, do_store},
+	{"storelink", 2, do_storelink},
+	{"objects", 2, do_objects},
+	{"start", 1, do_start},
+	{"term", 1, do_signal},
+	{"hup", 1, do_signal},
+	{"kill", 1, do_signal},
+	{"pause", 1, do_signal},
+	{"resume", 1, do_signal},
+	{"use", 2, do_use},
+	{"instance", 2, do_instance},
+	{"instances", 2, do_instances},
+	{"size", 3, do_size},
+	{"link", 3, do_link},
+	{"exit", 1, do_exit},
+	{"sleep", 2, do_sleep},
+	{"request", 3, do_request},
+	{"kept", 3, do_request},
+	{"request_retry", 3, do_request_retry},
+	{"flood", 5, do_flood},
+	{"flooded", 2, do_flooded},
+	{"leave", 4, do_leave},
+	{"raw", 2, do_raw},
+	{"ready", 1, do_ready},
+	{"metric", 2, do_metric},
+	{"runs", 2, do_upstream_info},
+	{"arrivals", 2, do_upstream_info},
+	{"last", 2, do_upstream_info},
+	{"arrivals_reset", 2, do_arrivals_reset},
+	{"logged", 2, do_logged},
+	{"endless", 2, do_endless},
 	{"memory", 2, do_memory},
 };
 
--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -2,6 +2,7 @@
  * DOC: Tests of the ingress's policies without a network: retry budget, choice of an upstream,
  * hedging, cut-off, deadline, admission control, rank of instances
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -270,6 +271,78 @@
 }
 END_TEST
 
+static struct pd_instance_entry make_instance(const char *prefix, int index, double cpu_share)
+{
+	struct pd_instance_entry entry = {.cpu_share = cpu_share};
+	char name[32];
+
+	snprintf(name, sizeof(name), "%s-%d", prefix, index);
+	ck_assert(pd_name_set(&entry.name, pd_str_from(name)));
+	ck_assert(pd_name_set(&entry.zone, PD_STR("here")));
+	return entry;
+}
+
+START_TEST(highest_ranked_sources_of_a_large_zone_are_kept)
+{
+	/* Guards against instances of a zone with more members than are kept that follow different
+	 * sources, because the highest-ranked instance was listed last.
+	 */
+	static struct pd_membership membership;
+	struct pd_instance_entry best = make_instance("n", 0, 1);
+
+	membership.self = make_instance("n", 0, 1);
+	/* The instance of the lowest rank has all others as possible sources. */
+	for (int i = 1; i < 400; i++) {
+		struct pd_instance_entry entry = make_instance("n", i, 1);
+
+		if (pd_membership_ranks_before(&membership.self.name, &entry.name))
+			membership.self = entry;
+		if (pd_membership_ranks_before(&entry.name, &best.name))
+			best = entry;
+	}
+	for (int i = 0; i < 400; i++) {
+		struct pd_instance_entry entry = make_instance("n", i, 1);
+
+		if (!pd_name_equal(&entry.name, &best.name))
+			pd_membership_add_source(&membership, &entry, 0);
+	}
+	pd_membership_add_source(&membership, &best, 0);
+	ck_assert_uint_eq(membership.source_count, PD_MEMBERSHIP_SOURCES_MAX);
+	ck_assert(pd_name_equal(&membership.sources[0].entry.name, &best.name));
+	for (size_t i = 1; i < membership.source_count; i++)
+		ck_assert(pd_membership_ranks_before(&membership.sources[i - 1].entry.name,
+						     &membership.sources[i].entry.name));
+}
+END_TEST
+
+START_TEST(all_larger_instances_of_a_large_zone_are_relays)
+{
+	/* Guards against a large zone in which all small instances relay to the same few larger
+	 * ones.
+	 */
+	enum { LARGER = 40, SMALLER = 60 };
+	static struct pd_membership membership;
+	size_t uses[LARGER] = {0};
+
+	for (int s = 0; s < SMALLER; s++) {
+		memset(&membership, 0, sizeof(membership));
+		membership.self = make_instance("small", s, 0.1);
+		for (int i = 0; i < LARGER; i++) {
+			struct pd_instance_entry entry = make_instance("large", i, 0.5);
+
+			pd_membership_add_relay(&membership, &entry);
+		}
+		ck_assert_uint_eq(membership.relay_count, PD_MEMBERSHIP_RELAYS_MAX);
+		for (size_t r = 0; r < membership.relay_count; r++)
+			uses[atoi(membership.relays[r].name.text + strlen("large-"))]++;
+	}
+	for (int i = 0; i < LARGER; i++) {
+		ck_assert_uint_ge(uses[i], 8);
+		ck_assert_uint_le(uses[i], 48);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -285,6 +358,8 @@
 		parts_needed_has_no_rounding_error,
 		admits_only_requests_that_finish_in_time,
 		rank_is_strict_total_order,
+		highest_ranked_sources_of_a_large_zone_are_kept,
+		all_larger_instances_of_a_large_zone_are_relays,
 	};
 
 	return suite_run("decisions", tests, sizeof(tests) / sizeof(tests[0]));
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -645,6 +645,94 @@
 }
 END_TEST
 
+START_TEST(shares_of_a_large_fleet_add_up)
+{
+	/* Guards against more or less than the whole limit in a fleet of the size that is planned
+	 * for, and against a registry that can't hold its upstreams.
+	 */
+	enum { INSTANCES = 1100, UPSTREAMS = 6000, SERVICES = 780 };
+	static const double limits_per_s[] = {0.5, 8.5, 300, 5000};
+	static struct pd_instance_load loads[INSTANCES];
+	int64_t now = pd_os_boot_us();
+
+	for (size_t i = 0; i < INSTANCES; i++)
+		loads[i] =
+			(struct pd_instance_load){.hash = i * 7919, .load = 0.1 + (double)(i % 5)};
+	for (size_t l = 0; l < sizeof(limits_per_s) / sizeof(limits_per_s[0]); l++) {
+		double sum = 0, probes = 0;
+
+		for (size_t self = 0; self < INSTANCES; self++) {
+			struct pd_rate_share share = pd_rate_share_of(
+				loads, INSTANCES, self, PD_STR("u-17"), limits_per_s[l], true);
+
+			sum += share.share;
+			probes += share.probe_share;
+		}
+		ck_assert_double_eq_tol(sum, 1, 1e-9);
+		ck_assert_double_eq_tol(probes, 1, 1e-9);
+	}
+	pd_log_open("large", PD_LOG_ERROR);
+	init_registry();
+	pd_registry_set_instances(&registry, loads, INSTANCES);
+	ck_assert_uint_eq(registry.instance_count, INSTANCES);
+	pd_registry_list_begin(&registry);
+	for (int i = 0; i < UPSTREAMS; i++) {
+		struct pd_upstream_entry entry;
+		char name[32];
+
+		snprintf(name, sizeof(name), "u-%d", i);
+		entry = make_entry(name, "here");
+		snprintf(name, sizeof(name), "s-%d", i % SERVICES);
+		ck_assert(pd_name_set(&entry.service, pd_str_from(name)));
+		ck_assert(pd_registry_put(&registry, &entry));
+	}
+	pd_registry_list_end(&registry);
+	ck_assert_uint_eq(HASH_COUNT(registry.upstreams), UPSTREAMS);
+	for (int i = 0; i < SERVICES; i++) {
+		struct pd_service *service;
+		char name[32];
+
+		snprintf(name, sizeof(name), "s-%d", i);
+		service = pd_registry_service(&registry, pd_str_from(name));
+		ck_assert_int_eq(pd_registry_permit(&registry, service, NULL, 0, now).block,
+				 PD_BLOCK_NONE);
+	}
+	pd_registry_finish(&registry);
+}
+END_TEST
+
+START_TEST(all_upstreams_of_a_large_service_are_used)
+{
+	/* Guards against upstreams that never get a request because the service has more of them
+	 * than are compared.
+	 */
+	enum { UPSTREAMS = 200 };
+	int64_t now = pd_os_boot_us();
+	size_t used = 0;
+
+	pd_log_open("large", PD_LOG_ERROR);
+	init_registry();
+	for (int i = 0; i < UPSTREAMS; i++) {
+		char name[32];
+
+		snprintf(name, sizeof(name), "u-%d", i);
+		put_upstream(name, "here");
+	}
+	for (int i = 0; i < UPSTREAMS; i++) {
+		struct pd_upstream *upstream =
+			pd_registry_pick(&registry, find_service(), NULL, 0, now);
+
+		ck_assert_ptr_nonnull(upstream);
+	}
+	for (struct pd_upstream *u = find_service()->upstreams; u; u = u->next)
+		used += u->in_flight > 0;
+	ck_assert_uint_ge(used, UPSTREAMS * 9 / 10);
+	for (struct pd_upstream *u = find_service()->upstreams; u; u = u->next)
+		u->references = 0;
+	pd_registry_finish(&registry);
+}
+END_TEST
+
 START_TEST(rate_limits_change_and_end_with_the_next_response)
 {
 	/* Guards against the use of an old limit: a lower one holds at once, and the end of a limit
@@ -815,6 +903,8 @@
 		instances_together_keep_to_a_rate_limit_and_use_it,
 		instances_together_spare_a_cold_upstream,
 		other_upstreams_take_the_requests_beyond_a_rate_limit,
+		shares_of_a_large_fleet_add_up,
+		all_upstreams_of_a_large_service_are_used,
 		instances_that_restart_in_a_burst_keep_to_a_rate_limit,
 		rate_limits_change_and_end_with_the_next_response,
 		rate_limits_state_when_a_request_may_be_sent,
