--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -918,6 +918,21 @@
 	pthread_mutex_unlock(&upstream->lock);
 }
 
+/* runs_total: prints the number of requests that all upstreams together executed */
+static void do_runs_total(char **words, int count)
+{
+	uint32_t total = 0;
+
+	(void)words;
+	(void)count;
+	for (size_t i = 0; i < deployment.upstream_count; i++) {
+		pthread_mutex_lock(&deployment.upstreams[i].lock);
+		total += deployment.upstreams[i].executed_count;
+		pthread_mutex_unlock(&deployment.upstreams[i].lock);
+	}
+	append_output("%u", total);
+}
+
 /* arrivals_reset ID: sets the number of requests that an upstream received to 0 */
 static void do_arrivals_reset(char **words, int count)
 {
@@ -1040,6 +1055,7 @@
 	{"runs", 2, do_upstream_info},
 	{"arrivals", 2, do_upstream_info},
 	{"last", 2, do_upstream_info},
+	{"runs_total", 1, do_runs_total},
 	{"arrivals_reset", 2, do_arrivals_reset},
 	{"logged", 2, do_logged},
 	{"endless", 2, do_endless},
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -244,7 +244,13 @@
 {
 	static const char *const modes[] = {"error",  "shed",  "hang", "reset",	   "cut",
 					    "garble", "extra", "late", "unframed", "chunked"};
+	static const char *const retry_after[] = {"0.3", "1", "2.5", "soon"};
 
+	/* Only rejections state a pause. The value isn't random, so that the kept seeds play the
+	 * same faults as before.
+	 */
+	platform_upstream_set_retry_after(&upstream->standin,
+					  faulty ? retry_after[upstream->service % 4] : "");
 	if (faulty)
 		platform_upstream_set_mode(&upstream->standin, modes[random_below(10)],
 					   (int)random_below(SERVICE_DELAY_MAX_MS));
@@ -293,6 +299,7 @@
 
 static void restart_upstream(struct fleet_upstream *upstream, uint32_t service)
 {
+	platform_upstream_set_leaving(&upstream->standin, false);
 	fleet_restart_upstream(upstream, service);
 	fleet_end_fault(&upstream->fault_history);
 }
@@ -323,6 +330,8 @@
 			crash_upstream(upstream);
 		if (fault->kind == FAULT_REUSE)
 			crash_upstream(fault->other);
+		if (fault->kind == FAULT_DRAIN || fault->kind == FAULT_REMOVE)
+			platform_upstream_set_leaving(&upstream->standin, true);
 		if (fault->kind == FAULT_DRAIN)
 			fleet_write_upstream_entry(upstream, "draining");
 		if (fault->kind == FAULT_REMOVE)
--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -411,14 +411,15 @@
 /* Whether something may be sent to the upstream "a" in one way, once it is blocked. */
 static bool is_way_open(enum way way, enum pd_block block)
 {
-	struct pd_upstream *upstream, *other = put_upstream("b", 11, STARTED_MS);
+	struct pd_upstream *upstream, *probed, *other = put_upstream("b", 11, STARTED_MS);
 	struct pd_conn *kept = NULL, *returned = NULL, *found;
 	uint16_t port;
 	int listener = open_listener(&port);
 	bool open = false;
 
 	upstream = put_upstream("a", port, STARTED_MS);
-	upstream->references += 2;
+	/* Keeps the upstream while it is removed. */
+	upstream->references++;
 	if (way == WAY_KEPT_CONNECTION) {
 		kept = connect_to(upstream);
 		pd_pool_put(&pool, kept, NOW_US);
@@ -457,14 +458,15 @@
 		break;
 	case WAY_ZONE_PROBE:
 		upstream->zone->unreachable = true;
-		upstream = pd_registry_probe_target(&registry, NOW_US);
-		open = upstream != NULL;
-		if (upstream)
-			pd_registry_unref(&registry, upstream);
+		probed = pd_registry_probe_target(&registry, NOW_US);
+		open = probed != NULL;
+		if (probed)
+			pd_registry_unref(&registry, probed);
 		break;
 	case WAY_COUNT:
 		break;
 	}
+	pd_registry_unref(&registry, upstream);
 	close(listener);
 	return open;
 }
@@ -483,11 +485,10 @@
 
 			if (way == WAY_RATE_LIMIT_PROBE && block == PD_BLOCK_RATE_LIMITED)
 				continue;
-			setup();
 			ck_assert_msg(is_way_open((enum way)way, (enum pd_block)block) == expected,
 				      "way %d, block %s", way, pd_block_name((enum pd_block)block));
-			/* The references of is_way_open() keep the upstream until here. */
-			registry.upstreams = NULL;
+			teardown();
+			setup();
 		}
 	}
 }
