--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -630,10 +630,12 @@
 				next_restart_us += cases[c].restart_interval_us;
 			}
 			/* Three requests arrive together, as in a burst. */
-			for (due += per_step; due >= 3; due -= 3) {
+			due += per_step;
+			while (due >= 3) {
 				for (int i = 0; i < 3; i++)
 					fleet_begin(turn % fleet.count, now, latency_us);
 				turn += 7;
+				due -= 3;
 			}
 		}
 		ck_assert_msg(fleet_most_in_window(8, 16) <= allowed_in_window(fleet.limit_per_s),
