Fan-out: check an expired permit against the current time

Cause, found while reading the diff: all attempts of a fan-out start with the time at which it began. On a machine with a small share of a processor, starting 90 of them can take longer than a permit is valid, so that the last ones expired although they had just been chosen; and the attempt that replaces an expired one began with the same old time, expired at once, and was replaced again without end.

--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -297,6 +297,8 @@
 		retry_leg(fanout, leg, "refused", false, now_us);
 		break;
 	case PD_EXCHANGE_EXPIRED:
+		/* By the old time, the next permit would have expired, too. */
+		now_us = pd_os_boot_us();
 		log_exchange(fanout, leg, exchange, "permit_expired", now_us);
 		remove_tried(leg, exchange->upstream);
 		end_exchange(fanout, exchange, PD_REPORT_ABANDONED, now_us);
