--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -403,8 +403,7 @@
 		upstream->reported_load = report->load;
 		upstream->load_reported_us = now_us;
 	}
-	if (report->kind == PD_REPORT_SUCCESS || report->kind == PD_REPORT_FAILURE ||
-	    report->kind == PD_REPORT_REJECTED)
+	if (report->answered)
 		pd_registry_record_directives_locked(
 			registry, upstream, &report->directives,
 			report->kind == PD_REPORT_SUCCESS ? now_us - report->latency_us : 0,
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -368,6 +368,7 @@
  * @has_load: the response states the upstream's load: @load and @queued are valid
  * @load: number of requests running or queued at the upstream
  * @queued: number of requests queued at the upstream
+ * @answered: a response to this request was received: @directives is valid
  * @directives: what the response states about further requests to the upstream
  * @relay_stopping: the upstream is a relay, which closes its connections because it is stopping
  */
@@ -378,6 +379,7 @@
 	bool has_load;
 	double load;
 	double queued;
+	bool answered;
 	struct pd_directives directives;
 	bool relay_stopping;
 };
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -213,12 +213,10 @@
 /* Adds a hash to those of the unreadable objects; false if it is one of them. */
 static bool add_unreadable(struct pd_sync *sync, uint64_t hash)
 {
-	size_t known = sync->unreadable_count < PD_SYNC_UNREADABLE_MAX ? sync->unreadable_count
-								       : PD_SYNC_UNREADABLE_MAX;
 	bool added = true;
 
 	pthread_mutex_lock(&sync->lock);
-	for (size_t i = 0; i < known && added; i++)
+	for (size_t i = 0; added && i < sync->unreadable_count && i < PD_SYNC_UNREADABLE_MAX; i++)
 		added = sync->unreadable[i] != hash;
 	if (added)
 		sync->unreadable[sync->unreadable_count++ % PD_SYNC_UNREADABLE_MAX] = hash;
--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -68,7 +68,8 @@
 
 static void record(struct pd_upstream *upstream, struct pd_directives directives, int64_t now_us)
 {
-	struct pd_report report = {.kind = PD_REPORT_REJECTED, .directives = directives};
+	struct pd_report report = {
+		.kind = PD_REPORT_REJECTED, .answered = true, .directives = directives};
 
 	upstream->references++;
 	upstream->in_flight++;
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -387,7 +387,7 @@
 static void fleet_send(size_t instance, int64_t now)
 {
 	struct pd_registry *sender = &fleet.instances[instance];
-	struct pd_report report = {.kind = PD_REPORT_SUCCESS, .latency_us = 1000};
+	struct pd_report report = {.kind = PD_REPORT_SUCCESS, .latency_us = 1000, .answered = true};
 	struct pd_upstream *upstream;
 	struct pd_service *service;
 
@@ -557,7 +557,8 @@
 	size_t kept = 0;
 
 	for (size_t i = 0; i < pending_count; i++) {
-		struct pd_report report = {.kind = PD_REPORT_SUCCESS, .latency_us = latency_us};
+		struct pd_report report = {
+			.kind = PD_REPORT_SUCCESS, .latency_us = latency_us, .answered = true};
 
 		if (pending[i].due_us > now) {
 			pending[kept++] = pending[i];
@@ -793,8 +794,8 @@
 	 * limit was stated.
 	 */
 	int64_t now = (int64_t)FLEET_EPOCH_S * 1000000;
-	struct pd_report stated = {.kind = PD_REPORT_SUCCESS, .latency_us = 1000};
-	struct pd_report older = {.kind = PD_REPORT_SUCCESS, .latency_us = 50000};
+	struct pd_report stated = {.kind = PD_REPORT_SUCCESS, .latency_us = 1000, .answered = true};
+	struct pd_report older = {.kind = PD_REPORT_SUCCESS, .latency_us = 50000, .answered = true};
 	struct pd_upstream *first, *second;
 
 	init_registry();
