Registry: lists that overlap don't remove what both hold

Its log: 6 ms after its start it received the list of upstreams from the store and, at the same time, that of the instance that it had begun to follow. The beginning of the second list cleared the marks of the first, whose end then removed the upstreams that it had put before; and their entries, which are the last ones known of removed upstreams, weren't accepted again for a minute.

Ruled out: a lock around a whole list: a list from another instance ends when the connection breaks, and may never end.

Change: each list has a number, each upstream that of the last list that had begun when its entry was received, and a list removes only upstreams whose entry is older than its beginning. Two lists that a source logs at the same time count as one for its followers.

Also: signals are blocked before anything else at the start.

Test: test_registry, lists_that_overlap_remove_nothing_that_both_hold, written from that log; the interface is new, so it wasn't run on the old code.

--- a/bench/feed-cost.c
+++ b/bench/feed-cost.c
@@ -58,7 +58,7 @@
 
 static void put_upstreams(struct pd_directory *directory, unsigned int services)
 {
-	pd_directory_list_begin(directory);
+	uint64_t list = pd_directory_list_begin(directory);
 	for (unsigned int i = 0; i < services * UPSTREAMS_PER_SERVICE; i++) {
 		struct pd_upstream_entry entry = {.slots = 2, .started_unix_ms = 1700000000000 + i};
 		char id[32], service[16], zone[8];
@@ -75,7 +75,7 @@
 			 i % 250);
 		pd_directory_put_upstream(directory, &entry);
 	}
-	pd_directory_list_end(directory);
+	pd_directory_list_end(directory, list);
 }
 
 /* Discards the changes since @from and returns their encoded size in bytes. */
--- a/bin/peridot-ingress.c
+++ b/bin/peridot-ingress.c
@@ -180,8 +180,11 @@
 	struct options options;
 	struct pd_error err;
 	sigset_t set;
-	int status = parse_options(argc, argv, &options);
+	int status;
 
+	/* Before anything else: a signal that arrives during the start takes effect after it. */
+	block_signals(&set);
+	status = parse_options(argc, argv, &options);
 	if (status >= 0)
 		return status;
 	if (pd_settings_file_read(options.settings, &settings, &err) != PD_OK) {
@@ -196,7 +199,6 @@
 	mallopt(M_ARENA_MAX, 1);
 	pd_log_open(settings.node.text, PD_LOG_INFO);
 	pd_log_to_stdout(settings.log_lines_per_s);
-	block_signals(&set);
 	pd_log(PD_LOG_INFO, "starting", "version=%s zone=%s front=%s:%u", PD_VERSION,
 	       settings.zone.text, settings.front.ip, settings.front.port);
 	ingress = pd_ingress_create(&settings, &err);
--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -135,19 +135,20 @@
 		log_change(directory, &msg);
 }
 
-void pd_directory_list_begin(struct pd_directory *directory)
+uint64_t pd_directory_list_begin(struct pd_directory *directory)
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_LIST_BEGIN};
+	uint64_t list = pd_registry_list_begin(directory->registry);
 
-	pd_registry_list_begin(directory->registry);
 	log_change(directory, &msg);
+	return list;
 }
 
-void pd_directory_list_end(struct pd_directory *directory)
+void pd_directory_list_end(struct pd_directory *directory, uint64_t list)
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_LIST_END};
 
-	pd_registry_list_end(directory->registry);
+	pd_registry_list_end(directory->registry, list);
 	log_change(directory, &msg);
 }
 
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -113,10 +113,10 @@
 void pd_directory_remove_upstream(struct pd_directory *directory, struct pd_str id,
 				  const char *reason);
 /* Begin and end a complete list of the upstreams. Those that aren't put between the two calls are
- * removed by the second one.
+ * removed by the second one. See pd_registry_list_begin().
  */
-void pd_directory_list_begin(struct pd_directory *directory);
-void pd_directory_list_end(struct pd_directory *directory);
+uint64_t pd_directory_list_begin(struct pd_directory *directory);
+void pd_directory_list_end(struct pd_directory *directory, uint64_t list);
 /* Makes @spec, which the zone received from the store at @received_unix_ms (0 if unknown), the
  * current configuration if its version is newer; returns PD_INVALID, without any change, if it is
  * invalid.
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -390,6 +390,9 @@
 /**
  * struct session - connection to the source that this instance follows
  * @reader: connection to the source
+ * @open_lists: number of lists of upstreams that have begun and not ended; a source may log two at
+ *	the same time, which then count as one
+ * @list: number of the list that began first
  * @config: configuration that was received and not applied yet; empty if there is none
  * @config_received_unix_ms: Unix time in milliseconds at which the zone received @config; 0 if
  *	unknown
@@ -402,6 +405,8 @@
  */
 struct session {
 	struct pd_feed_reader reader;
+	uint32_t open_lists;
+	uint64_t list;
 	struct pd_buf config;
 	int64_t config_received_unix_ms;
 	int64_t config_held_us;
@@ -481,10 +486,12 @@
 
 	switch (msg->kind) {
 	case PD_FEED_LIST_BEGIN:
-		pd_directory_list_begin(directory);
+		if (!session->open_lists++)
+			session->list = pd_directory_list_begin(directory);
 		break;
 	case PD_FEED_LIST_END:
-		pd_directory_list_end(directory);
+		if (session->open_lists && !--session->open_lists)
+			pd_directory_list_end(directory, session->list);
 		break;
 	case PD_FEED_UPSTREAM:
 		pd_directory_put_upstream(directory, &msg->upstream);
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -360,7 +360,7 @@
 	if (upstream &&
 	    pd_upstream_entry_is_older(entry, upstream->started_unix_ms, upstream->sequence)) {
 		ignore_older(upstream, entry);
-		upstream->listed = true;
+		upstream->put_list = registry->last_list;
 		return true;
 	}
 	if (!upstream && pd_removed_has(registry->removed, entry, pd_os_boot_us())) {
@@ -378,7 +378,7 @@
 	if (!upstream)
 		return true;
 	update_upstream(upstream, entry);
-	upstream->listed = true;
+	upstream->put_list = registry->last_list;
 	upstream->remove_pending = false;
 	return true;
 }
@@ -405,7 +405,7 @@
 		entry->draining = entry->draining || draining;
 		if (entry->draining != upstream->draining)
 			set_draining(upstream, entry->draining);
-		upstream->listed = true;
+		upstream->put_list = registry->last_list;
 	}
 	pthread_mutex_unlock(&registry->lock);
 	return upstream != NULL;
@@ -422,26 +422,24 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
-void pd_registry_list_begin(struct pd_registry *registry)
+uint64_t pd_registry_list_begin(struct pd_registry *registry)
 {
-	struct pd_upstream *upstream, *next;
+	uint64_t list;
 
 	pthread_mutex_lock(&registry->lock);
-	HASH_ITER(hh, registry->upstreams, upstream, next)
-	{
-		upstream->listed = upstream->service->internal;
-	}
+	list = ++registry->last_list;
 	pthread_mutex_unlock(&registry->lock);
+	return list;
 }
 
-void pd_registry_list_end(struct pd_registry *registry)
+void pd_registry_list_end(struct pd_registry *registry, uint64_t list)
 {
 	struct pd_upstream *upstream, *next;
 
 	pthread_mutex_lock(&registry->lock);
 	HASH_ITER(hh, registry->upstreams, upstream, next)
 	{
-		if (!upstream->listed)
+		if (upstream->put_list < list && !upstream->service->internal)
 			request_removal_locked(registry, upstream, "not_listed");
 	}
 	registry->list_complete = true;
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -77,7 +77,7 @@
  * @draining: the upstream's entry states that it is draining; no requests are sent to it
  * @replaced: another instance responded at @address; no requests are sent there until the
  *	      upstream's entry is written again
- * @listed: the upstream's entry was received since the platform's last list began
+ * @put_list: number of the last list that had begun when the upstream's entry was last received
  * @removed: the upstream is no longer in the registry and is freed with its last reference
  * @remove_pending: the upstream's entry was deleted or has expired, but removals are held
  * @cold_until_us: time at which the upstream's cold start ends; 0 or past if it isn't cold
@@ -108,7 +108,7 @@
 	uint32_t slots;
 	bool draining;
 	bool replaced;
-	bool listed;
+	uint64_t put_list;
 	bool removed;
 	bool remove_pending;
 	int64_t cold_until_us;
@@ -191,6 +191,7 @@
  * @catalog: current version of the configuration; NULL until one is installed
  * @hold_removals: upstreams whose entries are missing are kept for now, since the leases of the
  *		   entries may have expired in an outage of the store
+ * @last_list: number of the last list of upstreams that has begun
  * @list_complete: a complete list of upstreams has been read
  * @connections: number of open connections from this process to all upstreams
  * @random_state: state of the random number generator
@@ -208,6 +209,7 @@
 	struct pd_route_stats *routes;
 	struct pd_catalog *catalog;
 	bool hold_removals;
+	uint64_t last_list;
 	bool list_complete;
 	uint32_t connections;
 	uint64_t random_state;
@@ -277,10 +279,12 @@
 /* Removes the upstream whose entry was deleted. While removals are held, the removal only becomes
  * pending. */
 void pd_registry_remove(struct pd_registry *registry, struct pd_str id, const char *reason);
-/* Enclose the pd_registry_put() calls for a complete list: upstreams that aren't put between the
- * two calls are removed. */
-void pd_registry_list_begin(struct pd_registry *registry);
-void pd_registry_list_end(struct pd_registry *registry);
+/* Enclose the pd_registry_put() calls for a complete list: upstreams that aren't put after the list
+ * began are removed when it ends. The first function returns the number of the list, which the
+ * second one takes: an instance that starts may receive a list from the store and one from another
+ * instance at the same time. */
+uint64_t pd_registry_list_begin(struct pd_registry *registry);
+void pd_registry_list_end(struct pd_registry *registry, uint64_t list);
 /* Holds removals while the store is unreachable: the leases of entries may expire although their
  * upstreams still run. */
 void pd_registry_hold_removals(struct pd_registry *registry);
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -385,7 +385,7 @@
 	 */
 	bool stale_ok = !task->listed_before;
 	struct pd_buf after = {0};
-	uint64_t revision = 0, era = 0;
+	uint64_t revision = 0, era = 0, list = 0;
 	bool first = true, more = true;
 	enum pd_code code = PD_OK;
 
@@ -404,7 +404,7 @@
 			revision = page.revision;
 			era = task->store.era;
 			if (task->kind == PD_OBJECT_UPSTREAMS)
-				pd_directory_list_begin(directory);
+				list = pd_directory_list_begin(directory);
 		}
 		first = false;
 		if (task->store.era != era) {
@@ -427,7 +427,7 @@
 	if (code != PD_OK)
 		return code;
 	if (task->kind == PD_OBJECT_UPSTREAMS)
-		pd_directory_list_end(directory);
+		pd_directory_list_end(directory, list);
 	record_list(task, era);
 	task->listed_before = true;
 	task->revision = revision;
--- a/tests/test_directory.c
+++ b/tests/test_directory.c
@@ -178,10 +178,10 @@
 	 */
 	uint64_t from = 0;
 
-	pd_directory_list_begin(&directory);
+	uint64_t list = pd_directory_list_begin(&directory);
 	put_upstream("a", false);
 	put_upstream("b", false);
-	pd_directory_list_end(&directory);
+	pd_directory_list_end(&directory, list);
 	put_upstream("a", true);
 	put_config(1);
 	put_upstream("a", false);
@@ -200,9 +200,9 @@
 	uint64_t from = 0, next;
 
 	put_config(1);
-	pd_directory_list_begin(&directory);
+	uint64_t list = pd_directory_list_begin(&directory);
 	put_upstream("a", false);
-	pd_directory_list_end(&directory);
+	pd_directory_list_end(&directory, list);
 	for (int i = 0; i < PD_DIRECTORY_LOG_SIZE; i++)
 		put_upstream("a", i % 2);
 	ck_assert(!pd_directory_wait_for_changes(&directory, &from, 0, &out));
@@ -280,9 +280,9 @@
 	const char *data;
 
 	put_large_config(1);
-	pd_directory_list_begin(&directory);
+	uint64_t list = pd_directory_list_begin(&directory);
 	put_upstream("a", false);
-	pd_directory_list_end(&directory);
+	pd_directory_list_end(&directory, list);
 	pd_directory_snapshot(&directory, &out);
 	pd_buf_finish(&out);
 	data = directory.snapshot.frames.data;
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -182,15 +182,42 @@
 	init_registry();
 	put_upstream("a", "here");
 	put_upstream("b", "here");
-	pd_registry_list_begin(&registry);
+	uint64_t list = pd_registry_list_begin(&registry);
 	put_upstream("b", "here");
-	pd_registry_list_end(&registry);
+	pd_registry_list_end(&registry, list);
 	ck_assert_uint_eq(find_service()->upstream_count, 1);
 	ck_assert(registry.list_complete);
 	pd_registry_finish(&registry);
 }
 END_TEST
 
+START_TEST(lists_that_overlap_remove_nothing_that_both_hold)
+{
+	/* Guards against an instance without upstreams: while it starts, a list from the store and
+	 * one from another instance may overlap. An upstream that was put before the second list
+	 * began was removed by the end of the first one, and the same entry wasn't accepted again.
+	 */
+	struct pd_upstream_entry a = make_entry("a", "here"), b = make_entry("b", "here");
+	struct pd_upstream_entry gone = make_entry("c", "here");
+	uint64_t first, second;
+
+	a.sequence = b.sequence = gone.sequence = 1;
+	init_registry();
+	pd_registry_put(&registry, &gone);
+	first = pd_registry_list_begin(&registry);
+	pd_registry_put(&registry, &a);
+	second = pd_registry_list_begin(&registry);
+	pd_registry_put(&registry, &b);
+	pd_registry_list_end(&registry, first);
+	ck_assert_uint_eq(find_service()->upstream_count, 2);
+	ck_assert(pd_registry_put(&registry, &a));
+	ck_assert(pd_registry_put(&registry, &b));
+	pd_registry_list_end(&registry, second);
+	ck_assert_uint_eq(find_service()->upstream_count, 2);
+	pd_registry_finish(&registry);
+}
+END_TEST
+
 START_TEST(removals_are_held_for_expired_entries)
 {
 	/* Guards against removing running upstreams: the leases of entries expire in an outage of
@@ -203,10 +230,10 @@
 	init_registry();
 	put_upstream("a", "here");
 	put_upstream("b", "here");
-	pd_registry_list_begin(&registry);
+	uint64_t list = pd_registry_list_begin(&registry);
 	put_upstream("a", "here");
 	put_upstream("b", "here");
-	pd_registry_list_end(&registry);
+	pd_registry_list_end(&registry, list);
 	pd_registry_hold_removals(&registry);
 	pd_registry_remove(&registry, PD_STR("a"), "test");
 	pd_registry_remove(&registry, PD_STR("b"), "test");
@@ -432,7 +459,7 @@
 	init_registry();
 	pd_registry_set_instances(&registry, loads, INSTANCES);
 	ck_assert_uint_eq(registry.instance_count, INSTANCES);
-	pd_registry_list_begin(&registry);
+	uint64_t list = pd_registry_list_begin(&registry);
 	for (int i = 0; i < UPSTREAMS; i++) {
 		struct pd_upstream_entry entry;
 		char name[32];
@@ -443,7 +470,7 @@
 		ck_assert(pd_name_set(&entry.service, pd_str_from(name)));
 		ck_assert(pd_registry_put(&registry, &entry));
 	}
-	pd_registry_list_end(&registry);
+	pd_registry_list_end(&registry, list);
 	ck_assert_uint_eq(HASH_COUNT(registry.upstreams), UPSTREAMS);
 	for (int i = 0; i < SERVICES; i++) {
 		struct pd_service *service;
@@ -653,6 +680,7 @@
 		older_entries_do_not_take_back_newer_ones,
 		wrong_instance_gets_no_further_requests,
 		complete_list_removes_missing_upstreams,
+		lists_that_overlap_remove_nothing_that_both_hold,
 		removals_are_held_for_expired_entries,
 		new_incarnation_replaces_old_one,
 		silent_zone_is_unreachable_until_data_arrives,
