--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -65,6 +65,7 @@
  * @store_proxy: proxy through which the instance connects to the store
  * @peer_proxy: proxy through which peers connect to the instance
  * @pid: process id, 0 while no process runs
+ * @started_us: time at which the process was started
  * @sigterm_us: time at which the soak sent SIGTERM to the process, 0 if it didn't
  * @killed: the soak sent SIGKILL to the process
  * @paused: not used
@@ -85,6 +86,7 @@
 	struct proxy store_proxy;
 	struct proxy peer_proxy;
 	pid_t pid;
+	int64_t started_us;
 	int64_t sigterm_us;
 	bool killed;
 	bool paused;
