Stand-in: "pause" waits until the process has stopped

The first request after "pause" was answered by the paused instance, the second one was not, so that the two expected lines changed places. The log of the small instance shows the response to the relayed request 3 ms after it was sent; the large one was ejected as silent only with the next request. The signal stops the threads of a process some milliseconds later on a busy machine, and the command didn't wait for that.

Change: the command waits until the process is stopped. The expected output is unchanged.

--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -580,6 +580,9 @@
 		if (!strcmp(words[0], signals[i].name))
 			kill(deployment.selected->pid, signals[i].number);
 	}
+	/* On a busy machine, the threads of the process run on for some milliseconds. */
+	if (!strcmp(words[0], "pause"))
+		waitpid(deployment.selected->pid, NULL, WUNTRACED);
 }
 
 /* exit: waits until the process has exited and prints its exit status or signal */
