Tests: choose the upstream of a simulated request in one place

Cause: fleet_send() and fleet_begin() repeated the choice of the upstream, and only the first checked that the table of sent requests has room.

Change: fleet_pick() does both.

--- a/tests/registry_fleet.c
+++ b/tests/registry_fleet.c
@@ -55,11 +55,9 @@
 		pd_registry_finish(&fleet.instances[i]);
 }
 
-/* Sends a request from one instance. "a" states its limit in the response. */
-void fleet_send(size_t instance, int64_t now)
+/* Chooses the upstream of a request; counts the request, also if no upstream may get it. */
+static struct pd_upstream *fleet_pick(struct pd_registry *sender, int64_t now)
 {
-	struct pd_registry *sender = &fleet.instances[instance];
-	struct pd_report report = {.kind = PD_REPORT_SUCCESS, .latency_us = 1000, .answered = true};
 	struct pd_upstream *upstream;
 	struct pd_service *service;
 
@@ -68,13 +66,25 @@
 	upstream = pd_registry_pick(sender, service, NULL, 0, now);
 	if (!upstream) {
 		fleet.refused++;
-		return;
+	} else if (upstream->id.text[0] == 'a') {
+		ck_assert_uint_lt(fleet.sent_count, FLEET_SENT_MAX);
+		fleet.sent[fleet.sent_count++] = now;
 	}
+	return upstream;
+}
+
+/* Sends a request from one instance. "a" states its limit in the response. */
+void fleet_send(size_t instance, int64_t now)
+{
+	struct pd_registry *sender = &fleet.instances[instance];
+	struct pd_report report = {.kind = PD_REPORT_SUCCESS, .latency_us = 1000, .answered = true};
+	struct pd_upstream *upstream = fleet_pick(sender, now);
+
+	if (!upstream)
+		return;
 	if (upstream->id.text[0] == 'a') {
 		report.directives.has_limit = fleet.limit_per_s >= 0;
 		report.directives.limit_per_s = report.directives.has_limit ? fleet.limit_per_s : 0;
-		ck_assert_uint_lt(fleet.sent_count, FLEET_SENT_MAX);
-		fleet.sent[fleet.sent_count++] = now;
 	}
 	pd_registry_report(sender, upstream, &report, now + 1000);
 }
@@ -140,18 +150,10 @@
 static void fleet_begin(size_t instance, int64_t now, int64_t latency_us)
 {
 	struct pd_registry *sender = &fleet.instances[instance];
-	struct pd_upstream *upstream;
-	struct pd_service *service;
+	struct pd_upstream *upstream = fleet_pick(sender, now);
 
-	HASH_FIND(hh, sender->services, "s", 1, service);
-	ck_assert_ptr_nonnull(service);
-	upstream = pd_registry_pick(sender, service, NULL, 0, now);
-	if (!upstream) {
-		fleet.refused++;
+	if (!upstream)
 		return;
-	}
-	if (upstream->id.text[0] == 'a')
-		fleet.sent[fleet.sent_count++] = now;
 	ck_assert_uint_lt(pending_count, FLEET_SENT_MAX);
 	pending[pending_count++] = (struct pending){instance, upstream, now + latency_us};
 }
