--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 # disruption out. Needs the build of the deploy file and review/build.sh.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
-case=review/build/case-$(basename "$here")
+case=$here/case
 [ -x "$case" ] && [ -x target/peridot-ingress ] || exit 2
 LAB_WORK=$(mktemp -d) || exit 2
 export LAB_WORK
