Registry: the service of the larger instances has no name of its own

Cause: get_service() derived pd_service.internal from the first byte of the name. An internal service is exempt from evacuations, unreachable zones, Server-Leaving, Server-Limit, pauses, removal by lists, and the list for followers. Nothing prevents operators from configuring such a name, ".relays" included. Instances and upstreams were also in one table, so that those of the same name replaced each other.

Ruled out: rejecting such names, which the store accepts; another reserved name, which has the same fault.

Change: the service is a member of the registry, with a table of its own for its upstreams. Which service is internal is stated where it is created. A new upstream that memory has no room for is logged.

--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -63,7 +63,6 @@
 		     settings->memory_max_bytes
 			     ? settings->memory_max_bytes / RESPONSES_MEMORY_DIVISOR
 			     : RESPONSES_MEMORY_DEFAULT_BYTES);
-	ingress->relays = pd_registry_service(&ingress->registry, PD_STR(PD_RELAY_SERVICE));
 	pd_directory_init(&ingress->directory, &ingress->registry);
 	pd_sync_init(&ingress->sync, &ingress->directory, &settings->store);
 	pd_membership_init(&ingress->membership, &ingress->directory, &ingress->sync, &self);
--- a/ingress/ingress_private.h
+++ b/ingress/ingress_private.h
@@ -45,8 +45,6 @@
  * @settings: settings with which the process was started
  * @registry: registry of services, zones and upstreams
  * @pool: connections to upstreams
- * @relays: service whose upstreams are larger instances of the zone, to which gathered requests are
- *	relayed
  * @directory: copy of the platform's objects
  * @sync: updates @directory from the store
  * @membership: finds the other instances, and updates @directory from one of them
@@ -71,7 +69,6 @@
 	struct pd_ingress_settings settings;
 	struct pd_registry registry;
 	struct pd_pool pool;
-	struct pd_service *relays;
 	struct pd_directory directory;
 	struct pd_sync sync;
 	struct pd_membership membership;
--- a/ingress/permit.c
+++ b/ingress/permit.c
@@ -153,8 +153,7 @@
 
 bool pd_permit_allows_probe_locked(const struct pd_upstream *upstream, int64_t now_us)
 {
-	return !upstream->service->internal && final_block(upstream) == PD_BLOCK_NONE &&
-	       now_us >= upstream->terms.paused_until_us;
+	return final_block(upstream) == PD_BLOCK_NONE && now_us >= upstream->terms.paused_until_us;
 }
 
 struct pd_permit pd_permit_better(struct pd_permit a, struct pd_permit b)
--- a/ingress/pool.c
+++ b/ingress/pool.c
@@ -402,5 +402,9 @@
 	{
 		close_expired_idle(pool, upstream, now_us);
 	}
+	HASH_ITER(hh, registry->relay_upstreams, upstream, next)
+	{
+		close_expired_idle(pool, upstream, now_us);
+	}
 	pthread_mutex_unlock(&registry->lock);
 }
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -24,13 +24,37 @@
  * any usual sum of weights. */
 #define START_POSITIONS 997
 
+/* Name of pd_registry.relays in log lines. */
+#define RELAYS_NAME ".relays"
+
+static double retry_capacity(const struct pd_registry *registry)
+{
+	double capacity = registry->options.retry_slack * RETRY_SLACK_SHARE * registry->share;
+
+	return capacity < RETRY_CAPACITY_MIN ? RETRY_CAPACITY_MIN : capacity;
+}
+
+static void init_service(struct pd_registry *registry, struct pd_service *service,
+			 const struct pd_name *name)
+{
+	service->name = *name;
+	service->registry = registry;
+	pd_budget_init(&service->budget, registry->options.retry_ratio * RETRY_RATIO_SHARE,
+		       retry_capacity(registry));
+}
+
 void pd_registry_init(struct pd_registry *registry, const struct pd_registry_options *options)
 {
+	struct pd_name name;
+
 	memset(registry, 0, sizeof(*registry));
 	pthread_mutex_init(&registry->lock, NULL);
 	registry->options = *options;
 	registry->share = DEFAULT_SHARE;
 	registry->random_state = pd_os_random_seed();
+	pd_name_set(&name, PD_STR(RELAYS_NAME));
+	init_service(registry, &registry->relays, &name);
+	registry->relays.internal = true;
 }
 
 static void free_upstream(struct pd_upstream *upstream)
@@ -39,22 +63,30 @@
 	free(upstream);
 }
 
+static void free_upstreams(struct pd_upstream **table)
+{
+	struct pd_upstream *upstream = *table, *next;
+
+	/* HASH_CLEAR() frees only the table; its elements stay linked. */
+	HASH_CLEAR(hh, *table);
+	for (; upstream; upstream = next) {
+		next = upstream->hh.next;
+		free_upstream(upstream);
+	}
+}
+
 void pd_registry_finish(struct pd_registry *registry)
 {
-	struct pd_upstream *upstream = registry->upstreams, *next_upstream;
 	struct pd_service *service = registry->services, *next_service;
 	struct pd_zone *zone = registry->zones, *next_zone;
 	struct pd_route_stats *stats = registry->routes, *next_stats;
 
+	free_upstreams(&registry->upstreams);
+	free_upstreams(&registry->relay_upstreams);
 	/* HASH_CLEAR() frees only the table; its elements stay linked and are freed below. */
-	HASH_CLEAR(hh, registry->upstreams);
 	HASH_CLEAR(hh, registry->services);
 	HASH_CLEAR(hh, registry->zones);
 	HASH_CLEAR(hh, registry->routes);
-	for (; upstream; upstream = next_upstream) {
-		next_upstream = upstream->hh.next;
-		free_upstream(upstream);
-	}
 	for (; service; service = next_service) {
 		next_service = service->hh.next;
 		free(service);
@@ -105,13 +137,6 @@
 	return zone;
 }
 
-static double retry_capacity(const struct pd_registry *registry)
-{
-	double capacity = registry->options.retry_slack * RETRY_SLACK_SHARE * registry->share;
-
-	return capacity < RETRY_CAPACITY_MIN ? RETRY_CAPACITY_MIN : capacity;
-}
-
 static struct pd_service *get_service(struct pd_registry *registry, struct pd_str name)
 {
 	struct pd_service *service;
@@ -125,11 +150,7 @@
 	service = calloc(1, sizeof(*service));
 	if (!service)
 		return NULL;
-	service->name = key;
-	service->registry = registry;
-	service->internal = name.data[0] == '.';
-	pd_budget_init(&service->budget, registry->options.retry_ratio * RETRY_RATIO_SHARE,
-		       retry_capacity(registry));
+	init_service(registry, service, &key);
 	HASH_ADD_KEYPTR(hh, registry->services, service->name.text, service->name.len, service);
 	return service;
 }
@@ -143,6 +164,9 @@
 		return;
 	pd_log(PD_LOG_INFO, "share_known", "before=%.4f now=%.4f", registry->share, share);
 	registry->share = share;
+	pd_budget_resize(&registry->relays.budget,
+			 registry->options.retry_ratio * RETRY_RATIO_SHARE,
+			 retry_capacity(registry));
 	HASH_ITER(hh, registry->services, service, next)
 	{
 		pd_budget_resize(&service->budget,
@@ -234,15 +258,15 @@
 	}
 }
 
-static void remove_locked(struct pd_registry *registry, struct pd_upstream *upstream,
-			  struct pd_revision at, const char *reason)
+/* Takes an upstream out of its table and its service. */
+static void unlink_locked(struct pd_upstream **table, struct pd_upstream *upstream,
+			  const char *reason)
 {
 	pd_log(PD_LOG_INFO, "upstream_removed", "upstream=%s service=%s address=%s reason=%s",
 	       upstream->id.text, upstream->service->name.text, upstream->address_text, reason);
 	/* False positive of the analyzer: it assumes that HASH_DEL() frees the table although the
 	 * table still holds other elements. */
-	HASH_DEL(registry->upstreams, upstream); /* NOLINT(clang-analyzer-*) */
-	pd_removed_add(&registry->removed, upstream, at);
+	HASH_DEL(*table, upstream); /* NOLINT(clang-analyzer-*) */
 	unlink_from_service(upstream);
 	upstream->removed = true;
 	pd_pool_close_idle_locked(upstream);
@@ -250,6 +274,13 @@
 		free_upstream(upstream);
 }
 
+static void remove_locked(struct pd_registry *registry, struct pd_upstream *upstream,
+			  struct pd_revision at, const char *reason)
+{
+	pd_removed_add(&registry->removed, upstream, at);
+	unlink_locked(&registry->upstreams, upstream, reason);
+}
+
 /* Removes an upstream, or marks its removal as pending while removals are held. */
 static void request_removal_locked(struct pd_registry *registry, struct pd_upstream *upstream,
 				   struct pd_revision at, const char *reason)
@@ -265,14 +296,16 @@
 	upstream->removed_at = at;
 }
 
-static struct pd_upstream *add_upstream(struct pd_registry *registry,
+static struct pd_upstream *add_upstream(struct pd_registry *registry, struct pd_upstream **table,
+					struct pd_service *service,
 					const struct pd_upstream_entry *entry)
 {
-	struct pd_service *service = get_service(registry, pd_name_str(&entry->service));
 	struct pd_zone *zone = get_zone(registry, &entry->zone);
 	struct pd_upstream *upstream = calloc(1, sizeof(*upstream));
 
 	if (!service || !zone || !upstream) {
+		pd_log(PD_LOG_ERROR, "upstream_not_kept", "upstream=%s reason=no_memory",
+		       entry->id.text);
 		free(upstream);
 		return NULL;
 	}
@@ -284,11 +317,12 @@
 	upstream->started_unix_ms = entry->started_unix_ms;
 	upstream->latency_ratio = 1;
 	upstream->terms.limit_changed_us = pd_os_boot_us();
-	pd_removed_restore_terms(registry->removed, entry, &upstream->terms);
+	if (!service->internal)
+		pd_removed_restore_terms(registry->removed, entry, &upstream->terms);
 	upstream->next = service->upstreams;
 	service->upstreams = upstream;
 	service->upstream_count++;
-	HASH_ADD_KEYPTR(hh, registry->upstreams, upstream->id.text, upstream->id.len, upstream);
+	HASH_ADD_KEYPTR(hh, *table, upstream->id.text, upstream->id.len, upstream);
 	pd_log(PD_LOG_INFO, "upstream_added",
 	       "upstream=%s service=%s zone=%s address=%s slots=%" PRIu32 " cold_ms=%" PRId64
 	       " draining=%d",
@@ -391,7 +425,8 @@
 		upstream = NULL;
 	}
 	if (!upstream)
-		upstream = add_upstream(registry, entry);
+		upstream = add_upstream(registry, &registry->upstreams,
+					get_service(registry, pd_name_str(&entry->service)), entry);
 	if (!upstream)
 		return true;
 	update_upstream(upstream, entry);
@@ -410,6 +445,25 @@
 	return known;
 }
 
+void pd_registry_put_relay(struct pd_registry *registry, const struct pd_upstream_entry *entry)
+{
+	struct pd_upstream_entry own = *entry;
+	struct pd_upstream *relay;
+
+	own.service = registry->relays.name;
+	pthread_mutex_lock(&registry->lock);
+	HASH_FIND(hh, registry->relay_upstreams, own.id.text, own.id.len, relay);
+	if (relay && !same_incarnation(relay, &own)) {
+		unlink_locked(&registry->relay_upstreams, relay, "new_incarnation");
+		relay = NULL;
+	}
+	if (!relay)
+		relay = add_upstream(registry, &registry->relay_upstreams, &registry->relays, &own);
+	if (relay)
+		update_upstream(relay, &own);
+	pthread_mutex_unlock(&registry->lock);
+}
+
 bool pd_registry_keep(struct pd_registry *registry, struct pd_str id, bool draining,
 		      struct pd_upstream_entry *entry)
 {
@@ -465,7 +519,7 @@
 
 	HASH_ITER(hh, registry->upstreams, upstream, next)
 	{
-		if (upstream->put_list >= list || upstream->service->internal)
+		if (upstream->put_list >= list)
 			continue;
 		if (pd_revision_is_before(at, upstream->revision))
 			kept++;
@@ -508,7 +562,7 @@
 	if (*entries && complete) {
 		HASH_ITER(hh, registry->upstreams, upstream, next)
 		{
-			if (!upstream->remove_pending && !upstream->service->internal)
+			if (!upstream->remove_pending)
 				export_upstream(upstream, &(*entries)[(*count)++]);
 		}
 	}
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -138,10 +138,9 @@
 
 /**
  * struct pd_service - a service and its upstreams
- * @name: name of the service; key of the hash table
+ * @name: name of the service; key of the hash table, if it is in one
  * @registry: registry that holds the service
- * @internal: the service's upstreams are instances of the ingress, which aren't on the platform's
- *	      list of upstreams
+ * @internal: the service is pd_registry.relays, whose upstreams are instances of the ingress
  * @gathered: a route gathers parts from the service
  * @upstreams: list of the service's upstreams
  * @upstream_count: number of entries in @upstreams
@@ -193,6 +192,9 @@
  * @zones: hash table of zones by name
  * @services: hash table of services by name
  * @upstreams: hash table of upstreams by id
+ * @relays: service whose upstreams are the larger instances, to which requests are relayed. It and
+ *	    its upstreams aren't in @services and @upstreams, whose names others choose
+ * @relay_upstreams: hash table of the upstreams of @relays by the name of the instance
  * @removed: hash table of upstreams that were removed lately, by id
  * @routes: hash table of route statistics by the name of the route
  * @catalog: current version of the configuration; NULL until one is installed
@@ -212,6 +214,8 @@
 	struct pd_zone *zones;
 	struct pd_service *services;
 	struct pd_upstream *upstreams;
+	struct pd_service relays;
+	struct pd_upstream *relay_upstreams;
 	struct pd_removed_upstream *removed;
 	struct pd_route_stats *routes;
 	struct pd_catalog *catalog;
@@ -273,6 +277,9 @@
  * the entry that is known now.
  */
 bool pd_registry_put(struct pd_registry *registry, struct pd_upstream_entry *entry, bool outdated);
+/* Adds an instance to pd_registry.relays or updates it; @entry states no service. Only another
+ * address or zone replaces an instance: they are never removed. */
+void pd_registry_put_relay(struct pd_registry *registry, const struct pd_upstream_entry *entry);
 /**
  * pd_registry_keep() - keeps an upstream whose entry has become unreadable
  * @registry: registry
--- a/ingress/relay.c
+++ b/ingress/relay.c
@@ -73,8 +73,7 @@
 	entry->address.in.sin_family = AF_INET;
 	entry->address.in.sin_port = htons(instance->front.port);
 	pd_address_format(&instance->front, entry->address.text, sizeof(entry->address.text));
-	return pd_name_set(&entry->service, PD_STR(PD_RELAY_SERVICE)) &&
-	       inet_pton(AF_INET, instance->front.ip, &entry->address.in.sin_addr) == 1;
+	return inet_pton(AF_INET, instance->front.ip, &entry->address.in.sin_addr) == 1;
 }
 
 void pd_relay_set_instances(struct pd_registry *registry, const struct pd_instance_entry *instances,
@@ -84,6 +83,6 @@
 		struct pd_upstream_entry entry;
 
 		if (make_upstream_entry(&instances[i], &entry))
-			pd_registry_put(registry, &entry, false);
+			pd_registry_put_relay(registry, &entry);
 	}
 }
--- a/ingress/relay.h
+++ b/ingress/relay.h
@@ -17,10 +17,6 @@
 #include "registry.h"
 #include "str.h"
 
-/* Name of the internal service whose upstreams are the larger instances. Operators can't configure
- * a service with this name. */
-#define PD_RELAY_SERVICE ".relays"
-
 /**
  * struct pd_relay_fields - contents of the header field of a relayed request
  * @wait_ms: time to wait for parts, in milliseconds, before those that have arrived are merged
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -482,7 +482,7 @@
 /* Relays a gathered request to a larger instance; false if this instance has to serve it itself. */
 static bool relay_request(struct request *request, bool *written)
 {
-	struct pd_service *relays = request->ingress->relays;
+	struct pd_service *relays = &request->ingress->registry.relays;
 	struct pd_permit permit;
 	struct pd_route route = make_relay_route(request->route);
 	struct pd_route *own_route = request->route;
@@ -490,7 +490,7 @@
 	struct pd_fanout fanout;
 	bool served = false;
 
-	if (request->relayed || own_route->kind != PD_ROUTE_GATHER || !relays)
+	if (request->relayed || own_route->kind != PD_ROUTE_GATHER)
 		return false;
 	permit = pd_registry_permit(&request->ingress->registry, relays, NULL, 0, pd_os_boot_us());
 	if (permit.block != PD_BLOCK_NONE || permit.ejected)
--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -245,9 +245,8 @@
 	struct pd_upstream_entry entry = make_entry("big", 9, STARTED_MS);
 	struct pd_upstream *upstream;
 
-	ck_assert(pd_name_set(&entry.service, PD_STR(".relays")));
-	ck_assert(pd_registry_put(&registry, &entry, false));
-	HASH_FIND(hh, registry.upstreams, "big", 3, upstream);
+	pd_registry_put_relay(&registry, &entry);
+	HASH_FIND(hh, registry.relay_upstreams, "big", 3, upstream);
 	ck_assert_ptr_nonnull(upstream);
 	record(upstream, (struct pd_directives){.has_pause = true, .pause_s = 5}, NOW_US);
 	ck_assert_int_eq(check(upstream, NOW_US).block, PD_BLOCK_NONE);
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -196,6 +196,68 @@
 }
 END_TEST
 
+START_TEST(lists_hold_services_with_any_name)
+{
+	/* Guards against upstreams that stay in use after they have left, and against followers
+	 * that never hear of them: the name of a service was taken for that of the larger
+	 * instances.
+	 */
+	struct pd_upstream_entry entry = make_entry("a", "here"), *entries;
+	struct pd_upstream *upstream;
+	uint64_t list;
+	size_t count;
+
+	init_registry();
+	ck_assert(pd_name_set(&entry.service, PD_STR(".relays")));
+	list = pd_registry_list_begin(&registry);
+	ck_assert(pd_registry_put(&registry, &entry, false));
+	pd_registry_list_end(&registry, list, (struct pd_revision){0});
+	ck_assert(pd_registry_export(&registry, &entries, &count));
+	ck_assert_uint_eq(count, 1);
+	free(entries);
+	list = pd_registry_list_begin(&registry);
+	pd_registry_list_end(&registry, list, (struct pd_revision){0});
+	HASH_FIND(hh, registry.upstreams, "a", 1, upstream);
+	ck_assert_ptr_null(upstream);
+	pd_registry_finish(&registry);
+}
+END_TEST
+
+START_TEST(instance_and_upstream_of_one_name_are_apart)
+{
+	/* Guards against an instance and an upstream of the same name that replace each other: the
+	 * upstream would lose its statistics and connections with each list of instances, and
+	 * requests of its service would go to the instance.
+	 */
+	struct pd_upstream_entry entry = make_entry("a", "here"),
+				 instance = make_entry("a", "here");
+	struct pd_upstream *upstream, *relay;
+
+	init_registry();
+	instance.address.in.sin_port = htons(10);
+	instance.started_unix_ms = 0;
+	ck_assert(pd_registry_put(&registry, &entry, false));
+	pd_registry_put_relay(&registry, &instance);
+	HASH_FIND(hh, registry.upstreams, "a", 1, upstream);
+	HASH_FIND(hh, registry.relay_upstreams, "a", 1, relay);
+	ck_assert_ptr_nonnull(upstream);
+	ck_assert_ptr_eq(upstream, find_service()->upstreams);
+	ck_assert_ptr_eq(relay, registry.relays.upstreams);
+	pd_registry_put_relay(&registry, &instance);
+	ck_assert_ptr_eq(relay, registry.relays.upstreams);
+	/* An instance that was started again at another address. */
+	instance.address.in.sin_port = htons(11);
+	pd_registry_put_relay(&registry, &instance);
+	ck_assert_uint_eq(registry.relays.upstream_count, 1);
+	ck_assert_uint_eq(ntohs(registry.relays.upstreams->address.sin_port), 11);
+	/* The removal of the upstream doesn't concern the instance. */
+	pd_registry_remove(&registry, PD_STR("a"), (struct pd_revision){0}, "test");
+	ck_assert_ptr_null(find_service()->upstreams);
+	ck_assert_uint_eq(registry.relays.upstream_count, 1);
+	pd_registry_finish(&registry);
+}
+END_TEST
+
 START_TEST(lists_that_overlap_remove_nothing_that_both_hold)
 {
 	/* Guards against an instance without upstreams: while it starts, a list from the store and
@@ -800,6 +862,8 @@
 		older_entries_do_not_take_back_newer_ones,
 		wrong_instance_gets_no_further_requests,
 		complete_list_removes_missing_upstreams,
+		lists_hold_services_with_any_name,
+		instance_and_upstream_of_one_name_are_apart,
 		lists_that_overlap_remove_nothing_that_both_hold,
 		older_list_removes_no_newer_upstream,
 		unlisted_upstream_is_removed_once_its_source_has_caught_up,
