Reporter: reports of crashes have a name for upstreams with any id

Callers saw: a request that crashes its upstreams was sent beyond the third crash by instances of other zones, if the id of an upstream has 38 bytes or more; from 55 bytes on by each instance.

Cause: the name of a crash (id and random suffix) and the name of its report (fingerprint and name of the crash) must fit into 63 bytes. If one didn't, pd_reporter_report_crash() returned without a log line.

Ruled out: a hash of the id (pd_name_set_any), since nothing compares that part of the name; longer names of reports, for which the page of the store states no limit, but older instances do.

Change: the name of a crash holds at most 37 bytes of the id; its suffix makes it unique. What can't be named is logged. Shorter ids give the same names as before.

Test: script crash_zones with ids of 37, 38, 54, 55 and 63 bytes in three zones. Before, eight of its ten last requests got 502 after one more crash, the two of 37 bytes got 503; now all ten get 503. The stand-in has a command for the zone of an instance, and room for longer ids.

--- a/ingress/reporter.c
+++ b/ingress/reporter.c
@@ -9,6 +9,7 @@
 
 #define RETRY_DELAY_US	  (1000 * PD_USEC_PER_MSEC) /* after a failed call */
 #define CHECK_INTERVAL_US (10 * PD_USEC_PER_SEC) /* interval of checks for reports to delete */
+#define SUFFIX_BYTES	  9 /* dot and eight digits that make the name of a crash unique */
 
 void pd_reporter_init(struct pd_reporter *reporter, struct pd_directory *directory,
 		      struct pd_sync *sync)
@@ -25,14 +26,21 @@
 			      const struct pd_name *upstream)
 {
 	struct pd_name event, name;
-	char text[PD_NAME_MAX_BYTES + 12];
+	char text[PD_CRASH_EVENT_MAX_BYTES + 1];
 
 	/* Each crash gets a unique name, because an upstream can crash again under the same id. */
-	snprintf(text, sizeof(text), "%s.%08x", upstream->text, (uint32_t)pd_os_random_seed());
-	if (!pd_name_set(&event, pd_str_from(text)) ||
-	    !pd_directory_add_crash(reporter->directory, fingerprint, &event) ||
-	    !pd_object_format_crash_name(fingerprint, &event, &name))
+	snprintf(text, sizeof(text), "%.*s.%08x", PD_CRASH_EVENT_MAX_BYTES - SUFFIX_BYTES,
+		 upstream->text, (uint32_t)pd_os_random_seed());
+	if (!pd_name_set(&event, pd_str_from(text))) {
+		pd_log(PD_LOG_ERROR, "crash_not_told", "name=%s reason=invalid_name", text);
 		return;
+	}
+	if (!pd_directory_add_crash(reporter->directory, fingerprint, &event))
+		return;
+	if (!pd_object_format_crash_name(fingerprint, &event, &name)) {
+		pd_log(PD_LOG_ERROR, "crash_not_told", "name=%s reason=invalid_name", text);
+		return;
+	}
 	pthread_mutex_lock(&reporter->lock);
 	if (reporter->count < PD_REPORTER_REPORTS_MAX) {
 		reporter->reports[reporter->count++] = (struct pd_crash_report){.name = name};
--- a/standins/platform_upstream.h
+++ b/standins/platform_upstream.h
@@ -102,7 +102,7 @@
  * platform_upstream_start()
  */
 struct platform_upstream {
-	char id[40];
+	char id[96];
 	char service[96];
 	struct pd_address address;
 	int listener;
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -49,6 +49,7 @@
 /**
  * struct instance - one ingress process
  * @name: name of the instance
+ * @zone: availability zone of the instance
  * @front: address for requests of clients
  * @ready: address of the readiness endpoint
  * @metrics: address of the metrics endpoint
@@ -60,6 +61,7 @@
  */
 struct instance {
 	char name[32];
+	char zone[32];
 	struct pd_address front;
 	struct pd_address ready;
 	struct pd_address metrics;
@@ -466,7 +468,7 @@
 	if (!file)
 		abort();
 	fprintf(file,
-		"{\"platform\":{\"node_name\":\"%s\",\"zone\":\"here\",\"ip\":\"127.0.0.1\","
+		"{\"platform\":{\"node_name\":\"%s\",\"zone\":\"%s\",\"ip\":\"127.0.0.1\","
 		"\"internal_port_range\":[%u,%u],\"listen_addresses\":"
 		"{\"front\":\"127.0.0.1:%u\",\"ready\":\"127.0.0.1:%u\"},\"platform\":{\"address\":"
 		"\"127.0.0.1:%u\"},\"limits\":{\"max_file_descriptors\":%d,\"memory_mb\":112,"
@@ -474,9 +476,9 @@
 		"\"bounds\":"
 		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6}},"
 		"\"ingress\":{\"metrics_address\":\"127.0.0.1:%u\",\"log_lines_per_s\":500}}\n",
-		instance->name, instance->peer.port, instance->peer.port, instance->front.port,
-		instance->ready.port, store_port, deployment.descriptors, instance->cpu_share,
-		instance->metrics.port);
+		instance->name, instance->zone, instance->peer.port, instance->peer.port,
+		instance->front.port, instance->ready.port, store_port, deployment.descriptors,
+		instance->cpu_share, instance->metrics.port);
 	fclose(file);
 }
 
@@ -494,6 +496,7 @@
 	}
 	instance = &deployment.instances[deployment.instance_count];
 	snprintf(instance->name, sizeof(instance->name), "%s", words[1]);
+	snprintf(instance->zone, sizeof(instance->zone), "here");
 	snprintf(instance->settings, sizeof(instance->settings), "%s%s", deployment.settings_prefix,
 		 deployment.instance_count ? words[1] : "");
 	allocate_address(&instance->front);
@@ -542,6 +545,13 @@
 	deployment.selected->cpu_share = atof(words[2]);
 }
 
+/* zone NAME ZONE: sets the zone of an instance that isn't started yet, which is "here" otherwise */
+static void do_zone(char **words, int count)
+{
+	do_use(words, count);
+	snprintf(deployment.selected->zone, sizeof(deployment.selected->zone), "%s", words[2]);
+}
+
 /* descriptors COUNT: sets the limit of file descriptors of instances that are started from now on
  */
 static void do_descriptors(char **words, int count)
@@ -1150,6 +1160,7 @@
 	{"instance", 2, do_instance},
 	{"instances", 2, do_instances},
 	{"size", 3, do_size},
+	{"zone", 3, do_zone},
 	{"descriptors", 2, do_descriptors},
 	{"link", 3, do_link},
 	{"exit", 1, do_exit},
