Registry: statistics for routes with any name

Callers saw: with an upstream that doesn't respond, a request on a route with a long or odd name was hedged only after half of its latency objective; clients with less time got 504.

Cause: pd_registry_route_stats() returned NULL for a name that pd_name_set() doesn't take, without a log line. Without statistics the hedge delay is its maximum, and slow upstreams get no latency ratio.

Ruled out: a shorter maximum delay, which would hedge all routes earlier while they have no samples.

Change: the statistics have the name that pd_name_set_any() makes, as services have. A record that memory has no room for is logged.

--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -639,7 +639,7 @@
 	struct pd_name key;
 
 	*p92_us = 0;
-	if (!pd_name_set(&key, name))
+	if (!pd_name_set_any(&key, name))
 		return NULL;
 	pthread_mutex_lock(&registry->lock);
 	HASH_FIND(hh, registry->routes, key.text, key.len, stats);
@@ -649,6 +649,9 @@
 			stats->name = key;
 			HASH_ADD_KEYPTR(hh, registry->routes, stats->name.text, stats->name.len,
 					stats);
+		} else {
+			pd_log(PD_LOG_ERROR, "route_stats_not_kept", "route=%s reason=no_memory",
+			       key.text);
 		}
 	}
 	*p92_us = stats ? stats->p92_us : 0;
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -337,7 +337,7 @@
 /* Returns the current configuration with a new reference, or NULL if there is none yet. */
 struct pd_catalog *pd_registry_catalog(struct pd_registry *registry);
 /* Returns the statistics of a route, which are added if the route is new; NULL if memory runs out
- * or the name is invalid. They stay valid as long as the registry, whose lock guards them. Stores
+ * or the name is empty. They stay valid as long as the registry, whose lock guards them. Stores
  * the current estimate of the 92nd percentile in @p92_us, 0 if unknown. */
 struct pd_route_stats *pd_registry_route_stats(struct pd_registry *registry, struct pd_str name,
 					       double *p92_us);
