Names: zones and instances may have any name

Callers saw: upstreams in a zone with a long or odd name got no requests, and its evacuation wasn't applied. A process whose settings name such a zone, or that has such a name, didn't start.

Cause: pd_name_set() takes at most 63 bytes of a few kinds, and each of its callers decided for itself what follows: an entry or an evacuation that is skipped, a start that fails.

Ruled out: an interned text of any length for all kinds of names. Zones and instances are only compared, for which the start and the hash of the name do; upstream ids need the text itself and stay open.

Test: script names_zones, two instances, two zones, evacuations. The stand-in has room for longer names.

--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -323,9 +323,9 @@
 {
 	struct pd_name zone;
 
-	if (!pd_name_set(&zone, object->name)) {
+	if (!pd_name_set_any(&zone, object->name)) {
 		pd_sync_report_unreadable(sync, PD_OBJECT_EVACUATIONS, object->name,
-					  "the name is too long");
+					  "the name is empty");
 		return;
 	}
 	remove_evacuated(sync, &zone);
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -60,13 +60,13 @@
  * @pid: process id; 0 while the process isn't running
  */
 struct instance {
-	char name[32];
-	char zone[32];
+	char name[96];
+	char zone[96];
 	struct pd_address front;
 	struct pd_address ready;
 	struct pd_address metrics;
 	struct pd_address peer;
-	char settings[160];
+	char settings[256];
 	double cpu_share;
 	struct slow_link link;
 	pid_t pid;
@@ -603,7 +603,7 @@
 	fflush(NULL);
 	deployment.selected->pid = fork();
 	if (!deployment.selected->pid) {
-		char log[200];
+		char log[288];
 
 		/* Otherwise the ingress would go on calling ports that other tests use later. */
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -1098,7 +1098,7 @@
 /* logged TEXT: prints the number of log lines of the selected instance that contain TEXT */
 static void do_logged(char **words, int count)
 {
-	char line[2048], path[200];
+	char line[2048], path[288];
 	int found = 0;
 	FILE *file;
 
