Upstreams: an id may have any length and any bytes that a header can hold

Callers saw: upstreams with an id of more than 63 bytes, or with other bytes than [A-Za-z0-9._-], got no requests; a service that has no others answered 503.

Cause: the id was kept as a pd_name, which is the key of the tables and also the text that is sent to the upstream (X-Expect-Instance).

Ruled out: the hash alone, which the upstream rejects with 421; longer names by value, which each record pays for; interned texts, whose references entries that are copied by value would have to count.

Change: entries and records hold the text beside the name if the two differ. Requests are sent in one part more, which refers to the text; followers get it (feed format 6). Ids that can't be the value of a header field remain unreadable.

--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -141,7 +141,7 @@
 	struct pd_feed_message msg = {.kind = PD_FEED_REMOVED, .removed.at = at};
 
 	pd_registry_remove(directory->registry, id, at, reason);
-	if (pd_name_set(&msg.removed.id, id))
+	if (pd_name_set_any(&msg.removed.id, id))
 		log_change(directory, &msg);
 }
 
--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -59,17 +59,22 @@
 	}
 }
 
+/* End of the last field and of the header. */
+#define HEAD_END      PD_STR("\r\n\r\n")
+#define REQUEST_PARTS 5 /* see fill_unsent() */
+
 static size_t request_size(const struct pd_exchange *exchange)
 {
-	return exchange->request->head.len + exchange->tail_len + exchange->request->body.len;
+	return exchange->request->head.len + exchange->tail_len + exchange->instance.len +
+	       HEAD_END.len + exchange->request->body.len;
 }
 
 /* Fills @iov with the data that is still to be sent; returns the number of entries. */
 static int fill_unsent(const struct pd_exchange *exchange, struct iovec *iov)
 {
-	struct pd_str parts[] = {
-		exchange->request->head,
-		{exchange->tail, exchange->tail_len},
+	struct pd_str parts[REQUEST_PARTS] = {
+		exchange->request->head, {exchange->tail, exchange->tail_len},
+		exchange->instance,	 HEAD_END,
 		exchange->request->body,
 	};
 	size_t skip = exchange->sent;
@@ -97,7 +102,7 @@
 
 static void send_request(struct pd_exchange *exchange)
 {
-	struct iovec iov[3];
+	struct iovec iov[REQUEST_PARTS];
 	struct msghdr msg = {.msg_iov = iov};
 	ssize_t n;
 
@@ -327,8 +332,8 @@
 	exchange->reusable = max_idle_us > 0;
 	exchange->settle = max_idle_us == 0;
 	exchange->tail_len = pd_platform_write_tail(exchange->tail, sizeof(exchange->tail),
-						    left_ms > 0 ? (uint64_t)left_ms : 0,
-						    pd_name_str(&upstream->id));
+						    left_ms > 0 ? (uint64_t)left_ms : 0);
+	exchange->instance = pd_upstream_id(upstream);
 	exchange->conn = max_idle_us ? pd_pool_get_idle(pool, upstream, max_idle_us, now_us) : NULL;
 	if (exchange->conn) {
 		exchange->conn->msg.response_to_head = request->head_only;
--- a/ingress/exchange.h
+++ b/ingress/exchange.h
@@ -52,9 +52,10 @@
  * @upstream: upstream, to which the exchange holds a reference until it ends
  * @conn: connection to the upstream; NULL if there is none
  * @request: common part of the request
- * @tail: rest of the header, which is specific to this upstream: deadline and expected instance
+ * @tail: rest of the header up to the value of its last field, the expected instance
  * @tail_len: length of @tail in bytes
- * @sent: number of bytes of head, tail and body sent so far
+ * @instance: value of that field: the id of @upstream
+ * @sent: number of bytes of the request sent so far
  * @started_us: time at which the exchange started, in microseconds of pd_os_boot_us()
  * @settle: the request is only sent once the upstream has kept a new connection for a while
  * @settle_until_us: end of that while, in microseconds of pd_os_boot_us()
@@ -79,6 +80,7 @@
 	const struct pd_exchange_request *request;
 	char tail[PD_EXCHANGE_TAIL_MAX_BYTES];
 	size_t tail_len;
+	struct pd_str instance;
 	size_t sent;
 	size_t discarded;
 	int64_t started_us;
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -9,7 +9,7 @@
 /* Since 5, messages state revisions of the store. An instance of another version isn't followed:
  * how recent its messages are is unknown.
  */
-#define FORMAT_VERSION	     5
+#define FORMAT_VERSION	     6
 #define REVISION_FIELD_COUNT 2
 #define UPSTREAM_FIELD_COUNT (9 + REVISION_FIELD_COUNT)
 #define ARRAY_ITEMS_MAX	     (PD_FEED_ZONES_MAX + REVISION_FIELD_COUNT + 2)
@@ -33,7 +33,7 @@
 
 static void pack_upstream(msgpack_packer *packer, const struct pd_upstream_entry *entry)
 {
-	pack_str(packer, pd_name_str(&entry->id));
+	pack_str(packer, entry->id_text.len ? entry->id_text : pd_name_str(&entry->id));
 	pack_str(packer, pd_name_str(&entry->service));
 	pack_str(packer, pd_name_str(&entry->zone));
 	pack_str(packer, pd_str_from(entry->address.text));
@@ -187,10 +187,12 @@
 static bool decode_upstream(const msgpack_object *fields, struct pd_upstream_entry *entry)
 {
 	uint64_t draining, slots, cold, started;
+	struct pd_str id;
 
-	if (!to_name(&fields[0], &entry->id) || !to_name(&fields[1], &entry->service) ||
-	    !to_name(&fields[2], &entry->zone) || !to_address(&fields[3], &entry->address) ||
-	    !to_number(&fields[4], 1, &draining) || !to_number(&fields[5], UINT32_MAX, &slots) ||
+	if (!to_str(&fields[0], &id) || !pd_upstream_entry_set_id(entry, id) ||
+	    !to_name(&fields[1], &entry->service) || !to_name(&fields[2], &entry->zone) ||
+	    !to_address(&fields[3], &entry->address) || !to_number(&fields[4], 1, &draining) ||
+	    !to_number(&fields[5], UINT32_MAX, &slots) ||
 	    !to_number(&fields[6], PD_UPSTREAM_COLD_MAX_MS, &cold) ||
 	    !to_number(&fields[7], INT64_MAX, &started) ||
 	    !to_number(&fields[8], UINT64_MAX, &entry->sequence) ||
--- a/ingress/feed_message.h
+++ b/ingress/feed_message.h
@@ -40,7 +40,8 @@
  * struct pd_feed_message - one message
  * @kind: kind of the message, which selects the member of the union
  * @hello: name of the follower
- * @upstream: entry of an upstream that was added or changed
+ * @upstream: entry of an upstream that was added or changed; after decoding, with a view of its id
+ *	into the decoded frame
  * @removed: id of an upstream whose entry was removed, and revision of the store that lacks it
  * @at: revision of the store up to which a list of upstreams, or the changes sent so far, hold all
  *	changes of upstreams
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -60,6 +60,7 @@
 static void free_upstream(struct pd_upstream *upstream)
 {
 	pd_pool_close_idle_locked(upstream);
+	free(upstream->id_text);
 	free(upstream);
 }
 
@@ -155,6 +156,32 @@
 	return service;
 }
 
+/* Whether a text can be the value of a header field as it is. */
+static bool is_field_value(struct pd_str s)
+{
+	if (!s.len || s.data[0] == ' ' || s.data[s.len - 1] == ' ')
+		return false;
+	for (size_t i = 0; i < s.len; i++) {
+		if ((unsigned char)s.data[i] < ' ' || s.data[i] == '\x7f')
+			return false;
+	}
+	return true;
+}
+
+bool pd_upstream_entry_set_id(struct pd_upstream_entry *entry, struct pd_str id)
+{
+	if (id.len > PD_UPSTREAM_ID_MAX_BYTES || !is_field_value(id) ||
+	    !pd_name_set_any(&entry->id, id))
+		return false;
+	entry->id_text = pd_str_equal(pd_name_str(&entry->id), id) ? (struct pd_str){0} : id;
+	return true;
+}
+
+struct pd_str pd_upstream_id(const struct pd_upstream *upstream)
+{
+	return upstream->id_text ? pd_str_from(upstream->id_text) : pd_name_str(&upstream->id);
+}
+
 /* Sets the share in retry budgets and connection limits. */
 static void set_share_locked(struct pd_registry *registry, double share)
 {
@@ -302,10 +329,15 @@
 {
 	struct pd_zone *zone = get_zone(registry, &entry->zone);
 	struct pd_upstream *upstream = calloc(1, sizeof(*upstream));
+	const struct pd_str *id_text = &entry->id_text;
 
-	if (!service || !zone || !upstream) {
+	if (upstream && id_text->len)
+		upstream->id_text = strndup(id_text->data, id_text->len);
+	if (!service || !zone || !upstream || (id_text->len && !upstream->id_text)) {
 		pd_log(PD_LOG_ERROR, "upstream_not_kept", "upstream=%s reason=no_memory",
 		       entry->id.text);
+		if (upstream)
+			free(upstream->id_text);
 		free(upstream);
 		return NULL;
 	}
@@ -341,6 +373,7 @@
 	       pd_name_equal(&upstream->zone->name, &entry->zone);
 }
 
+/* Sets all of @entry but its id_text, which the caller sets if it has a text that lives as long. */
 static void export_upstream(const struct pd_upstream *upstream, struct pd_upstream_entry *entry)
 {
 	int64_t cold_us = upstream->cold_until_us - pd_os_boot_us();
@@ -384,10 +417,13 @@
 /* Ignores an entry that is older than the known one, which takes its place in @entry. */
 static void ignore_older(const struct pd_upstream *upstream, struct pd_upstream_entry *entry)
 {
+	struct pd_str id_text = entry->id_text;
+
 	pd_log(PD_LOG_INFO, "upstream_entry_older",
 	       "upstream=%s sequence=%" PRIu64 " known=%" PRIu64, upstream->id.text,
 	       entry->sequence, upstream->sequence);
 	export_upstream(upstream, entry);
+	entry->id_text = id_text;
 }
 
 /* Whether an entry was written before the known one, or before the removal that is pending. */
@@ -468,11 +504,15 @@
 		      struct pd_upstream_entry *entry)
 {
 	struct pd_upstream *upstream;
+	struct pd_name key;
 
+	if (!pd_name_set_any(&key, id))
+		return false;
 	pthread_mutex_lock(&registry->lock);
-	HASH_FIND(hh, registry->upstreams, id.data, id.len, upstream);
+	HASH_FIND(hh, registry->upstreams, key.text, key.len, upstream);
 	if (upstream) {
 		export_upstream(upstream, entry);
+		pd_upstream_entry_set_id(entry, id);
 		entry->draining = entry->draining || draining;
 		if (entry->draining != upstream->draining)
 			set_draining(upstream, entry->draining);
@@ -486,9 +526,12 @@
 			const char *reason)
 {
 	struct pd_upstream *upstream;
+	struct pd_name key;
 
+	if (!pd_name_set_any(&key, id))
+		return;
 	pthread_mutex_lock(&registry->lock);
-	HASH_FIND(hh, registry->upstreams, id.data, id.len, upstream);
+	HASH_FIND(hh, registry->upstreams, key.text, key.len, upstream);
 	if (upstream && !pd_revision_is_before(at, upstream->revision))
 		request_removal_locked(registry, upstream, at, reason);
 	else if (upstream)
@@ -549,21 +592,50 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
+/* Exports an entry with its id_text, which is copied to @text; returns the end of that. */
+static char *export_with_text(const struct pd_upstream *upstream, struct pd_upstream_entry *entry,
+			      char *text)
+{
+	size_t len = upstream->id_text ? strlen(upstream->id_text) : 0;
+
+	export_upstream(upstream, entry);
+	if (!len)
+		return text;
+	memcpy(text, upstream->id_text, len);
+	entry->id_text = (struct pd_str){text, len};
+	return text + len;
+}
+
+static size_t id_texts_size_locked(const struct pd_registry *registry)
+{
+	size_t size = 0;
+
+	for (const struct pd_upstream *u = registry->upstreams; u; u = u->hh.next)
+		size += u->id_text ? strlen(u->id_text) : 0;
+	return size;
+}
+
 bool pd_registry_export(struct pd_registry *registry, struct pd_upstream_entry **entries,
 			size_t *count)
 {
+	size_t capacity;
+	char *text;
+
 	struct pd_upstream *upstream, *next;
 	bool complete;
 
 	*count = 0;
 	pthread_mutex_lock(&registry->lock);
 	complete = registry->list_complete;
-	*entries = calloc(HASH_COUNT(registry->upstreams) + 1, sizeof(**entries));
+	capacity = HASH_COUNT(registry->upstreams) + 1;
+	/* The texts of the ids follow the entries. */
+	*entries = calloc(1, capacity * sizeof(**entries) + id_texts_size_locked(registry));
 	if (*entries && complete) {
+		text = (char *)(*entries + capacity);
 		HASH_ITER(hh, registry->upstreams, upstream, next)
 		{
 			if (!upstream->remove_pending)
-				export_upstream(upstream, &(*entries)[(*count)++]);
+				text = export_with_text(upstream, &(*entries)[(*count)++], text);
 		}
 	}
 	pthread_mutex_unlock(&registry->lock);
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -67,7 +67,10 @@
 
 /**
  * struct pd_upstream - one incarnation of an upstream
- * @id: name of the upstream's entry on the platform; key of the hash table
+ * @id: name of the upstream's entry on the platform; key of the hash table. See
+ *	pd_upstream_id() for the text that is sent
+ * @id_text: the id, NUL-terminated, if it isn't a valid name, so that @id only stands for it; NULL
+ *	otherwise
  * @service: service that the upstream belongs to
  * @zone: availability zone that the upstream runs in
  * @address: address that the upstream listens on
@@ -104,6 +107,7 @@
  */
 struct pd_upstream {
 	struct pd_name id;
+	char *id_text;
 	struct pd_service *service;
 	struct pd_zone *zone;
 	struct sockaddr_in address;
@@ -234,7 +238,9 @@
 
 /**
  * struct pd_upstream_entry - entry of an upstream in the platform's list
- * @id: name of the entry
+ * @id: name of the entry, see pd_upstream_entry_set_id()
+ * @id_text: the name as it is in the store if @id only stands for it; empty otherwise. A view that
+ *	is valid as long as the entry is in use
  * @service: name of the upstream's service
  * @zone: name of the upstream's availability zone
  * @address: address that the upstream listens on, as a socket address and as IP:PORT
@@ -248,6 +254,7 @@
  */
 struct pd_upstream_entry {
 	struct pd_name id;
+	struct pd_str id_text;
 	struct pd_name service;
 	struct pd_name zone;
 	struct pd_address_view {
@@ -262,6 +269,18 @@
 	struct pd_revision revision;
 };
 
+/* Maximum length of an id, which is sent in the header of each request: a quarter of the size of a
+ * header that the platform's documentation gives as an example.
+ */
+#define PD_UPSTREAM_ID_MAX_BYTES 4096
+
+/* Sets @id and @id_text, which refers to @id. False if the id can't be sent in a header as it is:
+ * it is empty or too long, has control characters, or begins or ends with a space.
+ */
+bool pd_upstream_entry_set_id(struct pd_upstream_entry *entry, struct pd_str id);
+/* Returns the id as it is in the store; valid as long as the upstream. */
+struct pd_str pd_upstream_id(const struct pd_upstream *upstream);
+
 /**
  * pd_registry_put() - adds an upstream or updates it
  * @registry: registry
@@ -285,7 +304,7 @@
  * @registry: registry
  * @id: name of the entry
  * @draining: the entry nevertheless states that the upstream is draining
- * @entry: set to the entry that is known
+ * @entry: set to the entry that is known, with views of @id
  *
  * The last readable entry stays in use: a running upstream writes its entry again, and the entry of
  * one that has ended is deleted.
@@ -327,8 +346,8 @@
 void pd_registry_set_other_zones_unreachable(struct pd_registry *registry,
 					     const struct pd_name *own_zone);
 /* Copies the entries of all upstreams on the platform's list, without those whose removal is
- * pending, into an array that the caller frees. False if no complete list has been read yet or
- * memory runs out. */
+ * pending, with their ids, into an array that the caller frees. False if no complete list has been
+ * read yet or memory runs out. */
 bool pd_registry_export(struct pd_registry *registry, struct pd_upstream_entry **entries,
 			size_t *count);
 /* Makes @catalog the current configuration and takes over the caller's reference. False, and
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -258,6 +258,55 @@
 }
 END_TEST
 
+START_TEST(ids_have_any_length_and_any_bytes)
+{
+	/* Guards against upstreams that are skipped because of their ids, against an id that is
+	 * sent or passed on in another form, and against one that ends a header.
+	 */
+	static const char *const ids[] = {
+		"box.repair-desk.menders-of-new-england.search.some-network-or-other.example",
+		"box.repair-desk.menders-of-new-england.search.some-network-or-other.examples",
+		"box 7/\xc3\xbc", "b"};
+	struct pd_upstream_entry entry = make_entry("x", "here"), known, *entries;
+	const struct pd_upstream *upstream;
+	char longest[PD_UPSTREAM_ID_MAX_BYTES + 1];
+	size_t count;
+
+	init_registry();
+	for (size_t i = 0; i < 4; i++) {
+		ck_assert(pd_upstream_entry_set_id(&entry, pd_str_from(ids[i])));
+		pd_registry_list_end(&registry, 0, (struct pd_revision){0});
+		ck_assert(pd_registry_put(&registry, &entry, false));
+		upstream = find_service()->upstreams;
+		ck_assert(pd_str_is(pd_upstream_id(upstream), ids[i]));
+		ck_assert(pd_registry_keep(&registry, pd_str_from(ids[i]), false, &known));
+		ck_assert(pd_str_equal(known.id_text, entry.id_text));
+	}
+	ck_assert(pd_registry_export(&registry, &entries, &count));
+	ck_assert_uint_eq(count, 4);
+	for (size_t i = 0; i < 4; i++) {
+		pd_registry_remove(&registry, pd_str_from(ids[i]), (struct pd_revision){0}, "test");
+		ck_assert_uint_eq(find_service()->upstream_count, 3 - i);
+	}
+	/* The exported ids outlive the upstreams. */
+	for (size_t i = 0; i < 4; i++) {
+		struct pd_str text = entries[i].id_text;
+
+		ck_assert(pd_str_is(text.len ? text : pd_name_str(&entries[i].id), ids[i]));
+	}
+	free(entries);
+	memset(longest, 'x', sizeof(longest));
+	ck_assert(pd_upstream_entry_set_id(&entry, (struct pd_str){longest, sizeof(longest) - 1}));
+	ck_assert(!pd_upstream_entry_set_id(&entry, (struct pd_str){longest, sizeof(longest)}));
+	ck_assert(!pd_upstream_entry_set_id(&entry, PD_STR("")));
+	ck_assert(!pd_upstream_entry_set_id(&entry, PD_STR("b\r\nX-Not-Executed: 1")));
+	ck_assert(!pd_upstream_entry_set_id(&entry, PD_STR("b\0")));
+	ck_assert(!pd_upstream_entry_set_id(&entry, PD_STR(" b")));
+	ck_assert(!pd_upstream_entry_set_id(&entry, PD_STR("b ")));
+	pd_registry_finish(&registry);
+}
+END_TEST
+
 START_TEST(lists_that_overlap_remove_nothing_that_both_hold)
 {
 	/* Guards against an instance without upstreams: while it starts, a list from the store and
@@ -863,6 +912,7 @@
 		wrong_instance_gets_no_further_requests,
 		complete_list_removes_missing_upstreams,
 		lists_hold_services_with_any_name,
+		ids_have_any_length_and_any_bytes,
 		instance_and_upstream_of_one_name_are_apart,
 		lists_that_overlap_remove_nothing_that_both_hold,
 		older_list_removes_no_newer_upstream,
