Soak: a violation of ENDED states the age of the process

The line and the log of the process can't tell a signal that came before main(), which blocks signals first, from one that came later.

Change: the age of the process is in the line. No check or bound is changed.

--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -414,15 +414,19 @@
 /* Checks that an exit was caused by a signal of the soak, and has status 0 after SIGTERM. */
 static void check_exit_status(const struct fleet_instance *instance, int status)
 {
+	long long age_ms = (pd_os_now_us() - instance->started_us) / PD_USEC_PER_MSEC;
+
 	if (instance->killed)
 		return;
 	if (!instance->sigterm_us)
-		ledger_report_violation(RULE_ENDED, "%s exited without SIGTERM, wait status %x",
-					instance->name, status);
+		ledger_report_violation(RULE_ENDED,
+					"%s exited without SIGTERM, wait status %x, age %lld ms",
+					instance->name, status, age_ms);
 	else if ((!WIFEXITED(status) || WEXITSTATUS(status) != 0) &&
 		 !ended_while_loading(instance, status))
-		ledger_report_violation(RULE_ENDED, "%s exited with wait status %x after SIGTERM",
-					instance->name, status);
+		ledger_report_violation(RULE_ENDED,
+					"%s exited with wait status %x after SIGTERM, age %lld ms",
+					instance->name, status, age_ms);
 }
 
 /*
