Registry: the configuration and the statistics of routes are a file of their own

They share the lock and pd_registry_get_service_locked() alone.

Ruled out: a second lock, which a configuration that connects its services would have to take together with the first.

--- a/ingress/registry_private.h
+++ b/ingress/registry_private.h
@@ -8,6 +8,8 @@
 
 void pd_registry_unref_locked(struct pd_upstream *upstream);
 void pd_registry_report_received_locked(struct pd_upstream *upstream, int64_t now_us);
+/* Returns a service, which is added if it is new; NULL if memory runs out or the name is empty. */
+struct pd_service *pd_registry_get_service_locked(struct pd_registry *registry, struct pd_str name);
 uint64_t pd_registry_random_locked(struct pd_registry *registry);
 /* Records what a response of the upstream states about further requests, and closes the idle
  * connections if the upstream is leaving. Ignored for instances of the ingress, whose refusals
