Registry: lack of memory and ids that are kept as a hash are logged; one lookup by id

On-call saw: for an upstream with a long or odd id, log lines with its start and hash alone. For a zone or a service that memory had no room for, nothing: its evacuation wasn't applied, its upstreams got no requests (as read, not played).

Cause: the places that make a record returned NULL, and each caller went on without a line.

Change: the line is where the record is made (zone_not_kept, service_not_kept, upstream_id), so that all callers share it; a removal without an id states that followers aren't told. pd_registry_keep() and pd_registry_remove() share the lookup by id, which they held twice.

Ruled out: a line at each caller, which the next one would forget.

Test: script names_ids expects upstream_id for its three ids; the two lines are missing before. The lines on lack of memory have no test.

--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -143,6 +143,9 @@
 	pd_registry_remove(directory->registry, id, at, reason);
 	if (pd_name_set_any(&msg.removed.id, id))
 		log_change(directory, &msg);
+	else
+		pd_log(PD_LOG_WARNING, "removal_not_told", "reason=empty_id revision=%" PRIu64,
+		       at.number);
 }
 
 uint64_t pd_directory_list_begin(struct pd_directory *directory, struct pd_revision at)
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -123,8 +123,10 @@
 	if (zone)
 		return zone;
 	zone = calloc(1, sizeof(*zone));
-	if (!zone)
+	if (!zone) {
+		pd_log(PD_LOG_ERROR, "zone_not_kept", "zone=%s reason=no_memory", name->text);
 		return NULL;
+	}
 	zone->name = *name;
 	zone->last_received_us = pd_os_boot_us();
 	/* New upstreams have overdue_period 0: not yet counted as overdue in period 1. */
@@ -144,8 +146,10 @@
 	if (service)
 		return service;
 	service = calloc(1, sizeof(*service));
-	if (!service)
+	if (!service) {
+		pd_log(PD_LOG_ERROR, "service_not_kept", "service=%s reason=no_memory", key.text);
 		return NULL;
+	}
 	init_service(registry, service, &key);
 	HASH_ADD_KEYPTR(hh, registry->services, service->name.text, service->name.len, service);
 	return service;
@@ -318,6 +322,20 @@
 	upstream->removed_at = at;
 }
 
+static void log_added(const struct pd_upstream *upstream, const struct pd_upstream_entry *entry)
+{
+	char quoted[PD_LOG_QUOTE_MAX_BYTES];
+
+	pd_log(PD_LOG_INFO, "upstream_added",
+	       "upstream=%s service=%s zone=%s address=%s slots=%" PRIu32 " cold_ms=%" PRId64
+	       " draining=%d",
+	       upstream->id.text, upstream->service->name.text, upstream->zone->name.text,
+	       upstream->address_text, entry->slots, entry->cold_ms, entry->draining);
+	if (upstream->id_text)
+		pd_log(PD_LOG_INFO, "upstream_id", "upstream=%s id=%s", upstream->id.text,
+		       pd_log_quote(pd_upstream_id(upstream), quoted));
+}
+
 static struct pd_upstream *add_upstream(struct pd_registry *registry, struct pd_upstream **table,
 					struct pd_service *service,
 					const struct pd_upstream_entry *entry)
@@ -350,11 +368,7 @@
 	service->upstreams = upstream;
 	service->upstream_count++;
 	HASH_ADD_KEYPTR(hh, *table, upstream->id.text, upstream->id.len, upstream);
-	pd_log(PD_LOG_INFO, "upstream_added",
-	       "upstream=%s service=%s zone=%s address=%s slots=%" PRIu32 " cold_ms=%" PRId64
-	       " draining=%d",
-	       upstream->id.text, service->name.text, zone->name.text, upstream->address_text,
-	       entry->slots, entry->cold_ms, entry->draining);
+	log_added(upstream, entry);
 	return upstream;
 }
 
@@ -497,16 +511,24 @@
 	pthread_mutex_unlock(&registry->lock);
 }
 
+/* Finds an upstream by its id as it is in the store. */
+static struct pd_upstream *find_locked(struct pd_registry *registry, struct pd_str id)
+{
+	struct pd_upstream *upstream = NULL;
+	struct pd_name key;
+
+	if (pd_name_set_any(&key, id))
+		HASH_FIND(hh, registry->upstreams, key.text, key.len, upstream);
+	return upstream;
+}
+
 bool pd_registry_keep(struct pd_registry *registry, struct pd_str id, bool draining,
 		      struct pd_upstream_entry *entry)
 {
 	struct pd_upstream *upstream;
-	struct pd_name key;
 
-	if (!pd_name_set_any(&key, id))
-		return false;
 	pthread_mutex_lock(&registry->lock);
-	HASH_FIND(hh, registry->upstreams, key.text, key.len, upstream);
+	upstream = find_locked(registry, id);
 	if (upstream) {
 		export_upstream(upstream, entry);
 		pd_upstream_entry_set_id(entry, id);
@@ -523,12 +545,9 @@
 			const char *reason)
 {
 	struct pd_upstream *upstream;
-	struct pd_name key;
 
-	if (!pd_name_set_any(&key, id))
-		return;
 	pthread_mutex_lock(&registry->lock);
-	HASH_FIND(hh, registry->upstreams, key.text, key.len, upstream);
+	upstream = find_locked(registry, id);
 	if (upstream && !pd_revision_is_before(at, upstream->revision))
 		request_removal_locked(registry, upstream, at, reason);
 	else if (upstream)
