--- /dev/null
+++ b/ingress/cluster.c
@@ -0,0 +1,672 @@
+#include "cluster.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "counters.h"
+#include "directory.h"
+#include "load_report.h"
+#include "log.h"
+#include "quota_exchange.h"
+#include "rollout_exchange.h"
+
+/* Two PINGs may be lost before a follower is no longer counted. */
+#define PING_INTERVAL_US (500 * PD_USEC_PER_MSEC)
+#define HEAD_INTERVAL_US (250 * PD_USEC_PER_MSEC)
+/* Instances of a zone without a known head that are asked for it at each interval. */
+#define HEAD_QUERIES 2
+/* Initial capacity of a list of instances. */
+#define LIST_CAPACITY 64
+
+void pd_cluster_init(struct pd_cluster *cluster, const struct pd_cluster_parts *parts,
+		     const struct pd_name *name, const struct pd_name *zone,
+		     const struct pd_address *address)
+{
+	memset(cluster, 0, sizeof(*cluster));
+	cluster->parts = *parts;
+	cluster->name = *name;
+	cluster->zone = *zone;
+	cluster->address = *address;
+	cluster->fd = -1;
+	cluster->random_state = pd_os_random_seed();
+	/* 0 stands for an unknown incarnation. */
+	cluster->incarnation = pd_os_random_seed() | 1;
+	cluster->zones[0] = *zone;
+	cluster->zone_count = 1;
+	pthread_mutex_init(&cluster->lock, NULL);
+}
+
+void pd_cluster_finish(struct pd_cluster *cluster)
+{
+	free(cluster->instances);
+	cluster->instances = NULL;
+	cluster->instance_count = 0;
+	pd_os_close(&cluster->fd);
+	pthread_mutex_destroy(&cluster->lock);
+}
+
+static bool to_sockaddr(const struct pd_address *address, struct sockaddr_in *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->sin_family = AF_INET;
+	out->sin_port = htons(address->port);
+	return inet_pton(AF_INET, address->ip, &out->sin_addr) == 1;
+}
+
+static bool same_address(const struct sockaddr_in *a, const struct sockaddr_in *b)
+{
+	return a->sin_addr.s_addr == b->sin_addr.s_addr && a->sin_port == b->sin_port;
+}
+
+void pd_cluster_list_begin(const struct pd_cluster *cluster, struct pd_cluster_list *list)
+{
+	memset(list, 0, sizeof(*list));
+	list->zones[0] = cluster->zone;
+	list->zone_count = 1;
+}
+
+/* Returns the index of a zone, which is added if it is new; PD_CLUSTER_ZONES_MAX if there are too
+ * many.
+ */
+static size_t find_zone(struct pd_cluster_list *list, const struct pd_name *zone)
+{
+	size_t i = 0;
+
+	while (i < list->zone_count && !pd_name_equal(&list->zones[i], zone))
+		i++;
+	if (i == list->zone_count && i < PD_CLUSTER_ZONES_MAX)
+		list->zones[list->zone_count++] = *zone;
+	return i;
+}
+
+void pd_cluster_list_add(struct pd_cluster_list *list, const struct pd_name *name,
+			 const struct pd_name *zone, const struct pd_address *address,
+			 double cpu_share)
+{
+	struct pd_cluster_instance instance = {
+		.name_hash = pd_str_hash(pd_name_str(name), 0),
+		.zone = (uint32_t)find_zone(list, zone),
+		.cpu_share = (float)cpu_share,
+	};
+
+	if (instance.zone == PD_CLUSTER_ZONES_MAX || !to_sockaddr(address, &instance.address))
+		return;
+	if (list->count == list->capacity) {
+		size_t capacity = list->capacity ? 2 * list->capacity : LIST_CAPACITY;
+		struct pd_cluster_instance *instances =
+			reallocarray(list->instances, capacity, sizeof(*instances));
+
+		if (!instances) {
+			pd_log(PD_LOG_ERROR, "instance_not_kept", "instance=%s reason=no_memory",
+			       name->text);
+			return;
+		}
+		list->instances = instances;
+		list->capacity = capacity;
+	}
+	list->instances[list->count++] = instance;
+}
+
+void pd_cluster_list_use(struct pd_cluster *cluster, struct pd_cluster_list *list)
+{
+	pthread_mutex_lock(&cluster->lock);
+	free(cluster->instances);
+	cluster->instances = list->instances;
+	cluster->instance_count = list->count;
+	memcpy(cluster->zones, list->zones, sizeof(cluster->zones));
+	cluster->zone_count = list->zone_count;
+	pthread_mutex_unlock(&cluster->lock);
+	memset(list, 0, sizeof(*list));
+}
+
+void pd_cluster_list_discard(struct pd_cluster_list *list)
+{
+	free(list->instances);
+	memset(list, 0, sizeof(*list));
+}
+
+void pd_cluster_set_source(struct pd_cluster *cluster, const struct pd_address *address)
+{
+	struct sockaddr_in source;
+	bool has_source = address && to_sockaddr(address, &source);
+
+	pthread_mutex_lock(&cluster->lock);
+	if (has_source != cluster->has_source ||
+	    (has_source && !same_address(&source, &cluster->source))) {
+		cluster->source_heard_us = 0;
+		cluster->next_ping_us = 0;
+		cluster->next_head_us = 0;
+	}
+	cluster->has_source = has_source;
+	if (has_source)
+		cluster->source = source;
+	pthread_mutex_unlock(&cluster->lock);
+}
+
+bool pd_cluster_is_started(struct pd_cluster *cluster)
+{
+	bool started;
+
+	pthread_mutex_lock(&cluster->lock);
+	started = cluster->started;
+	pthread_mutex_unlock(&cluster->lock);
+	return started;
+}
+
+/* Removes the peers that weren't heard for @timeout_us. */
+static void expire_peers(struct pd_cluster_peer *peers, size_t *count, int64_t timeout_us,
+			 int64_t now_us)
+{
+	for (size_t i = *count; i > 0; i--) {
+		if (now_us - peers[i - 1].heard_us > timeout_us)
+			peers[i - 1] = peers[--*count];
+	}
+}
+
+static void expire_locked(struct pd_cluster *cluster, int64_t now_us)
+{
+	expire_peers(cluster->heads, &cluster->head_count, PD_CLUSTER_HEAD_TIMEOUT_US, now_us);
+	expire_peers(cluster->followers, &cluster->follower_count, PD_CLUSTER_FOLLOWER_TIMEOUT_US,
+		     now_us);
+}
+
+/* Whether a head of the zone was heard lately. */
+static bool hears_zone(const struct pd_cluster *cluster, const struct pd_name *zone)
+{
+	for (size_t i = 0; i < cluster->head_count; i++) {
+		if (pd_name_equal(&cluster->heads[i].zone, zone))
+			return true;
+	}
+	return false;
+}
+
+static size_t count_zone_instances(const struct pd_cluster *cluster)
+{
+	size_t count = 1;
+
+	for (size_t i = 0; i < cluster->instance_count; i++)
+		count += !cluster->instances[i].zone;
+	return count;
+}
+
+static void fill_view(const struct pd_cluster *cluster, struct pd_cluster_view *view)
+{
+	memset(view, 0, sizeof(*view));
+	view->is_head = !cluster->has_source;
+	view->source_heard_us = cluster->source_heard_us;
+	view->instance_count = cluster->instance_count + 1;
+	view->zone_count = cluster->zone_count;
+	view->zone_instances = count_zone_instances(cluster);
+	view->followers = cluster->follower_count;
+	view->zone_covered = 1 + cluster->follower_count;
+	for (size_t i = 0; i < cluster->head_count; i++) {
+		if (pd_name_equal(&cluster->heads[i].zone, &cluster->zone))
+			view->zone_covered += 1 + cluster->heads[i].followers;
+	}
+	for (size_t i = 1; i < cluster->zone_count; i++)
+		view->zones_heard += hears_zone(cluster, &cluster->zones[i]);
+}
+
+void pd_cluster_view(struct pd_cluster *cluster, int64_t now_us, struct pd_cluster_view *view)
+{
+	pthread_mutex_lock(&cluster->lock);
+	expire_locked(cluster, now_us);
+	fill_view(cluster, view);
+	pthread_mutex_unlock(&cluster->lock);
+}
+
+static void send_bytes(const struct pd_cluster *cluster, const struct pd_buf *bytes,
+		       const struct sockaddr_in *to)
+{
+	if (sendto(cluster->fd, bytes->data, bytes->len, MSG_DONTWAIT | MSG_NOSIGNAL,
+		   (const struct sockaddr *)to, sizeof(*to)) < 0) {
+		pd_count(PD_COUNT_datagrams_unsent);
+		return;
+	}
+	pd_count(PD_COUNT_datagrams_out);
+	pd_count_add(PD_COUNT_datagram_bytes_out, bytes->len);
+}
+
+/* Encodes a datagram of this instance; false if the cluster wasn't started or it can't be encoded.
+ */
+static bool encode(struct pd_cluster *cluster, enum pd_datagram_kind kind, struct pd_str payload,
+		   struct pd_buf *out)
+{
+	struct pd_datagram datagram = {
+		.kind = kind,
+		.sender = cluster->name,
+		.zone = cluster->zone,
+		.incarnation = cluster->incarnation,
+		.payload = payload,
+	};
+
+	if (cluster->fd < 0)
+		return false;
+	if (pd_datagram_encode(&datagram, out))
+		return true;
+	pd_log(PD_LOG_ERROR, "datagram_not_sent", "kind=%d bytes=%zu", (int)kind, payload.len);
+	return false;
+}
+
+void pd_cluster_send(struct pd_cluster *cluster, enum pd_datagram_kind kind, struct pd_str payload,
+		     const struct sockaddr_in *to)
+{
+	struct pd_buf out = {0};
+
+	if (encode(cluster, kind, payload, &out))
+		send_bytes(cluster, &out, to);
+	pd_buf_finish(&out);
+}
+
+static bool get_source(struct pd_cluster *cluster, struct sockaddr_in *source)
+{
+	bool has_source;
+
+	pthread_mutex_lock(&cluster->lock);
+	has_source = cluster->has_source;
+	*source = cluster->source;
+	pthread_mutex_unlock(&cluster->lock);
+	return has_source;
+}
+
+void pd_cluster_send_to_source(struct pd_cluster *cluster, enum pd_datagram_kind kind,
+			       struct pd_str payload)
+{
+	struct sockaddr_in source;
+
+	if (get_source(cluster, &source))
+		pd_cluster_send(cluster, kind, payload, &source);
+}
+
+static void send_to_peers(struct pd_cluster *cluster, enum pd_datagram_kind kind,
+			  struct pd_str payload, const struct pd_cluster_peer *peers,
+			  const size_t *count)
+{
+	struct pd_buf out = {0};
+
+	if (encode(cluster, kind, payload, &out)) {
+		pthread_mutex_lock(&cluster->lock);
+		for (size_t i = 0; i < *count; i++)
+			send_bytes(cluster, &out, &peers[i].address);
+		pthread_mutex_unlock(&cluster->lock);
+	}
+	pd_buf_finish(&out);
+}
+
+void pd_cluster_send_to_followers(struct pd_cluster *cluster, enum pd_datagram_kind kind,
+				  struct pd_str payload)
+{
+	send_to_peers(cluster, kind, payload, cluster->followers, &cluster->follower_count);
+}
+
+void pd_cluster_send_to_heads(struct pd_cluster *cluster, enum pd_datagram_kind kind,
+			      struct pd_str payload)
+{
+	send_to_peers(cluster, kind, payload, cluster->heads, &cluster->head_count);
+}
+
+void pd_cluster_forward_to_source(struct pd_cluster *cluster, const struct pd_datagram *datagram)
+{
+	struct sockaddr_in source;
+	struct pd_buf out = {0};
+
+	if (cluster->fd >= 0 && get_source(cluster, &source) && pd_datagram_encode(datagram, &out))
+		send_bytes(cluster, &out, &source);
+	pd_buf_finish(&out);
+}
+
+size_t pd_cluster_zone_instances(struct pd_cluster *cluster, double cpu_share_min,
+				 struct pd_cluster_instance *instances, size_t max)
+{
+	size_t count = 0;
+
+	pthread_mutex_lock(&cluster->lock);
+	for (size_t i = 0; i < cluster->instance_count && count < max; i++) {
+		if (!cluster->instances[i].zone && cluster->instances[i].cpu_share >= cpu_share_min)
+			instances[count++] = cluster->instances[i];
+	}
+	pthread_mutex_unlock(&cluster->lock);
+	return count;
+}
+
+/* Records a peer that was heard, in place of its earlier entry; drops it if there are too many. */
+static void record_peer(struct pd_cluster_peer *peers, size_t *count, size_t max,
+			const struct pd_datagram *datagram, uint32_t followers, int64_t now_us)
+{
+	size_t i = 0;
+
+	while (i < *count && !pd_name_equal(&peers[i].name, &datagram->sender))
+		i++;
+	if (i == max)
+		return;
+	if (i == *count)
+		++*count;
+	peers[i] = (struct pd_cluster_peer){
+		.name = datagram->sender,
+		.zone = datagram->zone,
+		.incarnation = datagram->incarnation,
+		.address = datagram->from,
+		.heard_us = now_us,
+		.followers = followers,
+	};
+}
+
+static void forget_peer(struct pd_cluster_peer *peers, size_t *count, const struct pd_name *name)
+{
+	for (size_t i = 0; i < *count; i++) {
+		if (pd_name_equal(&peers[i].name, name)) {
+			peers[i] = peers[--*count];
+			return;
+		}
+	}
+}
+
+/* Answers a PING with its time stamp, the version of the configuration, and the age of the proof
+ * that it is complete, increased by 1; 0 if there is none.
+ */
+static void receive_ping(struct pd_cluster *cluster, const struct pd_datagram *ping, int64_t now_us)
+{
+	struct pd_datagram_reader reader;
+	struct pd_buf pong = {0};
+	int64_t confirmed_us = pd_directory_config_confirmed_us(cluster->parts.directory);
+	uint64_t stamp;
+
+	pd_datagram_reader_init(&reader, ping->payload);
+	stamp = pd_datagram_get_uint(&reader);
+	if (reader.failed)
+		return;
+	pthread_mutex_lock(&cluster->lock);
+	record_peer(cluster->followers, &cluster->follower_count, PD_CLUSTER_FOLLOWERS_MAX, ping, 0,
+		    now_us);
+	/* A head that has begun to follow this instance is none any more. */
+	forget_peer(cluster->heads, &cluster->head_count, &ping->sender);
+	pthread_mutex_unlock(&cluster->lock);
+	pd_datagram_put_uint(&pong, stamp);
+	pd_datagram_put_uint(&pong, confirmed_us ? (uint64_t)(now_us - confirmed_us) + 1 : 0);
+	/* Read after the proof: the version may only be too high for it, which is safe. */
+	pd_datagram_put_uint(&pong, pd_directory_config_version(cluster->parts.directory));
+	pd_cluster_send(cluster, PD_DATAGRAM_PONG, pd_buf_str(&pong), &ping->from);
+	pd_buf_finish(&pong);
+}
+
+static void receive_pong(struct pd_cluster *cluster, const struct pd_datagram *pong, int64_t now_us)
+{
+	struct pd_directory *directory = cluster->parts.directory;
+	struct pd_datagram_reader reader;
+	uint64_t stamp, age, version;
+	bool is_source;
+
+	pd_datagram_reader_init(&reader, pong->payload);
+	stamp = pd_datagram_get_uint(&reader);
+	age = pd_datagram_get_uint(&reader);
+	version = pd_datagram_get_uint(&reader);
+	if (reader.failed || stamp > (uint64_t)now_us || age > (uint64_t)now_us)
+		return;
+	pthread_mutex_lock(&cluster->lock);
+	is_source = cluster->has_source && same_address(&cluster->source, &pong->from);
+	if (is_source)
+		cluster->source_heard_us = now_us;
+	pthread_mutex_unlock(&cluster->lock);
+	if (is_source && age && pd_directory_config_version(directory) >= version)
+		pd_directory_confirm_config(directory, (int64_t)stamp - (int64_t)(age - 1));
+}
+
+/* Tells the sender of a HEAD which instance this one follows. */
+static void send_redirect(struct pd_cluster *cluster, const struct sockaddr_in *source,
+			  const struct sockaddr_in *to)
+{
+	struct pd_buf payload = {0};
+
+	pd_datagram_put_uint(&payload, ntohl(source->sin_addr.s_addr));
+	pd_datagram_put_uint(&payload, ntohs(source->sin_port));
+	pd_cluster_send(cluster, PD_DATAGRAM_REDIRECT, pd_buf_str(&payload), to);
+	pd_buf_finish(&payload);
+}
+
+static void send_head(struct pd_cluster *cluster, const struct sockaddr_in *to)
+{
+	struct pd_cluster_view view;
+	struct pd_buf payload = {0};
+
+	pd_cluster_view(cluster, pd_os_boot_us(), &view);
+	pd_datagram_put_uint(&payload, view.followers);
+	pd_cluster_send(cluster, PD_DATAGRAM_HEAD, pd_buf_str(&payload), to);
+	pd_buf_finish(&payload);
+}
+
+static void receive_head(struct pd_cluster *cluster, const struct pd_datagram *head, int64_t now_us)
+{
+	struct pd_datagram_reader reader;
+	struct sockaddr_in source;
+	uint64_t followers;
+
+	pd_datagram_reader_init(&reader, head->payload);
+	followers = pd_datagram_get_uint(&reader);
+	if (reader.failed || followers > UINT32_MAX)
+		return;
+	if (get_source(cluster, &source)) {
+		send_redirect(cluster, &source, &head->from);
+		return;
+	}
+	pthread_mutex_lock(&cluster->lock);
+	record_peer(cluster->heads, &cluster->head_count, PD_CLUSTER_HEADS_MAX, head,
+		    (uint32_t)followers, now_us);
+	forget_peer(cluster->followers, &cluster->follower_count, &head->sender);
+	pthread_mutex_unlock(&cluster->lock);
+}
+
+static void receive_redirect(struct pd_cluster *cluster, const struct pd_datagram *redirect)
+{
+	struct sockaddr_in source = {.sin_family = AF_INET};
+	struct pd_datagram_reader reader;
+	uint64_t ip, port;
+	bool is_head;
+
+	pd_datagram_reader_init(&reader, redirect->payload);
+	ip = pd_datagram_get_uint(&reader);
+	port = pd_datagram_get_uint(&reader);
+	if (reader.failed || ip > UINT32_MAX || !port || port > UINT16_MAX)
+		return;
+	source.sin_addr.s_addr = htonl((uint32_t)ip);
+	source.sin_port = htons((uint16_t)port);
+	pthread_mutex_lock(&cluster->lock);
+	is_head = !cluster->has_source;
+	forget_peer(cluster->heads, &cluster->head_count, &redirect->sender);
+	pthread_mutex_unlock(&cluster->lock);
+	if (is_head)
+		send_head(cluster, &source);
+}
+
+void pd_cluster_receive(struct pd_cluster *cluster, const struct pd_datagram *datagram,
+			int64_t now_us)
+{
+	switch (datagram->kind) {
+	case PD_DATAGRAM_PING:
+		receive_ping(cluster, datagram, now_us);
+		break;
+	case PD_DATAGRAM_PONG:
+		receive_pong(cluster, datagram, now_us);
+		break;
+	case PD_DATAGRAM_HEAD:
+		receive_head(cluster, datagram, now_us);
+		break;
+	case PD_DATAGRAM_REDIRECT:
+		receive_redirect(cluster, datagram);
+		break;
+	case PD_DATAGRAM_USAGE:
+	case PD_DATAGRAM_SHARE:
+	case PD_DATAGRAM_QUOTA:
+		pd_quota_exchange_receive(cluster->parts.quota, cluster, datagram, now_us);
+		break;
+	case PD_DATAGRAM_LOAD:
+		pd_load_report_receive(cluster->parts.load, cluster, datagram, now_us);
+		break;
+	case PD_DATAGRAM_EVIDENCE:
+	case PD_DATAGRAM_EXPOSURE:
+		pd_rollout_exchange_receive(cluster->parts.rollout, cluster, datagram, now_us);
+		break;
+	}
+}
+
+static uint64_t next_random(struct pd_cluster *cluster)
+{
+	/* xorshift64 */
+	cluster->random_state ^= cluster->random_state << 13;
+	cluster->random_state ^= cluster->random_state >> 7;
+	cluster->random_state ^= cluster->random_state << 17;
+	return cluster->random_state;
+}
+
+/* Sends HEAD to some random instances of a zone, of which one that isn't its head names the head.
+ */
+static void query_zone_locked(struct pd_cluster *cluster, size_t zone, const struct pd_buf *out)
+{
+	size_t queries = 0, start;
+
+	if (!cluster->instance_count)
+		return;
+	start = next_random(cluster) % cluster->instance_count;
+	for (size_t i = 0; i < cluster->instance_count && queries < HEAD_QUERIES; i++) {
+		const struct pd_cluster_instance *instance =
+			&cluster->instances[(start + i) % cluster->instance_count];
+
+		if (instance->zone != zone)
+			continue;
+		send_bytes(cluster, out, &instance->address);
+		queries++;
+	}
+}
+
+/* Announces this head to the other ones. A head whose zone isn't covered by known heads also looks
+ * for one in its own zone.
+ */
+static void announce_head(struct pd_cluster *cluster, int64_t now_us)
+{
+	struct pd_buf payload = {0}, out = {0};
+	struct pd_cluster_view view;
+
+	pd_cluster_view(cluster, now_us, &view);
+	pd_datagram_put_uint(&payload, view.followers);
+	if (encode(cluster, PD_DATAGRAM_HEAD, pd_buf_str(&payload), &out)) {
+		pthread_mutex_lock(&cluster->lock);
+		for (size_t i = 0; i < cluster->head_count; i++)
+			send_bytes(cluster, &out, &cluster->heads[i].address);
+		for (size_t i = 1; i < cluster->zone_count; i++) {
+			if (!hears_zone(cluster, &cluster->zones[i]))
+				query_zone_locked(cluster, i, &out);
+		}
+		if (2 * view.zone_covered < view.zone_instances)
+			query_zone_locked(cluster, 0, &out);
+		pthread_mutex_unlock(&cluster->lock);
+	}
+	pd_buf_finish(&payload);
+	pd_buf_finish(&out);
+}
+
+static void send_ping(struct pd_cluster *cluster, int64_t now_us)
+{
+	struct pd_buf payload = {0};
+
+	pd_datagram_put_uint(&payload, (uint64_t)now_us);
+	pd_cluster_send_to_source(cluster, PD_DATAGRAM_PING, pd_buf_str(&payload));
+	pd_buf_finish(&payload);
+}
+
+void pd_cluster_tick(struct pd_cluster *cluster, int64_t now_us)
+{
+	bool ping, announce;
+
+	pthread_mutex_lock(&cluster->lock);
+	expire_locked(cluster, now_us);
+	ping = cluster->has_source && now_us >= cluster->next_ping_us;
+	announce = !cluster->has_source && now_us >= cluster->next_head_us;
+	if (ping)
+		cluster->next_ping_us = now_us + PING_INTERVAL_US;
+	if (announce)
+		cluster->next_head_us = now_us + HEAD_INTERVAL_US;
+	pthread_mutex_unlock(&cluster->lock);
+	if (ping)
+		send_ping(cluster, now_us);
+	if (announce)
+		announce_head(cluster, now_us);
+	pd_quota_exchange_tick(cluster->parts.quota, cluster, now_us);
+	pd_load_report_tick(cluster->parts.load, cluster, now_us);
+	pd_rollout_exchange_tick(cluster->parts.rollout, cluster, now_us);
+}
+
+/* Receives all datagrams that have arrived. */
+static void receive_all(struct pd_cluster *cluster)
+{
+	char bytes[PD_DATAGRAM_MAX_BYTES];
+	struct pd_datagram datagram;
+	struct sockaddr_in from;
+	ssize_t n;
+
+	for (;;) {
+		socklen_t len = sizeof(from);
+
+		n = recvfrom(cluster->fd, bytes, sizeof(bytes), MSG_DONTWAIT,
+			     (struct sockaddr *)&from, &len);
+		if (n < 0)
+			return;
+		if (!pd_datagram_decode((struct pd_str){bytes, (size_t)n}, &datagram)) {
+			pd_count(PD_COUNT_datagrams_malformed);
+			continue;
+		}
+		pd_count(PD_COUNT_datagrams_in);
+		datagram.from = from;
+		pd_cluster_receive(cluster, &datagram, pd_os_boot_us());
+	}
+}
+
+static void *run(void *arg)
+{
+	struct pd_cluster *cluster = arg;
+	int64_t next_tick = pd_os_boot_us();
+
+	for (;;) {
+		struct pollfd p = {.fd = cluster->fd, .events = POLLIN};
+		int64_t now = pd_os_boot_us();
+
+		if (now >= next_tick) {
+			pd_cluster_tick(cluster, now);
+			next_tick = now + PD_CLUSTER_TICK_US;
+			continue;
+		}
+		if (poll(&p, 1, (int)((next_tick - now) / PD_USEC_PER_MSEC) + 1) > 0)
+			receive_all(cluster);
+	}
+	return NULL;
+}
+
+enum pd_code pd_cluster_start(struct pd_cluster *cluster, struct pd_error *err)
+{
+	struct sockaddr_in address;
+	enum pd_code code;
+	int fd;
+
+	if (pd_cluster_is_started(cluster))
+		return PD_OK;
+	fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	if (fd < 0 || !to_sockaddr(&cluster->address, &address) ||
+	    bind(fd, (struct sockaddr *)&address, sizeof(address))) {
+		code = pd_error_set(err, PD_LAYER_COORDINATION, PD_SYSTEM,
+				    "can't receive datagrams on %s:%u: %s", cluster->address.ip,
+				    cluster->address.port, strerror(errno));
+		pd_os_close(&fd);
+		return code;
+	}
+	pthread_mutex_lock(&cluster->lock);
+	cluster->fd = fd;
+	cluster->started = true;
+	pthread_mutex_unlock(&cluster->lock);
+	pd_log(PD_LOG_INFO, "cluster_started", "address=%s:%u", cluster->address.ip,
+	       cluster->address.port);
+	code = pd_os_thread_start(&cluster->thread, "cluster", run, cluster, err);
+	return code == PD_OK ? code : pd_error_wrap(err, PD_LAYER_COORDINATION, code, "cluster");
+}
--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -289,6 +289,34 @@
 	msg->evacuations.at = directory->evacuated_at;
 }
 
+void pd_directory_confirm_config(struct pd_directory *directory, int64_t confirmed_us)
+{
+	pthread_mutex_lock(&directory->lock);
+	if (confirmed_us > directory->config_confirmed_us)
+		directory->config_confirmed_us = confirmed_us;
+	pthread_mutex_unlock(&directory->lock);
+}
+
+int64_t pd_directory_config_confirmed_us(struct pd_directory *directory)
+{
+	int64_t confirmed_us;
+
+	pthread_mutex_lock(&directory->lock);
+	confirmed_us = directory->config_confirmed_us;
+	pthread_mutex_unlock(&directory->lock);
+	return confirmed_us;
+}
+
+uint64_t pd_directory_config_version(struct pd_directory *directory)
+{
+	int64_t version;
+
+	pthread_mutex_lock(&directory->lock);
+	version = directory->config_version;
+	pthread_mutex_unlock(&directory->lock);
+	return version > 0 ? (uint64_t)version : 0;
+}
+
 void pd_directory_set_evacuated(struct pd_directory *directory, const struct pd_name *zones,
 				size_t count, struct pd_revision at)
 {
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -88,6 +88,8 @@
  * @log_start: sequence number of the first change in the log that was encoded; earlier ones were
  *	logged when there were no followers
  * @snapshot: last encoded snapshot; has a lock of its own
+ * @config_confirmed_us: time up to which the store is proven to have had no version newer than
+ *	@config_version, in microseconds of pd_os_boot_us(); 0 if there is no proof
  * @config_delay: time from a version's reception by the zone until it was in force here, for all
  *	versions but the first one after the start
  */
@@ -113,6 +115,7 @@
 	uint32_t followers;
 	uint64_t log_start;
 	struct pd_snapshot snapshot;
+	int64_t config_confirmed_us;
 	struct pd_histogram config_delay;
 };
 
@@ -152,6 +155,15 @@
 /* The same for a configuration as JSON text. */
 enum pd_code pd_directory_put_config_text(struct pd_directory *directory, struct pd_str text,
 					  int64_t received_unix_ms, struct pd_error *err);
+/* Records a proof that the current configuration was the store's newest one at @confirmed_us: the
+ * time at which a question was sent whose answer was received and applied. An earlier proof than
+ * the known one changes nothing.
+ */
+void pd_directory_confirm_config(struct pd_directory *directory, int64_t confirmed_us);
+/* Returns the time of the newest proof; 0 if there is none. */
+int64_t pd_directory_config_confirmed_us(struct pd_directory *directory);
+/* Returns the version of the current configuration; 0 if there is none. */
+uint64_t pd_directory_config_version(struct pd_directory *directory);
 /* Replaces the set of evacuated zones by the one that the store had at revision @at. A set that is
  * older than the current one is ignored: a stale read, or an instance that has just started, may
  * return it.
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -33,6 +33,28 @@
  */
 #define STOP_IDLE_US (250 * PD_USEC_PER_MSEC)
 
+static void init_cluster(struct pd_ingress *ingress)
+{
+	const struct pd_cluster_parts parts = {.directory = &ingress->directory,
+					       .quota = &ingress->quota,
+					       .load = &ingress->load,
+					       .rollout = &ingress->rollout};
+
+	pd_quota_exchange_init(&ingress->quota);
+	pd_load_report_init(&ingress->load);
+	pd_rollout_exchange_init(&ingress->rollout);
+	pd_cluster_init(&ingress->cluster, &parts, &ingress->settings.node, &ingress->settings.zone,
+			&ingress->settings.peer);
+	ingress->membership.cluster = &ingress->cluster;
+}
+
+/* Whether the settings ask for a part that exchanges datagrams. */
+static bool needs_cluster(const struct pd_ingress_settings *settings)
+{
+	return settings->revocation_ms || settings->quota_window_s > 0 ||
+	       settings->exposure_share > 0;
+}
+
 struct pd_ingress *pd_ingress_create(const struct pd_ingress_settings *settings,
 				     struct pd_error *err)
 {
@@ -68,6 +90,7 @@
 	pd_membership_init(&ingress->membership, &ingress->directory, &ingress->sync, &self);
 	pd_reporter_init(&ingress->reporter, &ingress->directory, &ingress->sync);
 	pd_feed_init(&ingress->feed, &ingress->directory, &settings->peer);
+	init_cluster(ingress);
 	pthread_mutex_init(&ingress->lock, NULL);
 	for (size_t i = 0; i < PD_LISTENER_COUNT; i++) {
 		ingress->listeners[i] = (struct pd_listener){.ingress = ingress,
@@ -241,6 +264,8 @@
 			return pd_error_wrap(err, PD_LAYER_STATE, code, "start");
 	}
 	code = pd_feed_start(&ingress->feed, err);
+	if (code == PD_OK && needs_cluster(&ingress->settings))
+		code = pd_cluster_start(&ingress->cluster, err);
 	if (code == PD_OK)
 		code = pd_sync_start(&ingress->sync, err);
 	if (code == PD_OK)
--- a/ingress/ingress_private.h
+++ b/ingress/ingress_private.h
@@ -5,14 +5,18 @@
 #define PD_INGRESS_PRIVATE_H
 
 #include "client.h"
+#include "cluster.h"
 #include "directory.h"
 #include "feed.h"
 #include "histogram.h"
 #include "ingress.h"
+#include "load_report.h"
 #include "membership.h"
 #include "pool.h"
+#include "quota_exchange.h"
 #include "registry.h"
 #include "reporter.h"
+#include "rollout_exchange.h"
 #include "sync.h"
 
 /** enum pd_listener_kind - purpose of a listener. */
@@ -50,6 +54,10 @@
  * @membership: finds the other instances, and updates @directory from one of them
  * @reporter: reports requests that crash upstreams to the other instances
  * @feed: sends the contents of @directory to instances that follow this one
+ * @quota: use of the accounts' quotas, exchanged with the other instances
+ * @load: load reports of upstreams, exchanged with the instances of the zone
+ * @rollout: roll-outs, with evidence exchanged with the other instances
+ * @cluster: exchange of datagrams between instances, for @quota, @load and @rollout
  * @listeners: listening sockets, indexed by enum pd_listener_kind
  * @lock: guards all fields below
  * @connections: number of open connections accepted by @listeners
@@ -74,6 +82,10 @@
 	struct pd_membership membership;
 	struct pd_reporter reporter;
 	struct pd_feed feed;
+	struct pd_quota_exchange quota;
+	struct pd_load_report load;
+	struct pd_rollout_exchange rollout;
+	struct pd_cluster cluster;
 	struct pd_listener listeners[PD_LISTENER_COUNT];
 	pthread_mutex_t lock;
 	uint32_t connections;
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -167,6 +167,7 @@
  * @instance_count: number of entries in @instances
  * @capacity: number of entries for which @instances has room
  * @failed: memory ran out, so that instances are missing in @instances
+ * @cluster: the other instances, for &pd_membership.cluster
  */
 struct listing {
 	struct pd_source previous[PD_MEMBERSHIP_SOURCES_MAX];
@@ -176,6 +177,7 @@
 	size_t instance_count;
 	size_t capacity;
 	bool failed;
+	struct pd_cluster_list cluster;
 };
 
 static void add_instance(struct listing *listing, const struct pd_instance_entry *entry)
@@ -225,6 +227,9 @@
 			continue;
 		}
 		add_instance(listing, &entry);
+		if (membership->cluster)
+			pd_cluster_list_add(&listing->cluster, &entry.name, &entry.zone,
+					    &entry.address, entry.cpu_share);
 		pd_membership_add_relay(membership, &entry);
 		pd_membership_add_source(
 			membership, &entry,
@@ -244,12 +249,14 @@
 }
 
 /* Applies a complete list: this instance's share of the load, and the relays. */
-static void apply_listing(struct pd_membership *membership, const struct listing *listing)
+static void apply_listing(struct pd_membership *membership, struct listing *listing)
 {
 	struct pd_registry *registry = membership->directory->registry;
 
 	pd_registry_set_instances(registry, listing->instances, listing->instance_count);
 	pd_relay_set_instances(registry, membership->relays, membership->relay_count);
+	if (membership->cluster)
+		pd_cluster_list_use(membership->cluster, &listing->cluster);
 }
 
 /* Lists all instances, with a stale read that may be some seconds old. */
@@ -261,6 +268,8 @@
 	enum pd_code code = PD_OK;
 
 	add_instance(&listing, &membership->self);
+	if (membership->cluster)
+		pd_cluster_list_begin(membership->cluster, &listing.cluster);
 	memcpy(listing.previous, membership->sources,
 	       listing.previous_count * sizeof(listing.previous[0]));
 	while (more) {
@@ -296,6 +305,7 @@
 		apply_listing(membership, &listing);
 	}
 	free(listing.instances);
+	pd_cluster_list_discard(&listing.cluster);
 	return code;
 }
 
@@ -394,6 +404,7 @@
 /**
  * struct session - connection to the source that this instance follows
  * @reader: connection to the source
+ * @address: address of the source
  * @lists: lists of upstreams that the source has begun
  * @config: configuration that was received and not applied yet; empty if there is none
  * @config_received_unix_ms: Unix time in milliseconds at which the zone received @config; 0 if
@@ -407,6 +418,7 @@
  */
 struct session {
 	struct pd_feed_reader reader;
+	struct pd_address address;
 	struct pd_feed_lists lists;
 	struct pd_buf config;
 	int64_t config_received_unix_ms;
@@ -546,6 +558,12 @@
 	return msg->kind == PD_FEED_HEARTBEAT && msg->heartbeat.store_reachable;
 }
 
+static void set_source(struct pd_membership *membership, const struct pd_address *address)
+{
+	if (membership->cluster)
+		pd_cluster_set_source(membership->cluster, address);
+}
+
 /* Applies the messages of the source until the connection fails, or until the source can't reach
  * the store while this instance can. Returns the reason for the end, for the log.
  */
@@ -571,8 +589,10 @@
 		if (first && !reachable)
 			return "source_without_store";
 		/* A heartbeat follows the snapshot: from now on, the source sends all changes. */
-		if (!first && reachable)
+		if (!first && reachable) {
 			pd_sync_set_mode(membership->sync, PD_SYNC_PAUSED);
+			set_source(membership, &session->address);
+		}
 		apply_config_when_due(membership, session);
 		if (try_store_directly(membership, session))
 			return "source_lost_store";
@@ -585,7 +605,8 @@
 /* Follows a source until the session ends; false if the connection to it failed. */
 static bool follow(struct pd_membership *membership, struct pd_source *source)
 {
-	struct session session = {.next_list_us = pd_os_boot_us() + FIRST_LIST_DELAY_US};
+	struct session session = {.address = source->entry.address,
+				  .next_list_us = pd_os_boot_us() + FIRST_LIST_DELAY_US};
 	int fd = -1;
 	struct pd_name name = source->entry.name;
 	struct pd_error err;
@@ -600,6 +621,7 @@
 	pd_log(PD_LOG_INFO, "following", "instance=%s", name.text);
 	pd_feed_reader_init(&session.reader, fd);
 	reason = run_session(membership, &session);
+	set_source(membership, NULL);
 	apply_held_config(membership, &session);
 	pd_feed_apply_end(membership->directory, &session.lists);
 	pd_log(PD_LOG_WARNING, "source_lost", "instance=%s reason=%s", name.text, reason);
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -16,6 +16,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "cluster.h"
 #include "directory.h"
 #include "objects.h"
 #include "store_client.h"
@@ -38,6 +39,8 @@
  * struct pd_membership - the other instances, and the state of following one of them
  * @directory: directory to which changes are applied
  * @sync: updates @directory from the store while this instance follows none
+ * @cluster: is told which instances there are and which one this instance follows; NULL if there
+ *	is none
  * @self: entry under which this instance registers itself
  * @store: connection to the store, for the list of instances
  * @thread: thread that runs all of the membership's work
@@ -61,6 +64,7 @@
 struct pd_membership {
 	struct pd_directory *directory;
 	struct pd_sync *sync;
+	struct pd_cluster *cluster;
 	struct pd_instance_entry self;
 	struct pd_store store;
 	pthread_t thread;
--- a/src/counters.h
+++ b/src/counters.h
@@ -78,6 +78,22 @@
 	X(feed_configs_out)                                                                        \
 	X(feed_bytes_out)                                                                          \
 	X(feed_slow_writes)                                                                        \
+	X(datagrams_in)                                                                            \
+	X(datagrams_out)                                                                           \
+	X(datagram_bytes_out)                                                                      \
+	X(datagrams_unsent)                                                                        \
+	X(datagrams_malformed)                                                                     \
+	X(keys_unknown)                                                                            \
+	X(keys_unconfirmed)                                                                        \
+	X(quota_refused)                                                                           \
+	X(quota_returned)                                                                          \
+	X(fair_refused)                                                                            \
+	X(load_reports_in)                                                                         \
+	X(load_reports_out)                                                                        \
+	X(rollouts_completed)                                                                      \
+	X(rollouts_rolled_back)                                                                    \
+	X(rollout_canary_sent)                                                                     \
+	X(statuses_invalid)                                                                        \
 	X(store_restores)                                                                          \
 	X(entries_unreadable)                                                                      \
 	X(limited_sent)                                                                            \
