--- a/ingress/catalog.c
+++ b/ingress/catalog.c
@@ -60,6 +60,7 @@
 	for (size_t i = 0; i < catalog->route_count; i++)
 		free(catalog->routes[i].targets);
 	free(catalog->routes);
+	free(catalog->accounts);
 	free(catalog->services);
 	free(catalog->text);
 	free(catalog);
--- a/ingress/catalog.h
+++ b/ingress/catalog.h
@@ -36,6 +36,24 @@
 	struct pd_service *runtime;
 };
 
+/**
+ * struct pd_account - configuration of one client account
+ * @name: name of the account, which upstreams are told
+ * @hash: pd_str_hash() of @name with seed 0
+ * @has_priority: @priority takes precedence over that of the route
+ * @priority: priority of the account's requests; 0 is the highest
+ * @rate_per_s: quota in requests per second, over all instances; 0 for no limit
+ * @burst: number of requests that the account may send at once beyond the rate
+ */
+struct pd_account {
+	struct pd_str name;
+	uint64_t hash;
+	bool has_priority;
+	uint32_t priority;
+	double rate_per_s;
+	double burst;
+};
+
 /**
  * struct pd_route_target - one service to which a route sends requests
  * @service: index of the service in &pd_catalog.services
@@ -66,6 +84,7 @@
  * @target_latency_ms: latency objective, in milliseconds; 0 if not configured
  * @max_attempts: maximum number of attempts of one request for each target, the first one included
  * @priority: priority of the requests; 0 is the highest
+ * @allow_anonymous: requests need no API key
  * @targets: services to which requests are sent
  * @target_count: number of entries in @targets
  * @top_k: maximum number of records in a merged response
@@ -82,6 +101,7 @@
 	uint32_t target_latency_ms;
 	uint32_t max_attempts;
 	uint32_t priority;
+	bool allow_anonymous;
 	struct pd_route_target *targets;
 	size_t target_count;
 	uint32_t top_k;
@@ -116,6 +136,8 @@
  * @service_count: number of entries in @services
  * @routes: configured routes, sorted by host and then from the longest prefix to the shortest
  * @route_count: number of entries in @routes
+ * @accounts: client accounts; without any, requests need no API key
+ * @account_count: number of entries in @accounts
  * @limits: limits for clients
  * @references: reference count; the catalog is freed when it drops to 0
  * @text: storage of all strings; never reallocated, so that views into it stay valid
@@ -129,6 +151,8 @@
 	size_t service_count;
 	struct pd_route *routes;
 	size_t route_count;
+	struct pd_account *accounts;
+	size_t account_count;
 	struct pd_limits limits;
 	int references;
 	char *text;
--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -542,6 +542,23 @@
 	}
 }
 
+/* Logs the view when this instance becomes a head or a follower, or hears more or fewer zones. */
+static void log_changes(struct pd_cluster *cluster, int64_t now_us)
+{
+	struct pd_cluster_view view;
+
+	pd_cluster_view(cluster, now_us, &view);
+	if (view.is_head == cluster->logged.is_head &&
+	    view.zones_heard == cluster->logged.zones_heard &&
+	    view.zone_count == cluster->logged.zone_count)
+		return;
+	cluster->logged = view;
+	pd_log(PD_LOG_INFO, "cluster_view",
+	       "head=%d instances=%zu zones=%zu zones_heard=%zu zone_instances=%zu covered=%zu",
+	       view.is_head, view.instance_count, view.zone_count, view.zones_heard,
+	       view.zone_instances, view.zone_covered);
+}
+
 /* Announces this head to the other ones. A head whose zone isn't covered by known heads also looks
  * for one in its own zone.
  */
@@ -594,6 +611,7 @@
 		send_ping(cluster, now_us);
 	if (announce)
 		announce_head(cluster, now_us);
+	log_changes(cluster, now_us);
 	pd_quota_exchange_tick(cluster->parts.quota, cluster, now_us);
 	pd_load_report_tick(cluster->parts.load, cluster, now_us);
 	pd_rollout_exchange_tick(cluster->parts.rollout, cluster, now_us);
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -87,6 +87,29 @@
 	struct pd_rollout_exchange *rollout;
 };
 
+/**
+ * struct pd_cluster_view - what this instance knows of the others at one moment
+ * @is_head: it follows no other instance
+ * @source_heard_us: time at which the source was last heard; 0 if there is none or it wasn't heard
+ * @instance_count: number of listed instances, this one included
+ * @zone_count: number of zones of the listed instances
+ * @zone_instances: number of listed instances of this zone, this one included
+ * @followers: number of followers that were heard lately
+ * @zone_covered: number of instances of this zone that are this one, other heads of the zone that
+ *were heard lately, and the followers of all these
+ * @zones_heard: number of other zones of which a head was heard lately
+ */
+struct pd_cluster_view {
+	bool is_head;
+	int64_t source_heard_us;
+	size_t instance_count;
+	size_t zone_count;
+	size_t zone_instances;
+	size_t followers;
+	size_t zone_covered;
+	size_t zones_heard;
+};
+
 /**
  * struct pd_cluster - exchange of datagrams
  * @parts: parts to which datagrams are passed
@@ -109,6 +132,7 @@
  * @head_count: number of entries in @heads
  * @followers: followers that were heard
  * @follower_count: number of entries in @followers
+ * @logged: view that was last logged
  * @next_ping_us: time of the next PING
  * @next_head_us: time of the next HEAD
  * @random_state: state of the random number generator
@@ -134,6 +158,7 @@
 	size_t head_count;
 	struct pd_cluster_peer followers[PD_CLUSTER_FOLLOWERS_MAX];
 	size_t follower_count;
+	struct pd_cluster_view logged;
 	int64_t next_ping_us;
 	int64_t next_head_us;
 	uint64_t random_state;
@@ -167,29 +192,6 @@
 /* Records that this instance follows the instance at @address, or none if it is NULL. */
 void pd_cluster_set_source(struct pd_cluster *cluster, const struct pd_address *address);
 
-/**
- * struct pd_cluster_view - what this instance knows of the others at one moment
- * @is_head: it follows no other instance
- * @source_heard_us: time at which the source was last heard; 0 if there is none or it wasn't heard
- * @instance_count: number of listed instances, this one included
- * @zone_count: number of zones of the listed instances
- * @zone_instances: number of listed instances of this zone, this one included
- * @followers: number of followers that were heard lately
- * @zone_covered: number of instances of this zone that are this one, other heads of the zone that
- *were heard lately, and the followers of all these
- * @zones_heard: number of other zones of which a head was heard lately
- */
-struct pd_cluster_view {
-	bool is_head;
-	int64_t source_heard_us;
-	size_t instance_count;
-	size_t zone_count;
-	size_t zone_instances;
-	size_t followers;
-	size_t zone_covered;
-	size_t zones_heard;
-};
-
 void pd_cluster_view(struct pd_cluster *cluster, int64_t now_us, struct pd_cluster_view *view);
 
 /* Send a payload; nothing is sent before the start. */
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -29,6 +29,8 @@
  * @fields: header fields of the request
  * @catalog: configuration by which the request is served; NULL if there is none
  * @route: route of the request
+ * @account: account whose API key the client sent; NULL for an anonymous request
+ * @priority: priority of the request: that of the account, or else of the route; 0 is the highest
  * @relayed: another instance relayed the request, with the parameters in @relay_fields
  * @relay_fields: parameters of a relayed request
  * @relay_result: result to send to the instance that relayed the request
@@ -42,6 +44,8 @@
 	struct pd_request_fields fields;
 	struct pd_catalog *catalog;
 	struct pd_route *route;
+	const struct pd_account *account;
+	uint32_t priority;
 	bool relayed;
 	struct pd_relay_fields relay_fields;
 	enum pd_relay_result relay_result;
