Reporter: only upstreams that don't run count as crashed

Cause: any connection that broke before a response counted as a crash of the upstream, also when the upstream only lost the response or its connections were reset.

A crash is now noted by the instance that saw it, and passed on 0.6 s later only if the upstream has answered nothing since and accepts no connection; otherwise it is withdrawn.

Ruled out as the larger part: lists after a cut (4 for each instance that is alone).

The script crash_answer_lost fails before. The scripts crash and crash_zones used upstreams that reset connections but accept new ones, which is no crash any more; they now refuse connections until a mode is set, and check as much as before.

--- a/ingress/crashes.c
+++ b/ingress/crashes.c
@@ -88,6 +88,29 @@
 	return added;
 }
 
+static void remove_locked(struct pd_crash *crash, const struct pd_name *event)
+{
+	for (uint32_t i = 0; i < crash->count; i++) {
+		if (!pd_name_equal(&crash->events[i], event))
+			continue;
+		crash->events[i] = crash->events[--crash->count];
+		if (!crash->count)
+			crash->fingerprint = 0;
+		return;
+	}
+}
+
+void pd_crashes_remove(struct pd_crashes *crashes, uint64_t fingerprint,
+		       const struct pd_name *event)
+{
+	pthread_mutex_lock(&crashes->lock);
+	for (size_t i = 0; i < PD_CRASHES_MAX; i++) {
+		if (crashes->table[i].fingerprint == fingerprint)
+			remove_locked(&crashes->table[i], event);
+	}
+	pthread_mutex_unlock(&crashes->lock);
+}
+
 bool pd_crashes_is_blocked(struct pd_crashes *crashes, uint64_t fingerprint, int64_t now_us)
 {
 	const struct pd_crash *crash;
--- a/ingress/crashes.h
+++ b/ingress/crashes.h
@@ -56,6 +56,9 @@
  * beyond the limit only restart the time to the expiry. */
 bool pd_crashes_add(struct pd_crashes *crashes, uint64_t fingerprint, const struct pd_name *event,
 		    int64_t now_us);
+/* Removes a crash that turned out to be none; nothing if it isn't recorded. */
+void pd_crashes_remove(struct pd_crashes *crashes, uint64_t fingerprint,
+		       const struct pd_name *event);
 /* Whether the request has crashed so many upstreams that it is no longer sent to any. */
 bool pd_crashes_is_blocked(struct pd_crashes *crashes, uint64_t fingerprint, int64_t now_us);
 /* Copies the entries that haven't expired to @out, which has room for PD_CRASHES_MAX, and returns
--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -354,18 +354,32 @@
 	return known;
 }
 
-bool pd_directory_add_crash(struct pd_directory *directory, uint64_t fingerprint,
-			    const struct pd_name *event)
+bool pd_directory_note_crash(struct pd_directory *directory, uint64_t fingerprint,
+			     const struct pd_name *event)
 {
-	struct pd_feed_message msg = {.kind = PD_FEED_CRASH};
-
 	if (!pd_crashes_add(&directory->crashes, fingerprint, event, pd_os_boot_us()))
 		return false;
 	pd_log(PD_LOG_WARNING, "crash_noted", "fingerprint=%016" PRIx64 " crash=%s", fingerprint,
 	       event->text);
+	return true;
+}
+
+void pd_directory_publish_crash(struct pd_directory *directory, uint64_t fingerprint,
+				const struct pd_name *event)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_CRASH};
+
 	msg.crash.fingerprint = fingerprint;
 	msg.crash.event = *event;
 	log_change(directory, &msg);
+}
+
+bool pd_directory_add_crash(struct pd_directory *directory, uint64_t fingerprint,
+			    const struct pd_name *event)
+{
+	if (!pd_directory_note_crash(directory, fingerprint, event))
+		return false;
+	pd_directory_publish_crash(directory, fingerprint, event);
 	return true;
 }
 
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -172,9 +172,16 @@
 				size_t count, struct pd_revision at);
 /* Whether the set of evacuated zones was received. */
 bool pd_directory_knows_evacuated(struct pd_directory *directory);
-/* Records a crash of an upstream by the request with that fingerprint; false if the crash @event is
- * already recorded or the request has reached the limit of recorded crashes.
+/* Records a crash of an upstream by the request with that fingerprint, for this instance only;
+ * false if the crash @event is already recorded or the request has reached the limit of recorded
+ * crashes.
  */
+bool pd_directory_note_crash(struct pd_directory *directory, uint64_t fingerprint,
+			     const struct pd_name *event);
+/* Passes a crash on to the followers. */
+void pd_directory_publish_crash(struct pd_directory *directory, uint64_t fingerprint,
+				const struct pd_name *event);
+/* Does both. */
 bool pd_directory_add_crash(struct pd_directory *directory, uint64_t fingerprint,
 			    const struct pd_name *event);
 /**
--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -458,12 +458,28 @@
 	pthread_mutex_lock(&registry->lock);
 	if (report->kind == PD_REPORT_SUCCESS || report->kind == PD_REPORT_REJECTED)
 		pd_registry_report_received_locked(upstream, now_us);
+	if (report->answered)
+		upstream->answered_us = now_us;
 	apply_report(registry, upstream, report, now_us);
 	upstream->in_flight--;
 	pd_registry_unref_locked(upstream);
 	pthread_mutex_unlock(&registry->lock);
 }
 
+bool pd_registry_answered_since(struct pd_registry *registry, const struct pd_name *id,
+				int64_t started_unix_ms, int64_t since_us)
+{
+	struct pd_upstream *upstream;
+	bool answered;
+
+	pthread_mutex_lock(&registry->lock);
+	HASH_FIND(hh, registry->upstreams, id->text, id->len, upstream);
+	answered = upstream && upstream->started_unix_ms == started_unix_ms &&
+		   upstream->answered_us > since_us;
+	pthread_mutex_unlock(&registry->lock);
+	return answered;
+}
+
 /* Whether the service has upstreams that aren't draining, and all of them are in unreachable zones.
  */
 static bool is_unreachable(const struct pd_service *service)
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -100,6 +100,7 @@
  * @reported_load: number of running or queued requests that the upstream last reported
  * @load_reported_us: time at which @reported_load was received
  * @terms: what the upstream has stated about further requests in its responses
+ * @answered_us: time at which a response of the upstream was last received; 0 if none was
  * @overdue_period: silence period of the zone in which the upstream was last counted as overdue
  * @connections: number of open connections from this process to the upstream, idle ones included
  * @idle: list of idle connections, most recently used first
@@ -133,6 +134,7 @@
 	double reported_load;
 	int64_t load_reported_us;
 	struct pd_terms terms;
+	int64_t answered_us;
 	uint32_t overdue_period;
 	uint32_t connections;
 	struct pd_conn *idle;
@@ -444,6 +446,10 @@
 void pd_registry_report_received(struct pd_registry *registry, struct pd_upstream *upstream,
 				 int64_t now_us);
 
+/* Whether the start of the upstream @id at @started_unix_ms has sent a response after @since_us. */
+bool pd_registry_answered_since(struct pd_registry *registry, const struct pd_name *id,
+				int64_t started_unix_ms, int64_t since_us);
+
 /* Returns the share, 0 to 1, of the targets of all gather routes that aren't unreachable. A target
  * is unreachable if all zones in which it has upstreams are. */
 double pd_registry_reachable_share(struct pd_registry *registry);
--- a/src/counters.h
+++ b/src/counters.h
@@ -96,6 +96,7 @@
 	X(statuses_invalid)                                                                        \
 	X(store_restores)                                                                          \
 	X(entries_unreadable)                                                                      \
+	X(crashes_withdrawn)                                                                       \
 	X(limited_sent)                                                                            \
 	X(limited_refused)                                                                         \
 	X(paused_refused)                                                                          \
--- a/standins/platform_upstream.c
+++ b/standins/platform_upstream.c
@@ -13,6 +13,7 @@
 #define HANG_MS	       20000 /* time after which PLATFORM_UPSTREAM_HANG closes the connection */
 /* Time after which a response without end is broken off, so that no test runs forever. */
 #define ENDLESS_MAX_US (20 * PD_USEC_PER_SEC)
+#define CRASH_POLL_US  (10 * PD_USEC_PER_MSEC) /* interval of checks whether a crash has ended */
 #define ENDLESS_UNITS  256 /* repetitions that are written at once */
 
 static const char *const mode_names[PLATFORM_UPSTREAM_MODES] = {
@@ -23,6 +24,7 @@
 	[PLATFORM_UPSTREAM_SHED] = "shed",
 	[PLATFORM_UPSTREAM_HANG] = "hang",
 	[PLATFORM_UPSTREAM_RESET] = "reset",
+	[PLATFORM_UPSTREAM_CRASH] = "crash",
 	[PLATFORM_UPSTREAM_CUT] = "cut",
 	[PLATFORM_UPSTREAM_GARBLE] = "garble",
 	[PLATFORM_UPSTREAM_EXTRA] = "extra",
@@ -50,6 +52,12 @@
 			continue;
 		pthread_mutex_lock(&upstream->lock);
 		upstream->mode = (enum platform_upstream_mode)mode;
+		if (upstream->crashed) {
+			upstream->crashed = false;
+			pthread_cond_broadcast(&upstream->changed);
+			while (upstream->listener < 0)
+				pthread_cond_wait(&upstream->changed, &upstream->lock);
+		}
 		upstream->delay_ms = delay_ms;
 		pthread_mutex_unlock(&upstream->lock);
 		return true;
@@ -135,6 +143,16 @@
 	append_directives(out, upstream, false);
 }
 
+/* Refuses connections from now on. */
+static void crash(struct platform_upstream *upstream)
+{
+	pthread_mutex_lock(&upstream->lock);
+	if (!upstream->crashed)
+		pd_os_shutdown(upstream->listener);
+	upstream->crashed = true;
+	pthread_mutex_unlock(&upstream->lock);
+}
+
 /* Makes close() of @fd send a reset. */
 static void reset_on_close(int fd)
 {
@@ -254,6 +272,11 @@
 		reset_on_close(fd);
 		keep_open = false;
 		break;
+	case PLATFORM_UPSTREAM_CRASH:
+		crash(upstream);
+		reset_on_close(fd);
+		keep_open = false;
+		break;
 	case PLATFORM_UPSTREAM_CUT:
 		append_header(&out, upstream, 200, id);
 		pd_buf_printf(&out, "Content-Length: %zu\r\n\r\n", body.len);
@@ -370,9 +393,9 @@
 	return overfull;
 }
 
-static void *accept_connections(void *arg)
+/* Serves connections until the listener is shut down. */
+static void serve_listener(struct platform_upstream *upstream)
 {
-	struct platform_upstream *upstream = arg;
 	int fd;
 
 	while (pd_os_accept(upstream->listener, &fd, NULL) == PD_OK) {
@@ -393,6 +416,30 @@
 			abort();
 		pthread_detach(thread);
 	}
+}
+
+/* Waits until a mode is set after a crash, and listens again; false if that fails. */
+static bool restart_listener(struct platform_upstream *upstream)
+{
+	bool listening;
+
+	pthread_mutex_lock(&upstream->lock);
+	pd_os_close(&upstream->listener);
+	while (upstream->crashed)
+		pthread_cond_wait(&upstream->changed, &upstream->lock);
+	listening = pd_os_listen(&upstream->address, &upstream->listener, NULL) == PD_OK;
+	pthread_cond_broadcast(&upstream->changed);
+	pthread_mutex_unlock(&upstream->lock);
+	return listening;
+}
+
+static void *accept_connections(void *arg)
+{
+	struct platform_upstream *upstream = arg;
+
+	do {
+		serve_listener(upstream);
+	} while (restart_listener(upstream));
 	return NULL;
 }
 
@@ -400,6 +447,7 @@
 			     const char *service)
 {
 	pthread_mutex_init(&upstream->lock, NULL);
+	pthread_cond_init(&upstream->changed, NULL);
 	snprintf(upstream->id, sizeof(upstream->id), "%s", id);
 	snprintf(upstream->service, sizeof(upstream->service), "%s", service);
 	memcpy(upstream->address.ip, "127.0.0.1", sizeof("127.0.0.1"));
--- a/standins/platform_upstream.h
+++ b/standins/platform_upstream.h
@@ -26,6 +26,8 @@
  * @PLATFORM_UPSTREAM_HANG: executes them and closes the connection after a long time without a
  * response
  * @PLATFORM_UPSTREAM_RESET: executes them and resets the connection
+ * @PLATFORM_UPSTREAM_CRASH: executes them, resets the connection and refuses connections until a
+ * mode is set
  * @PLATFORM_UPSTREAM_CUT: executes them and closes the connection after half of the response body
  * @PLATFORM_UPSTREAM_GARBLE: executes them and responds with bytes that aren't HTTP
  * @PLATFORM_UPSTREAM_EXTRA: executes them and sends the response twice
@@ -50,6 +52,7 @@
 	PLATFORM_UPSTREAM_SHED,
 	PLATFORM_UPSTREAM_HANG,
 	PLATFORM_UPSTREAM_RESET,
+	PLATFORM_UPSTREAM_CRASH,
 	PLATFORM_UPSTREAM_CUT,
 	PLATFORM_UPSTREAM_GARBLE,
 	PLATFORM_UPSTREAM_EXTRA,
@@ -84,8 +87,10 @@
  * @address: address at which the upstream listens
  * @listener: listening socket
  * @thread: thread that accepts connections
- * @lock: guards the members from @mode to @leaving
+ * @lock: guards @listener and the members from @mode to @leaving
+ * @changed: signalled when @crashed ends and when the upstream listens again
  * @mode: how the upstream handles requests
+ * @crashed: connections are refused
  * @delay_ms: delay of responses in the mode PLATFORM_UPSTREAM_LATE, in milliseconds
  * @received_count: number of requests received
  * @executed_count: number of requests executed
@@ -108,7 +113,9 @@
 	int listener;
 	pthread_t thread;
 	pthread_mutex_t lock;
+	pthread_cond_t changed;
 	enum platform_upstream_mode mode;
+	bool crashed;
 	int delay_ms;
 	uint32_t received_count;
 	uint32_t executed_count;
