Responses that can't have a body end with their header

What callers would see: a 304 with the Content-Length of the unchanged object, as HTTP allows, or a 204 with one held up the request until its deadline (504). A 204 with a body was forwarded with the body, which a client that follows HTTP reads as the start of its next response.

Cause: http-parser skips the body of a 1xx, 204 or 304 only if no length is stated.

Change: these responses end with the header. If the header states a body, the bytes may still follow, so that the connection isn't used again; the same for interim responses.

--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -225,6 +225,7 @@
 	struct pd_response_fields fields;
 
 	if (pd_http_message_is_interim(msg)) {
+		exchange->reusable = exchange->reusable && msg->keep_alive;
 		pd_http_message_reset(msg);
 		msg->response_to_head = exchange->request->head_only;
 		return;
--- a/ingress/http.c
+++ b/ingress/http.c
@@ -131,17 +131,35 @@
 	return 0;
 }
 
+/* Whether a response has no body, whatever its header says (RFC 9112, 6.3). */
+static bool is_without_body(const struct pd_http_message *msg)
+{
+	unsigned int status = msg->parser.status_code;
+
+	if (msg->kind == PD_HTTP_REQUEST)
+		return false;
+	return msg->response_to_head || pd_http_status_class(status) == PD_HTTP_STATUS_INTERIM ||
+	       status == HTTP_STATUS_NO_CONTENT || status == HTTP_STATUS_NOT_MODIFIED;
+}
+
+/* Whether the header states a body that isn't empty. */
+static bool announces_body(const http_parser *parser)
+{
+	return (parser->flags & F_CHUNKED) ||
+	       ((parser->flags & F_CONTENTLENGTH) && parser->content_length);
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct pd_http_message *msg = parser->data;
 
 	msg->head_complete = true;
-	msg->framed = msg->kind == PD_HTTP_REQUEST || msg->response_to_head ||
-		      (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) ||
-		      parser->status_code < 200 || parser->status_code == HTTP_STATUS_NO_CONTENT ||
-		      parser->status_code == HTTP_STATUS_NOT_MODIFIED;
+	msg->body_announced =
+		is_without_body(msg) && !msg->response_to_head && announces_body(parser);
+	msg->framed = msg->kind == PD_HTTP_REQUEST || is_without_body(msg) ||
+		      (parser->flags & (F_CHUNKED | F_CONTENTLENGTH));
 	/* 1 tells http-parser that the message has no body. */
-	return msg->response_to_head ? 1 : 0;
+	return is_without_body(msg) ? 1 : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t len)
@@ -160,7 +178,8 @@
 	struct pd_http_message *msg = parser->data;
 
 	msg->complete = true;
-	msg->keep_alive = http_should_keep_alive(parser) != 0;
+	/* A sender that states a body may send it, although the message has none. */
+	msg->keep_alive = http_should_keep_alive(parser) && !msg->body_announced;
 	http_parser_pause(parser, 1);
 	return 0;
 }
@@ -211,6 +230,7 @@
 	msg->head_complete = false;
 	msg->complete = false;
 	msg->framed = false;
+	msg->body_announced = false;
 	msg->keep_alive = false;
 	msg->in_value = false;
 	msg->status_scan = 0;
--- a/ingress/http.h
+++ b/ingress/http.h
@@ -74,7 +74,9 @@
  * @complete: the whole message was parsed
  * @framed: the length of the body is known from the message itself; otherwise the body ends when
  *	the connection is closed
- * @keep_alive: the sender keeps the connection open after this message
+ * @body_announced: the header states a body although a response with this status has none
+ * @keep_alive: the connection can be used after this message: the sender keeps it open, and no
+ *	bytes of an announced body may follow
  * @in_value: the parser is inside a field's value, so the next name starts a new field
  * @status_scan: number of blanks seen so far in the status line, 2 from the end of the status code
  *on
@@ -98,6 +100,7 @@
 	bool head_complete;
 	bool complete;
 	bool framed;
+	bool body_announced;
 	bool keep_alive;
 	bool in_value;
 	uint8_t status_scan;
--- a/ingress/pool.c
+++ b/ingress/pool.c
@@ -349,8 +349,10 @@
 		return pd_conn_count_buffered(conn) ? DRAIN_INCOMPLETE : DRAIN_FAILED;
 	case PD_HTTP_COMPLETE:
 		if (pd_http_message_is_interim(&conn->msg)) {
+			bool keep = used == (size_t)n && conn->msg.keep_alive;
+
 			pd_http_message_reset(&conn->msg);
-			return used == (size_t)n ? DRAIN_INCOMPLETE : DRAIN_FAILED;
+			return keep ? DRAIN_INCOMPLETE : DRAIN_FAILED;
 		}
 		pd_conn_update_idle_limit(conn);
 		record_drained_response(conn, now_us);
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -467,6 +467,45 @@
 }
 END_TEST
 
+START_TEST(responses_without_body_end_with_the_header)
+{
+	/* Guards against a 204 or 304 whose Content-Length or body holds up the request until its
+	 * deadline, or whose body becomes the start of the next response. Only a connection on
+	 * which no body can follow is kept.
+	 */
+	static const struct {
+		const char *text;
+		bool kept;
+	} cases[] = {
+		{"HTTP/1.1 204 X\r\nX-Request-Id: r1\r\n\r\n", true},
+		{"HTTP/1.1 204 X\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n", true},
+		{"HTTP/1.1 304 X\r\nX-Request-Id: r1\r\n\r\n", true},
+		{"HTTP/1.1 304 X\r\nX-Request-Id: r1\r\nContent-Length: 5\r\n\r\n", false},
+		{"HTTP/1.1 204 X\r\nX-Request-Id: r1\r\nContent-Length: 5\r\n\r\n", false},
+		{"HTTP/1.1 204 X\r\nX-Request-Id: r1\r\nContent-Length: 5\r\n\r\nhello", false},
+		{"HTTP/1.1 304 X\r\nX-Request-Id: r1\r\nContent-Length: 5\r\n\r\nhello", false},
+		{"HTTP/1.1 204 X\r\nX-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		 "5\r\nhello\r\n0\r\n\r\n",
+		 false},
+		{"HTTP/1.1 304 X\r\nX-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"HTTP/1.1 204 X\r\nX-Request-Id: r1\r\n\r\nhello", false},
+		{"HTTP/1.1 102 X\r\nContent-Length: 5\r\n\r\nHTTP/1.1 204 X\r\nX-Request-Id: "
+		 "r1\r\n\r\n",
+		 false},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		for (int reused = 0; reused < 2; reused++) {
+			bool kept;
+
+			ck_assert_msg(answer(cases[i].text, reused, &kept) == PD_EXCHANGE_ANSWERED,
+				      "%s", cases[i].text);
+			ck_assert_msg(kept == cases[i].kept, "%s", cases[i].text);
+		}
+	}
+}
+END_TEST
+
 START_TEST(ambiguous_lengths_are_failures)
 {
 	/* Guards against a response whose end is found elsewhere than where the upstream meant it,
@@ -568,6 +607,7 @@
 		valid_statuses_are_interim_or_final,
 		invalid_status_ends_a_drained_connection,
 		other_versions_and_malformed_status_lines_are_failures,
+		responses_without_body_end_with_the_header,
 		ambiguous_lengths_are_failures,
 		interim_responses_without_end_are_a_failure,
 	};
