--- a/tests/test_store_client.c
+++ b/tests/test_store_client.c
@@ -144,6 +144,104 @@
 }
 END_TEST
 
+/* Reads a call of the client at @listener and answers it with @bytes, @repeat times; the connection
+ * stays open until the client closes it.
+ */
+struct raw_answer {
+	int listener;
+	const char *bytes;
+	int repeat;
+};
+
+static void *answer_raw(void *arg)
+{
+	const struct raw_answer *answer = arg;
+	char bytes[2048];
+	int fd = accept(answer->listener, NULL, NULL);
+
+	if (recv(fd, bytes, sizeof(bytes), 0) > 0) {
+		for (int i = 0; i < answer->repeat; i++) {
+			if (send(fd, answer->bytes, strlen(answer->bytes), MSG_NOSIGNAL) < 0)
+				break;
+		}
+	}
+	while (recv(fd, bytes, sizeof(bytes), 0) > 0)
+		;
+	close(fd);
+	return NULL;
+}
+
+/* Returns the result of a list that is answered with @bytes, and whether the connection was kept.
+ */
+static enum pd_code list_raw(const char *bytes, int repeat, bool *kept)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct raw_answer answer = {socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), bytes, repeat};
+	socklen_t len = sizeof(address);
+	struct pd_object_page page;
+	struct pd_store store;
+	enum pd_code code;
+	pthread_t thread;
+
+	ck_assert_int_eq(bind(answer.listener, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_eq(listen(answer.listener, 1), 0);
+	ck_assert_int_eq(getsockname(answer.listener, (struct sockaddr *)&address, &len), 0);
+	ck_assert_int_eq(pthread_create(&thread, NULL, answer_raw, &answer), 0);
+	pd_store_init(&store, &address);
+	code = pd_store_list(&store, PD_OBJECT_CONFIG, PD_STR(""), false, &page, NULL);
+	if (code == PD_OK)
+		pd_object_page_finish(&page);
+	*kept = store.fd >= 0;
+	pd_store_finish(&store);
+	pthread_join(thread, NULL);
+	close(answer.listener);
+	return code;
+}
+
+#define PAGE_RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n{\"items\":[],\"at\":7}"
+
+START_TEST(response_with_invalid_status_closes_the_connection)
+{
+	/* Guards against a response of the store that is read as that to the next call: after a
+	 * status that no response has, nothing shows where the next one begins.
+	 */
+	static const char *const statuses[] = {"000", "099", "101", "600", "1000", "-200", ""};
+	char text[128];
+	bool kept;
+
+	for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
+		snprintf(text, sizeof(text), "HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n",
+			 statuses[i]);
+		ck_assert_int_eq(list_raw(text, 1, &kept), PD_INVALID);
+		ck_assert(!kept);
+	}
+}
+END_TEST
+
+START_TEST(interim_responses_of_the_store_are_skipped)
+{
+	/* Guards against an interim response that counts as the store's response, so that the call
+	 * fails and the response itself is read as that to the next call. Without end, they must
+	 * not keep the call busy.
+	 */
+	int64_t started = pd_os_boot_us();
+	bool kept;
+
+	ck_assert_int_eq(list_raw(PAGE_RESPONSE, 1, &kept), PD_OK);
+	ck_assert(kept);
+	ck_assert_int_eq(list_raw("HTTP/1.1 102 Processing\r\n\r\n"
+				  "HTTP/1.1 103 Hints\r\nLink: <a>\r\n\r\n" PAGE_RESPONSE,
+				  1, &kept),
+			 PD_OK);
+	ck_assert(kept);
+	started = pd_os_boot_us();
+	ck_assert_int_eq(list_raw("HTTP/1.1 102 Processing\r\n\r\n", 100000, &kept), PD_INVALID);
+	ck_assert(!kept);
+	ck_assert_int_lt(pd_os_boot_us() - started, 500 * PD_USEC_PER_MSEC);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -153,6 +251,8 @@
 		closed_idle_connection_is_reopened,
 		second_create_returns_conflict,
 		failed_calls_return_distinct_codes,
+		response_with_invalid_status_closes_the_connection,
+		interim_responses_of_the_store_are_skipped,
 	};
 
 	return suite_run_with("store_client", setup, teardown, tests,
