Store client: a write that gets no valid response has an unknown outcome

What would happen: after bytes that are no response (an invalid status, a malformed header, bytes after the response), a write counted as rejected, although the store may have executed it. Today only the log line of a registration differs; the outcome of a roll-out, which is written only once, relies on it.

Cause: only a time-out and a closed connection counted as an unknown outcome.

--- a/tests/test_store_client.c
+++ b/tests/test_store_client.c
@@ -171,9 +171,10 @@
 	return NULL;
 }
 
-/* Returns the result of a list that is answered with @bytes, and whether the connection was kept.
+/* Returns the result of a list, or of the creation of an object, that is answered with @bytes, and
+ * whether the connection was kept.
  */
-static enum pd_code list_raw(const char *bytes, int repeat, bool *kept)
+static enum pd_code call_raw(bool create, const char *bytes, int repeat, bool *kept)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET,
 				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
@@ -189,8 +190,12 @@
 	ck_assert_int_eq(getsockname(answer.listener, (struct sockaddr *)&address, &len), 0);
 	ck_assert_int_eq(pthread_create(&thread, NULL, answer_raw, &answer), 0);
 	pd_store_init(&store, &address);
-	code = pd_store_list(&store, PD_OBJECT_CONFIG, PD_STR(""), false, &page, NULL);
-	if (code == PD_OK)
+	if (create)
+		code = pd_store_create(&store, PD_OBJECT_INSTANCES, PD_STR("front-1"),
+				       json_object(), NULL);
+	else
+		code = pd_store_list(&store, PD_OBJECT_CONFIG, PD_STR(""), false, &page, NULL);
+	if (!create && code == PD_OK)
 		pd_object_page_finish(&page);
 	*kept = store.fd >= 0;
 	pd_store_finish(&store);
@@ -199,6 +204,11 @@
 	return code;
 }
 
+static enum pd_code list_raw(const char *bytes, int repeat, bool *kept)
+{
+	return call_raw(false, bytes, repeat, kept);
+}
+
 #define PAGE_RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n{\"items\":[],\"at\":7}"
 
 START_TEST(response_with_invalid_status_closes_the_connection)
@@ -242,6 +252,26 @@
 }
 END_TEST
 
+START_TEST(write_without_valid_response_has_unknown_outcome)
+{
+	/* Guards against a write that counts as rejected although the store may have executed it:
+	 * bytes that are no response prove nothing.
+	 */
+	static const char *const texts[] = {
+		"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\nbytes after it",
+		"these bytes are no response\r\n\r\n",
+	};
+	bool kept;
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++)
+		ck_assert_int_eq(call_raw(true, texts[i], 1, &kept), PD_UNKNOWN_OUTCOME);
+	ck_assert_int_eq(call_raw(true, "HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n", 1, &kept),
+			 PD_INVALID);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -253,6 +283,7 @@
 		failed_calls_return_distinct_codes,
 		response_with_invalid_status_closes_the_connection,
 		interim_responses_of_the_store_are_skipped,
+		write_without_valid_response_has_unknown_outcome,
 	};
 
 	return suite_run_with("store_client", setup, teardown, tests,
