Cluster: tests of datagrams and of what an instance concludes from them

The thread's loop becomes pd_cluster_step() and the socket is opened by pd_cluster_open(), so that tests run an instance without its thread; a part that isn't given gets no datagrams. What callers see doesn't change.

Measured: test_cluster, 11 of 11, among them three instances with threads over loopback.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -501,14 +501,18 @@
 	case PD_DATAGRAM_USAGE:
 	case PD_DATAGRAM_SHARE:
 	case PD_DATAGRAM_QUOTA:
-		pd_quota_exchange_receive(cluster->parts.quota, cluster, datagram, now_us);
+		if (cluster->parts.quota)
+			pd_quota_exchange_receive(cluster->parts.quota, cluster, datagram, now_us);
 		break;
 	case PD_DATAGRAM_LOAD:
-		pd_load_report_receive(cluster->parts.load, cluster, datagram, now_us);
+		if (cluster->parts.load)
+			pd_load_report_receive(cluster->parts.load, cluster, datagram, now_us);
 		break;
 	case PD_DATAGRAM_EVIDENCE:
 	case PD_DATAGRAM_EXPOSURE:
-		pd_rollout_exchange_receive(cluster->parts.rollout, cluster, datagram, now_us);
+		if (cluster->parts.rollout)
+			pd_rollout_exchange_receive(cluster->parts.rollout, cluster, datagram,
+						    now_us);
 		break;
 	}
 }
@@ -612,9 +616,12 @@
 	if (announce)
 		announce_head(cluster, now_us);
 	log_changes(cluster, now_us);
-	pd_quota_exchange_tick(cluster->parts.quota, cluster, now_us);
-	pd_load_report_tick(cluster->parts.load, cluster, now_us);
-	pd_rollout_exchange_tick(cluster->parts.rollout, cluster, now_us);
+	if (cluster->parts.quota)
+		pd_quota_exchange_tick(cluster->parts.quota, cluster, now_us);
+	if (cluster->parts.load)
+		pd_load_report_tick(cluster->parts.load, cluster, now_us);
+	if (cluster->parts.rollout)
+		pd_rollout_exchange_tick(cluster->parts.rollout, cluster, now_us);
 }
 
 /* Receives all datagrams that have arrived. */
@@ -642,34 +649,33 @@
 	}
 }
 
-static void *run(void *arg)
+void pd_cluster_step(struct pd_cluster *cluster)
 {
-	struct pd_cluster *cluster = arg;
-	int64_t next_tick = pd_os_boot_us();
-
-	for (;;) {
-		struct pollfd p = {.fd = cluster->fd, .events = POLLIN};
-		int64_t now = pd_os_boot_us();
+	struct pollfd p = {.fd = cluster->fd, .events = POLLIN};
+	int64_t now = pd_os_boot_us();
 
-		if (now >= next_tick) {
-			pd_cluster_tick(cluster, now);
-			next_tick = now + PD_CLUSTER_TICK_US;
-			continue;
-		}
-		if (poll(&p, 1, (int)((next_tick - now) / PD_USEC_PER_MSEC) + 1) > 0)
-			receive_all(cluster);
+	if (now >= cluster->next_tick_us) {
+		pd_cluster_tick(cluster, now);
+		cluster->next_tick_us = now + PD_CLUSTER_TICK_US;
+		return;
 	}
+	if (poll(&p, 1, (int)((cluster->next_tick_us - now) / PD_USEC_PER_MSEC) + 1) > 0)
+		receive_all(cluster);
+}
+
+static void *run(void *arg)
+{
+	for (;;)
+		pd_cluster_step(arg);
 	return NULL;
 }
 
-enum pd_code pd_cluster_start(struct pd_cluster *cluster, struct pd_error *err)
+enum pd_code pd_cluster_open(struct pd_cluster *cluster, struct pd_error *err)
 {
 	struct sockaddr_in address;
 	enum pd_code code;
 	int fd;
 
-	if (pd_cluster_is_started(cluster))
-		return PD_OK;
 	fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
 	if (fd < 0 || !to_sockaddr(&cluster->address, &address) ||
 	    bind(fd, (struct sockaddr *)&address, sizeof(address))) {
@@ -681,6 +687,20 @@
 	}
 	pthread_mutex_lock(&cluster->lock);
 	cluster->fd = fd;
+	pthread_mutex_unlock(&cluster->lock);
+	return PD_OK;
+}
+
+enum pd_code pd_cluster_start(struct pd_cluster *cluster, struct pd_error *err)
+{
+	enum pd_code code;
+
+	if (pd_cluster_is_started(cluster))
+		return PD_OK;
+	code = pd_cluster_open(cluster, err);
+	if (code != PD_OK)
+		return code;
+	pthread_mutex_lock(&cluster->lock);
 	cluster->started = true;
 	pthread_mutex_unlock(&cluster->lock);
 	pd_log(PD_LOG_INFO, "cluster_started", "address=%s:%u", cluster->address.ip,
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -74,8 +74,8 @@
 };
 
 /**
- * struct pd_cluster_parts - the parts to which datagrams are passed
- * @directory: copy of the platform's objects
+ * struct pd_cluster_parts - the parts to which datagrams are passed; one that is NULL gets none
+ * @directory: copy of the platform's objects; never NULL
  * @quota: use of quotas
  * @load: load reports of upstreams
  * @rollout: roll-outs
@@ -135,6 +135,7 @@
  * @logged: view that was last logged
  * @next_ping_us: time of the next PING
  * @next_head_us: time of the next HEAD
+ * @next_tick_us: time of the next tick; used by the thread only
  * @random_state: state of the random number generator
  */
 struct pd_cluster {
@@ -161,6 +162,7 @@
 	struct pd_cluster_view logged;
 	int64_t next_ping_us;
 	int64_t next_head_us;
+	int64_t next_tick_us;
 	uint64_t random_state;
 };
 
@@ -211,7 +213,12 @@
 size_t pd_cluster_zone_instances(struct pd_cluster *cluster, double cpu_share_min,
 				 struct pd_cluster_instance *instances, size_t max);
 
-/* Handle a datagram, and run what is due. The thread calls them; tests call them without it. */
+/* The functions below are called by pd_cluster_start() and its thread, and by tests without it. */
+
+/* Opens the socket. */
+enum pd_code pd_cluster_open(struct pd_cluster *cluster, struct pd_error *err);
+/* Runs the tick if it is due; otherwise waits for datagrams until then, and receives them. */
+void pd_cluster_step(struct pd_cluster *cluster);
 void pd_cluster_receive(struct pd_cluster *cluster, const struct pd_datagram *datagram,
 			int64_t now_us);
 void pd_cluster_tick(struct pd_cluster *cluster, int64_t now_us);
--- /dev/null
+++ b/tests/test_cluster.c
@@ -0,0 +1,719 @@
+/**
+ * DOC: Tests of the datagrams between instances, and of what an instance concludes from them
+ *
+ * The tests call the functions of the cluster's thread themselves, except for the last one, which
+ * runs three instances with their threads over loopback.
+ */
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "cluster.h"
+#include "counters.h"
+#include "directory.h"
+#include "log.h"
+#include "os.h"
+#include "suite.h"
+
+#define CONFIG_TEXT	"{\"version\":%u,\"services\":[{\"name\":\"s\"}],\"routes\":[]}"
+#define RECEIVE_WAIT_MS 1000
+#define QUIET_MS	20 /* time after which nothing more is expected over loopback */
+#define NODES_MAX	3
+
+/**
+ * struct node - an instance under test
+ * @registry: registry of the instance
+ * @directory: directory of the instance
+ * @cluster: the cluster
+ * @address: address of its datagrams
+ */
+struct node {
+	struct pd_registry registry;
+	struct pd_directory directory;
+	struct pd_cluster cluster;
+	struct pd_address address;
+};
+
+/** struct peer - an instance that the test plays: a socket, and what its datagrams state */
+struct peer {
+	int fd;
+	struct sockaddr_in address;
+	struct pd_datagram datagram;
+};
+
+static struct node nodes[NODES_MAX];
+static size_t node_count;
+
+static void set_name(struct pd_name *name, const char *text)
+{
+	ck_assert(pd_name_set(name, pd_str_from(text)));
+}
+
+static struct sockaddr_in bind_socket(int *fd)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(address);
+
+	*fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	ck_assert_int_ge(*fd, 0);
+	ck_assert_int_eq(bind(*fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_eq(getsockname(*fd, (struct sockaddr *)&address, &len), 0);
+	return address;
+}
+
+static struct pd_address to_address(const struct sockaddr_in *in)
+{
+	struct pd_address address = {.port = ntohs(in->sin_port)};
+
+	inet_ntop(AF_INET, &in->sin_addr, address.ip, sizeof(address.ip));
+	return address;
+}
+
+/* Returns an instance with a free address, whose socket isn't open yet. */
+static struct node *create_node(const char *name, const char *zone)
+{
+	struct pd_registry_options options = {.retry_ratio = 0.2, .retry_slack = 100};
+	struct node *node = &nodes[node_count++];
+	struct pd_cluster_parts parts = {.directory = &node->directory};
+	struct pd_name own_name, own_zone;
+	struct sockaddr_in address;
+	int fd;
+
+	pd_log_open("test", PD_LOG_ERROR);
+	set_name(&own_name, name);
+	set_name(&own_zone, zone);
+	options.zone = own_zone;
+	pd_registry_init(&node->registry, &options);
+	pd_directory_init(&node->directory, &node->registry);
+	address = bind_socket(&fd);
+	close(fd);
+	node->address = to_address(&address);
+	pd_cluster_init(&node->cluster, &parts, &own_name, &own_zone, &node->address);
+	return node;
+}
+
+static struct node *open_node(const char *name, const char *zone)
+{
+	struct node *node = create_node(name, zone);
+
+	ck_assert_int_eq(pd_cluster_open(&node->cluster, NULL), PD_OK);
+	return node;
+}
+
+static void teardown(void)
+{
+	for (size_t i = 0; i < node_count; i++) {
+		pd_cluster_finish(&nodes[i].cluster);
+		pd_directory_finish(&nodes[i].directory);
+		pd_registry_finish(&nodes[i].registry);
+	}
+	node_count = 0;
+}
+
+static void put_config(struct node *node, unsigned int version)
+{
+	struct pd_error err;
+	char text[128];
+
+	snprintf(text, sizeof(text), CONFIG_TEXT, version);
+	ck_assert_int_eq(pd_directory_put_config_text(&node->directory, pd_str_from(text), 0, &err),
+			 PD_OK);
+}
+
+static struct peer open_peer(const char *name, const char *zone, uint64_t incarnation)
+{
+	struct peer peer = {.datagram.incarnation = incarnation};
+
+	set_name(&peer.datagram.sender, name);
+	set_name(&peer.datagram.zone, zone);
+	peer.address = bind_socket(&peer.fd);
+	peer.datagram.from = peer.address;
+	return peer;
+}
+
+/* Passes a datagram of a peer with @count numbers as its payload to the instance. */
+static void deliver(struct node *node, const struct peer *peer, enum pd_datagram_kind kind,
+		    const uint64_t *numbers, size_t count, int64_t now_us)
+{
+	struct pd_datagram datagram = peer->datagram;
+	struct pd_buf payload = {0};
+
+	for (size_t i = 0; i < count; i++)
+		pd_datagram_put_uint(&payload, numbers[i]);
+	datagram.kind = kind;
+	datagram.payload = pd_buf_str(&payload);
+	pd_cluster_receive(&node->cluster, &datagram, now_us);
+	pd_buf_finish(&payload);
+}
+
+static void deliver_ping(struct node *node, const struct peer *peer, int64_t now_us)
+{
+	uint64_t stamp = 1;
+
+	deliver(node, peer, PD_DATAGRAM_PING, &stamp, 1, now_us);
+}
+
+static void deliver_head(struct node *node, const struct peer *peer, uint64_t followers,
+			 int64_t now_us)
+{
+	deliver(node, peer, PD_DATAGRAM_HEAD, &followers, 1, now_us);
+}
+
+static void deliver_pong(struct node *node, const struct peer *peer, int64_t stamp, uint64_t age,
+			 uint64_t version, int64_t now_us)
+{
+	const uint64_t numbers[] = {(uint64_t)stamp, age, version};
+
+	deliver(node, peer, PD_DATAGRAM_PONG, numbers, 3, now_us);
+}
+
+/**
+ * struct received - a datagram that a peer received
+ * @bytes: its bytes
+ * @datagram: its contents, with views into @bytes
+ * @numbers: numbers at the start of its payload
+ * @count: number of @numbers
+ */
+struct received {
+	char bytes[PD_DATAGRAM_MAX_BYTES];
+	struct pd_datagram datagram;
+	uint64_t numbers[4];
+	size_t count;
+};
+
+/* Receives a datagram; false if there is none within @wait_ms. */
+static bool receive(const struct peer *peer, struct received *received, int wait_ms)
+{
+	struct pollfd p = {.fd = peer->fd, .events = POLLIN};
+	struct pd_datagram_reader reader;
+	ssize_t n;
+
+	if (poll(&p, 1, wait_ms) <= 0)
+		return false;
+	n = recv(peer->fd, received->bytes, sizeof(received->bytes), MSG_DONTWAIT);
+	ck_assert_int_gt(n, 0);
+	ck_assert(pd_datagram_decode((struct pd_str){received->bytes, (size_t)n},
+				     &received->datagram));
+	pd_datagram_reader_init(&reader, received->datagram.payload);
+	for (received->count = 0; received->count < 4; received->count++) {
+		received->numbers[received->count] = pd_datagram_get_uint(&reader);
+		if (reader.failed)
+			break;
+	}
+	return true;
+}
+
+/* Returns the number of datagrams of a kind that have arrived at a peer. */
+static size_t count_received(const struct peer *peer, enum pd_datagram_kind kind)
+{
+	struct received received;
+	size_t count = 0;
+
+	while (receive(peer, &received, QUIET_MS))
+		count += received.datagram.kind == kind;
+	return count;
+}
+
+static struct pd_cluster_view view(struct node *node, int64_t now_us)
+{
+	struct pd_cluster_view view;
+
+	pd_cluster_view(&node->cluster, now_us, &view);
+	return view;
+}
+
+static void follow(struct node *node, const struct peer *peer)
+{
+	struct pd_address address = to_address(&peer->address);
+
+	pd_cluster_set_source(&node->cluster, &address);
+}
+
+/* Lists instances; entry @i has the name "nI", the zone zones[i] and the address addresses[i]. */
+static void list_instances(struct node *node, const char *const *zones,
+			   const struct pd_address *addresses, size_t count)
+{
+	struct pd_cluster_list list;
+
+	pd_cluster_list_begin(&node->cluster, &list);
+	for (size_t i = 0; i < count; i++) {
+		struct pd_name name, zone;
+		char text[16];
+
+		snprintf(text, sizeof(text), "n%zu", i);
+		set_name(&name, text);
+		set_name(&zone, zones[i]);
+		pd_cluster_list_add(&list, &name, &zone, &addresses[i], 1);
+	}
+	pd_cluster_list_use(&node->cluster, &list);
+}
+
+static struct pd_datagram make_datagram(size_t name_len, struct pd_str payload)
+{
+	struct pd_datagram datagram = {
+		.kind = PD_DATAGRAM_USAGE, .incarnation = UINT64_MAX, .payload = payload};
+	char name[PD_NAME_MAX_BYTES + 1] = {0};
+
+	memset(name, 'n', name_len);
+	set_name(&datagram.sender, name);
+	memset(name, 'z', name_len);
+	set_name(&datagram.zone, name);
+	return datagram;
+}
+
+START_TEST(datagrams_round_trip)
+{
+	/* Guards against datagrams that their receiver rejects or cuts off: with names and a
+	 * payload of the largest size, they must fit into the receiver's buffer.
+	 */
+	char bytes[PD_DATAGRAM_PAYLOAD_MAX_BYTES + 1];
+
+	memset(bytes, 7, sizeof(bytes));
+	for (size_t name_len = 1; name_len <= PD_NAME_MAX_BYTES; name_len++) {
+		for (int kind = 1; kind <= PD_DATAGRAM_KIND_MAX; kind++) {
+			struct pd_datagram datagram = make_datagram(
+				name_len, (struct pd_str){bytes, PD_DATAGRAM_PAYLOAD_MAX_BYTES});
+			struct pd_datagram decoded;
+			struct pd_buf out = {0};
+
+			datagram.kind = (enum pd_datagram_kind)kind;
+			ck_assert(pd_datagram_encode(&datagram, &out));
+			ck_assert_uint_le(out.len, PD_DATAGRAM_MAX_BYTES);
+			ck_assert(pd_datagram_decode(pd_buf_str(&out), &decoded));
+			ck_assert_int_eq(decoded.kind, kind);
+			ck_assert(pd_name_equal(&decoded.sender, &datagram.sender));
+			ck_assert(pd_name_equal(&decoded.zone, &datagram.zone));
+			ck_assert_uint_eq(decoded.incarnation, UINT64_MAX);
+			ck_assert(pd_str_equal(decoded.payload, datagram.payload));
+			pd_buf_finish(&out);
+			datagram.payload.len++;
+			ck_assert(!pd_datagram_encode(&datagram, &out));
+			pd_buf_finish(&out);
+		}
+	}
+}
+END_TEST
+
+START_TEST(malformed_and_foreign_datagrams_are_rejected)
+{
+	/* Guards against a datagram of another program, or one that was cut off, that is taken for
+	 * one of an instance.
+	 */
+	static const struct {
+		const char *bytes;
+		size_t len;
+	} foreign[] = {
+		{"", 0},
+		{"\0", 1},
+		{"GET / HTTP/1.1\r\n\r\n", 18},
+		{"\x12\x34\x01\x00\x00\x01\x00\x00\x00\x00\x00\x00\x03www", 16}, /* DNS */
+		{"\x01\x01\xa1n\xa1z", 6}, /* no incarnation */
+		{"\x01\x01\xa1n\xa1z\xa1x", 8}, /* the incarnation is a string */
+		{"\x02\x01\xa1n\xa1z\x01", 7}, /* another version */
+		{"\x01\x00\xa1n\xa1z\x01", 7}, /* no kind */
+		{"\x01\x0b\xa1n\xa1z\x01", 7}, /* unknown kind */
+		{"\x01\xcf\x80\x00\x00\x00\x00\x00\x00\x01\xa1n\xa1z\x01", 16}, /* huge kind */
+		{"\x01\x01\xa0\xa1z\x01", 6}, /* empty name */
+		{"\x01\x01\xa1n\xa0\x01", 6}, /* empty zone */
+		{"\x01\x01\xc2\xa1z\x01", 6}, /* the name is a bool */
+		{"\x01\x01\xa1 \xa1z\x01", 7}, /* the name has a blank */
+		{"\x01\x01\xa1\0\xa1z\x01", 7}, /* the name has a NUL */
+		{"\x01\x01\xdb\xff\xff\xff\xffn\xa1z\x01", 11}, /* long name */
+		{"\x97\x01\x01\xa1n\xa1z\x01\x01", 9}, /* an array */
+		{"\xa1\x01\xa1n\xa1z\x01", 7}, /* the version is a string */
+	};
+	char payload[PD_DATAGRAM_PAYLOAD_MAX_BYTES] = {0};
+	struct pd_datagram datagram = make_datagram(20, (struct pd_str){payload, 3}), decoded;
+	struct pd_buf out = {0};
+
+	for (size_t i = 0; i < sizeof(foreign) / sizeof(foreign[0]); i++)
+		ck_assert_msg(!pd_datagram_decode((struct pd_str){foreign[i].bytes, foreign[i].len},
+						  &decoded),
+			      "foreign datagram %zu", i);
+	ck_assert(pd_datagram_decode((struct pd_str){"\x01\x01\xa1n\xa1z\x01", 7}, &decoded));
+	ck_assert(pd_datagram_encode(&datagram, &out));
+	/* The payload's items are checked by their reader. */
+	for (size_t len = 0; len < out.len; len++)
+		ck_assert_int_eq(pd_datagram_decode((struct pd_str){out.data, len}, &decoded),
+				 len >= out.len - datagram.payload.len);
+	/* A payload above the limit. */
+	for (size_t i = 0; i < sizeof(payload); i++)
+		ck_assert(pd_buf_append(&out, "", 1));
+	ck_assert(!pd_datagram_decode(pd_buf_str(&out), &decoded));
+	pd_buf_finish(&out);
+}
+END_TEST
+
+START_TEST(ping_is_answered_with_the_age_of_the_proof)
+{
+	/* Guards against a follower that takes its configuration for more recent than it is: the
+	 * answer states the follower's own stamp, the age of the proof, and the version.
+	 */
+	static const char ping[] = "\x01\x01\xa1p\xa4here\x07\xcd\x30\x39";
+	struct node *node = open_node("a", "here");
+	struct peer peer = open_peer("p", "here", 7);
+	struct received pong;
+	struct sockaddr_in to = {.sin_family = AF_INET,
+				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+				 .sin_port = htons(node->address.port)};
+	int64_t now = pd_os_boot_us();
+
+	for (int proved = 0; proved < 2; proved++) {
+		if (proved) {
+			put_config(node, 4);
+			pd_directory_confirm_config(&node->directory, now - 1000);
+		}
+		ck_assert_int_gt(sendto(peer.fd, ping, sizeof(ping) - 1, 0, (struct sockaddr *)&to,
+					sizeof(to)),
+				 0);
+		pd_cluster_step(&node->cluster);
+		pd_cluster_step(&node->cluster);
+		ck_assert(receive(&peer, &pong, RECEIVE_WAIT_MS));
+		ck_assert_int_eq(pong.datagram.kind, PD_DATAGRAM_PONG);
+		ck_assert(pd_name_equal(&pong.datagram.sender, &node->cluster.name));
+		ck_assert_uint_eq(pong.datagram.incarnation, node->cluster.incarnation);
+		ck_assert_uint_eq(pong.count, 3);
+		ck_assert_uint_eq(pong.numbers[0], 12345);
+		ck_assert_uint_eq(pong.numbers[2], proved ? 4 : 0);
+		if (proved) {
+			ck_assert_uint_ge(pong.numbers[1], 1001);
+			ck_assert_uint_le(pong.numbers[1],
+					  (uint64_t)(pd_os_boot_us() - now) + 1001);
+		} else {
+			ck_assert_uint_eq(pong.numbers[1], 0);
+		}
+	}
+	ck_assert_uint_eq(view(node, pd_os_boot_us()).followers, 1);
+	close(peer.fd);
+}
+END_TEST
+
+/* Sends the PING that is due and returns its stamp. */
+static int64_t ping(struct node *node, const struct peer *source, int64_t now_us)
+{
+	struct received received;
+
+	pd_cluster_tick(&node->cluster, now_us);
+	ck_assert(receive(source, &received, RECEIVE_WAIT_MS));
+	ck_assert_int_eq(received.datagram.kind, PD_DATAGRAM_PING);
+	ck_assert_uint_eq(received.count, 1);
+	ck_assert_int_eq((int64_t)received.numbers[0], now_us);
+	return (int64_t)received.numbers[0];
+}
+
+START_TEST(pong_proves_no_more_than_the_source_knew)
+{
+	/* Guards against a configuration that counts as proven later than its source knew it to be
+	 * complete, so that withdrawn keys are accepted for too long.
+	 */
+	struct node *node = open_node("a", "here");
+	struct peer source = open_peer("p", "here", 7), other = open_peer("q", "here", 8);
+	int64_t now = pd_os_boot_us(), stamp;
+
+	put_config(node, 4);
+	follow(node, &source);
+	stamp = ping(node, &source, now);
+
+	deliver_pong(node, &other, stamp, 1, 4, now + 10); /* from another address */
+	ck_assert_int_eq(view(node, now).source_heard_us, 0);
+	deliver_pong(node, &source, now + 11, 1, 4, now + 10); /* from the future */
+	ck_assert_int_eq(view(node, now).source_heard_us, 0);
+	deliver_pong(node, &source, stamp, (uint64_t)now + 11, 4, now + 10); /* before the start */
+	deliver_pong(node, &source, stamp, UINT64_MAX, 4, now + 10);
+	deliver_pong(node, &source, -1, 1, 4, now + 10);
+	ck_assert_int_eq(view(node, now).source_heard_us, 0);
+	deliver_pong(node, &source, stamp, 0, 4, now + 10); /* the source has no proof */
+	ck_assert_int_eq(view(node, now).source_heard_us, now + 10);
+	deliver_pong(node, &source, stamp, 1, 5, now + 10); /* a newer configuration */
+	ck_assert_int_eq(pd_directory_config_confirmed_us(&node->directory), 0);
+
+	deliver_pong(node, &source, stamp, 3001, 4, now + 10);
+	ck_assert_int_eq(pd_directory_config_confirmed_us(&node->directory), stamp - 3000);
+	deliver_pong(node, &source, stamp, 5001, 4, now + 20); /* an older one comes later */
+	ck_assert_int_eq(pd_directory_config_confirmed_us(&node->directory), stamp - 3000);
+	/* Both processes were suspended for a long time; the answer arrives twice. */
+	deliver_pong(node, &source, stamp, 1, 3, now + 60 * PD_USEC_PER_SEC);
+	deliver_pong(node, &source, stamp, 1, 3, now + 61 * PD_USEC_PER_SEC);
+	ck_assert_int_eq(pd_directory_config_confirmed_us(&node->directory), stamp);
+	close(source.fd);
+	close(other.fd);
+}
+END_TEST
+
+START_TEST(peers_come_go_and_change_roles)
+{
+	/* Guards against instances that are counted twice, or after they have gone: quotas divide
+	 * their rate by these numbers.
+	 */
+	static const char *const zones[] = {"here", "here", "there", "there"};
+	const struct pd_address addresses[4] = {
+		{"127.0.0.1", 9}, {"127.0.0.1", 9}, {"127.0.0.1", 9}, {"127.0.0.1", 9}};
+	struct node *node = open_node("a", "here");
+	struct peer near = open_peer("n0", "here", 7), far = open_peer("n2", "there", 8);
+	int64_t now = pd_os_boot_us();
+	struct pd_cluster_view seen;
+
+	list_instances(node, zones, addresses, 4);
+	seen = view(node, now);
+	ck_assert(seen.is_head);
+	ck_assert_uint_eq(seen.instance_count, 5);
+	ck_assert_uint_eq(seen.zone_instances, 3);
+	ck_assert_uint_eq(seen.zone_count, 2);
+	ck_assert_uint_eq(seen.zone_covered, 1);
+	ck_assert_uint_eq(seen.zones_heard, 0);
+
+	deliver_ping(node, &near, now);
+	deliver_ping(node, &near, now); /* doubled */
+	deliver_head(node, &far, 1, now);
+	seen = view(node, now);
+	ck_assert_uint_eq(seen.followers, 1);
+	ck_assert_uint_eq(seen.zone_covered, 2);
+	ck_assert_uint_eq(seen.zones_heard, 1);
+
+	/* The follower becomes a head with a follower of its own. */
+	deliver_head(node, &near, 1, now);
+	seen = view(node, now);
+	ck_assert_uint_eq(seen.followers, 0);
+	ck_assert_uint_eq(seen.zone_covered, 3);
+	/* And a follower again. */
+	deliver_ping(node, &near, now);
+	seen = view(node, now);
+	ck_assert_uint_eq(seen.followers, 1);
+	ck_assert_uint_eq(seen.zone_covered, 2);
+
+	/* The head of the other zone falls silent, then the follower. */
+	seen = view(node, now + PD_CLUSTER_HEAD_TIMEOUT_US);
+	ck_assert_uint_eq(seen.zones_heard, 1);
+	seen = view(node, now + PD_CLUSTER_HEAD_TIMEOUT_US + 1);
+	ck_assert_uint_eq(seen.zones_heard, 0);
+	ck_assert_uint_eq(seen.followers, 1);
+	seen = view(node, now + PD_CLUSTER_FOLLOWER_TIMEOUT_US + 1);
+	ck_assert_uint_eq(seen.followers, 0);
+	ck_assert_uint_eq(seen.zone_covered, 1);
+	close(near.fd);
+	close(far.fd);
+}
+END_TEST
+
+START_TEST(restarted_peers_replace_their_entries)
+{
+	/* Guards against an instance that restarts with another address and is counted twice, or
+	 * gets its datagrams at the old address.
+	 */
+	struct node *node = open_node("a", "here");
+	struct peer old = open_peer("n0", "here", 7), new = open_peer("n0", "here", 8);
+	int64_t now = pd_os_boot_us();
+
+	deliver_ping(node, &old, now);
+	deliver_ping(node, &new, now + 1);
+	ck_assert_uint_eq(view(node, now + 1).followers, 1);
+	ck_assert_uint_eq(node->cluster.followers[0].incarnation, 8);
+	pd_cluster_send_to_followers(&node->cluster, PD_DATAGRAM_QUOTA, PD_STR(""));
+	ck_assert_uint_eq(count_received(&old, PD_DATAGRAM_QUOTA), 0);
+	ck_assert_uint_eq(count_received(&new, PD_DATAGRAM_QUOTA), 1);
+	close(old.fd);
+	close(new.fd);
+}
+END_TEST
+
+START_TEST(many_peers_do_not_displace_each_other)
+{
+	/* Guards against writes beyond the tables of peers when more instances than they hold send
+	 * datagrams, as when all instances of a large deployment start at once.
+	 */
+	struct node *node = open_node("a", "here");
+	struct peer peer = open_peer("p", "here", 7);
+	int64_t now = pd_os_boot_us();
+
+	for (int i = 0; i < 1000; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "n%d", i);
+		set_name(&peer.datagram.sender, name);
+		deliver_head(node, &peer, UINT32_MAX, now);
+		snprintf(name, sizeof(name), "f%d", i);
+		set_name(&peer.datagram.sender, name);
+		deliver_ping(node, &peer, now);
+	}
+	ck_assert_uint_eq(node->cluster.head_count, PD_CLUSTER_HEADS_MAX);
+	ck_assert_uint_eq(view(node, now).followers, PD_CLUSTER_FOLLOWERS_MAX);
+	ck_assert_uint_eq(view(node, now + 2 * PD_USEC_PER_SEC).followers, 0);
+	ck_assert_uint_eq(node->cluster.head_count, 0);
+	deliver_head(node, &peer, (uint64_t)UINT32_MAX + 1, now);
+	ck_assert_uint_eq(node->cluster.head_count, 0);
+	close(peer.fd);
+}
+END_TEST
+
+START_TEST(follower_names_its_source_to_heads)
+{
+	/* Guards against heads that don't find each other: an instance that has a source answers a
+	 * HEAD with the source's address, and the head sends its next HEAD there.
+	 */
+	struct node *node = open_node("a", "here");
+	struct peer head = open_peer("h", "there", 7), source = open_peer("s", "here", 8);
+	const uint64_t to_source[] = {INADDR_LOOPBACK, ntohs(source.address.sin_port)};
+	const uint64_t bad[][2] = {
+		{INADDR_LOOPBACK, 0}, {INADDR_LOOPBACK, 65536}, {(uint64_t)UINT32_MAX + 1, 9}};
+	int64_t now = pd_os_boot_us();
+	struct received received;
+
+	follow(node, &source);
+	deliver_head(node, &head, 0, now);
+	ck_assert(receive(&head, &received, RECEIVE_WAIT_MS));
+	ck_assert_int_eq(received.datagram.kind, PD_DATAGRAM_REDIRECT);
+	ck_assert_uint_eq(received.count, 2);
+	ck_assert_uint_eq(received.numbers[0], INADDR_LOOPBACK);
+	ck_assert_uint_eq(received.numbers[1], to_source[1]);
+	ck_assert_uint_eq(node->cluster.head_count, 0);
+
+	/* A follower has no use for a REDIRECT. */
+	deliver(node, &head, PD_DATAGRAM_REDIRECT, to_source, 2, now);
+	ck_assert_uint_eq(count_received(&source, PD_DATAGRAM_HEAD), 0);
+	pd_cluster_set_source(&node->cluster, NULL);
+	pd_cluster_tick(&node->cluster, now);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		deliver(node, &head, PD_DATAGRAM_REDIRECT, bad[i], 2, now);
+	deliver(node, &head, PD_DATAGRAM_REDIRECT, to_source, 2, now);
+	ck_assert_uint_eq(count_received(&source, PD_DATAGRAM_HEAD), 1);
+	close(head.fd);
+	close(source.fd);
+}
+END_TEST
+
+START_TEST(lists_of_instances_replace_each_other)
+{
+	/* Guards against instances of one zone that are taken for those of another after the list
+	 * has changed, and against a list of more zones than are kept.
+	 */
+	static const char *const first[] = {"there", "here", "there"};
+	static const char *const second[] = {"elsewhere", "there", "here"};
+	struct pd_address addresses[3] = {{"127.0.0.1", 1}, {"127.0.0.1", 2}, {"127.0.0.1", 3}};
+	struct pd_cluster_instance found[3];
+	struct node *node = open_node("a", "here");
+	struct pd_cluster_list list;
+	int64_t now = pd_os_boot_us();
+	struct pd_name name, zone;
+
+	list_instances(node, first, addresses, 3);
+	ck_assert_uint_eq(pd_cluster_zone_instances(&node->cluster, 0, found, 3), 1);
+	ck_assert_uint_eq(ntohs(found[0].address.sin_port), 2);
+	ck_assert_uint_eq(pd_cluster_zone_instances(&node->cluster, 1.5, found, 3), 0);
+	ck_assert_uint_eq(pd_cluster_zone_instances(&node->cluster, 0, found, 0), 0);
+	list_instances(node, second, addresses, 3);
+	ck_assert_uint_eq(view(node, now).zone_count, 3);
+	ck_assert_uint_eq(pd_cluster_zone_instances(&node->cluster, 0, found, 3), 1);
+	ck_assert_uint_eq(ntohs(found[0].address.sin_port), 3);
+
+	pd_cluster_list_begin(&node->cluster, &list);
+	for (int i = 0; i < 1000; i++) {
+		char text[16];
+
+		snprintf(text, sizeof(text), "z%d", i % 100);
+		set_name(&zone, text);
+		snprintf(text, sizeof(text), "n%d", i);
+		set_name(&name, text);
+		snprintf(addresses[0].ip, sizeof(addresses[0].ip), "%s",
+			 i % 10 ? "127.0.0.1" : "::1");
+		pd_cluster_list_add(&list, &name, &zone, &addresses[0], 1);
+	}
+	pd_cluster_list_use(&node->cluster, &list);
+	pd_cluster_list_discard(&list);
+	ck_assert_uint_eq(view(node, now).zone_count, PD_CLUSTER_ZONES_MAX);
+	ck_assert_uint_le(view(node, now).instance_count, 1000);
+	pd_cluster_tick(&node->cluster, now);
+	list_instances(node, NULL, NULL, 0);
+	ck_assert_uint_eq(view(node, now).instance_count, 1);
+	pd_cluster_tick(&node->cluster, now + PD_USEC_PER_SEC);
+}
+END_TEST
+
+START_TEST(address_in_use_is_an_error)
+{
+	/* Guards against an instance that takes itself for connected although it can't receive
+	 * datagrams.
+	 */
+	struct node *node = create_node("a", "here");
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+				      .sin_port = htons(node->address.port)};
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	struct pd_error err;
+
+	/* Nothing is sent before the start. */
+	pd_cluster_tick(&node->cluster, pd_os_boot_us());
+	pd_cluster_send(&node->cluster, PD_DATAGRAM_HEAD, PD_STR(""), &address);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_eq(pd_cluster_start(&node->cluster, &err), PD_SYSTEM);
+	ck_assert(!pd_cluster_is_started(&node->cluster));
+	ck_assert_int_lt(node->cluster.fd, 0);
+	close(fd);
+}
+END_TEST
+
+START_TEST(instances_learn_of_each_other_over_loopback)
+{
+	/* Guards against a part of the exchange that doesn't work between processes: a head, its
+	 * follower and the head of another zone, of which each starts with the list only.
+	 */
+	static const char *const zones[2][2] = {{"here", "there"}, {"here", "here"}};
+	struct node *head = create_node("a", "here"), *follower = create_node("b", "here");
+	struct node *far = create_node("c", "there");
+	const struct pd_address of_head[] = {follower->address, far->address};
+	const struct pd_address of_far[] = {head->address, follower->address};
+	const struct pd_address of_follower[] = {head->address, far->address};
+	int64_t end = pd_os_boot_us() + 5 * PD_USEC_PER_SEC, confirmed_us = 0, proved_us;
+	struct pd_cluster_view of_head_view, of_far_view;
+
+	list_instances(head, zones[0], of_head, 2);
+	list_instances(follower, zones[0], of_follower, 2);
+	list_instances(far, zones[1], of_far, 2);
+	put_config(head, 4);
+	put_config(follower, 4);
+	proved_us = pd_os_boot_us();
+	pd_directory_confirm_config(&head->directory, proved_us);
+	pd_cluster_set_source(&follower->cluster, &head->address);
+	for (size_t i = 0; i < node_count; i++)
+		ck_assert_int_eq(pd_cluster_start(&nodes[i].cluster, NULL), PD_OK);
+	do {
+		pd_os_sleep_us(20 * PD_USEC_PER_MSEC);
+		of_head_view = view(head, pd_os_boot_us());
+		of_far_view = view(far, pd_os_boot_us());
+		confirmed_us = pd_directory_config_confirmed_us(&follower->directory);
+	} while (pd_os_boot_us() < end && !(of_head_view.followers && of_head_view.zones_heard &&
+					    of_far_view.zones_heard && confirmed_us));
+	ck_assert_uint_eq(of_head_view.followers, 1);
+	ck_assert_uint_eq(of_head_view.zone_covered, 2);
+	ck_assert_uint_eq(of_head_view.zones_heard, 1);
+	ck_assert_uint_eq(of_far_view.zones_heard, 1);
+	ck_assert_int_le(confirmed_us, proved_us);
+	ck_assert_int_gt(confirmed_us, proved_us - PD_USEC_PER_SEC);
+	/* The threads run on until the process of this test ends, and use the instances. */
+	node_count = 0;
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		datagrams_round_trip,
+		malformed_and_foreign_datagrams_are_rejected,
+		ping_is_answered_with_the_age_of_the_proof,
+		pong_proves_no_more_than_the_source_knew,
+		peers_come_go_and_change_roles,
+		restarted_peers_replace_their_entries,
+		many_peers_do_not_displace_each_other,
+		follower_names_its_source_to_heads,
+		lists_of_instances_replace_each_other,
+		address_in_use_is_an_error,
+		instances_learn_of_each_other_over_loopback,
+	};
+
+	return suite_run_with("cluster", NULL, teardown, tests, sizeof(tests) / sizeof(tests[0]));
+}
