Datagrams: a bool is no string

What would happen: a payload with a bool in place of a name was read as one with an empty name, instead of being rejected.

Cause: pd_msgpack_scan_header() describes a bool like an empty string.

--- a/ingress/datagram.c
+++ b/ingress/datagram.c
@@ -80,12 +80,15 @@
 
 struct pd_str pd_datagram_get_str(struct pd_datagram_reader *reader)
 {
+	/* The scan describes a bool like an empty string. */
+	bool is_bool = reader->rest.len && ((uint8_t)reader->rest.data[0] == 0xc2 ||
+					    (uint8_t)reader->rest.data[0] == 0xc3);
 	struct pd_msgpack_item item;
 	struct pd_str s;
 
 	if (!read_header(reader, &item))
 		return (struct pd_str){NULL, 0};
-	if (item.is_uint || item.is_array || item.str_len > reader->rest.len) {
+	if (is_bool || item.is_uint || item.is_array || item.str_len > reader->rest.len) {
 		reader->failed = true;
 		return (struct pd_str){NULL, 0};
 	}
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -350,6 +350,40 @@
 }
 END_TEST
 
+START_TEST(reader_fails_on_items_of_another_type)
+{
+	/* Guards against an item of another type, or one that is cut off, that is read as 0 or as
+	 * an empty string: a limit of 0 or an account without a name would be applied.
+	 */
+	static const struct {
+		const char *bytes;
+		size_t len;
+	} strings[] = {{"", 0},	    {"\x05", 1},   {"\xc2", 1}, {"\xc3", 1},
+		       {"\x90", 1}, {"\xa3no", 3}, {"\xc0", 1}, {"\xdb\0\0\0\x09x", 6}},
+	  numbers[] = {{"", 0},	    {"\xa1x", 2},    {"\xa0", 1}, {"\xc2", 1},
+		       {"\x90", 1}, {"\xcd\x01", 2}, {"\xff", 1}, {"\xd0\xff", 2}};
+
+	for (size_t i = 0; i < sizeof(strings) / sizeof(strings[0]); i++) {
+		struct pd_datagram_reader reader;
+
+		pd_datagram_reader_init(&reader, (struct pd_str){strings[i].bytes, strings[i].len});
+		ck_assert_uint_eq(pd_datagram_get_str(&reader).len, 0);
+		ck_assert_msg(reader.failed, "string %zu", i);
+		ck_assert_uint_eq(pd_datagram_get_uint(&reader), 0);
+		ck_assert(reader.failed);
+	}
+	for (size_t i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
+		struct pd_datagram_reader reader;
+
+		pd_datagram_reader_init(&reader, (struct pd_str){numbers[i].bytes, numbers[i].len});
+		ck_assert_uint_eq(pd_datagram_get_uint(&reader), 0);
+		ck_assert_msg(reader.failed, "number %zu", i);
+		ck_assert_uint_eq(pd_datagram_get_str(&reader).len, 0);
+		ck_assert(reader.failed);
+	}
+}
+END_TEST
+
 START_TEST(ping_is_answered_with_the_age_of_the_proof)
 {
 	/* Guards against a follower that takes its configuration for more recent than it is: the
@@ -704,6 +738,7 @@
 	const TTest *const tests[] = {
 		datagrams_round_trip,
 		malformed_and_foreign_datagrams_are_rejected,
+		reader_fails_on_items_of_another_type,
 		ping_is_answered_with_the_age_of_the_proof,
 		pong_proves_no_more_than_the_source_knew,
 		peers_come_go_and_change_roles,
