Cluster: a proof that arrives while a PING is handled has the age 0

What would happen: a follower got an answer that states no proof, or one that it rejects as malformed, so that it didn't count its source as heard. Only by chance, or after the source was suspended between the reception and the answer.

Cause: the age of a proof that is younger than the time of reception was negative, and wrapped around.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -374,6 +374,8 @@
 	struct pd_datagram_reader reader;
 	struct pd_buf pong = {0};
 	int64_t confirmed_us = pd_directory_config_confirmed_us(cluster->parts.directory);
+	/* The proof may be younger than the PING's reception, but not for the PING's sender. */
+	uint64_t age_us = confirmed_us < now_us ? (uint64_t)(now_us - confirmed_us) : 0;
 	uint64_t stamp;
 
 	pd_datagram_reader_init(&reader, ping->payload);
@@ -387,7 +389,7 @@
 	forget_peer(cluster->heads, &cluster->head_count, &ping->sender);
 	pthread_mutex_unlock(&cluster->lock);
 	pd_datagram_put_uint(&pong, stamp);
-	pd_datagram_put_uint(&pong, confirmed_us ? (uint64_t)(now_us - confirmed_us) + 1 : 0);
+	pd_datagram_put_uint(&pong, confirmed_us ? age_us + 1 : 0);
 	/* Read after the proof: the version may only be too high for it, which is safe. */
 	pd_datagram_put_uint(&pong, pd_directory_config_version(cluster->parts.directory));
 	pd_cluster_send(cluster, PD_DATAGRAM_PONG, pd_buf_str(&pong), &ping->from);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -428,6 +428,27 @@
 }
 END_TEST
 
+START_TEST(proof_that_arrives_during_a_ping_has_age_0)
+{
+	/* Guards against a proof that is younger than the time at which the PING was received, for
+	 * instance because the process was suspended in between: its age would be negative, and the
+	 * answer would count as malformed or as one without a proof.
+	 */
+	struct node *node = open_node("a", "here");
+	struct peer peer = open_peer("p", "here", 7);
+	int64_t now = pd_os_boot_us();
+	struct received pong;
+
+	for (int later_us = 1; later_us < 4; later_us++) {
+		pd_directory_confirm_config(&node->directory, now + later_us);
+		deliver_ping(node, &peer, now);
+		ck_assert(receive(&peer, &pong, RECEIVE_WAIT_MS));
+		ck_assert_uint_eq(pong.numbers[1], 1);
+	}
+	close(peer.fd);
+}
+END_TEST
+
 /* Sends the PING that is due and returns its stamp. */
 static int64_t ping(struct node *node, const struct peer *source, int64_t now_us)
 {
@@ -740,6 +761,7 @@
 		malformed_and_foreign_datagrams_are_rejected,
 		reader_fails_on_items_of_another_type,
 		ping_is_answered_with_the_age_of_the_proof,
+		proof_that_arrives_during_a_ping_has_age_0,
 		pong_proves_no_more_than_the_source_knew,
 		peers_come_go_and_change_roles,
 		restarted_peers_replace_their_entries,
