Cluster: a PONG counts only for a PING that was sent to this source

What would happen: a PONG to a process that had the address before, whose clock may be that of another machine, or to a PING to an earlier source proved that the configuration is recent. Withdrawn keys would be accepted for longer than revocation_ms.

Cause: any stamp that isn't in the future was taken for one of this process.

Change: the stamps of the last 8 PINGs to the source are kept, and a PONG with another one is ignored.

Measured: test_cluster, pong_to_another_ping_proves_nothing, failed before (confirmed) and passes now; 14 of 14.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -139,6 +139,7 @@
 	if (has_source != cluster->has_source ||
 	    (has_source && !same_address(&source, &cluster->source))) {
 		cluster->source_heard_us = 0;
+		memset(cluster->pings, 0, sizeof(cluster->pings));
 		cluster->next_ping_us = 0;
 		cluster->next_head_us = 0;
 	}
@@ -396,6 +397,16 @@
 	pd_buf_finish(&pong);
 }
 
+/* Whether a PING with that stamp was sent to the source. */
+static bool has_pinged_locked(const struct pd_cluster *cluster, uint64_t stamp)
+{
+	for (size_t i = 0; i < PD_CLUSTER_PINGS_MAX; i++) {
+		if (stamp && (uint64_t)cluster->pings[i] == stamp)
+			return true;
+	}
+	return false;
+}
+
 static void receive_pong(struct pd_cluster *cluster, const struct pd_datagram *pong, int64_t now_us)
 {
 	struct pd_directory *directory = cluster->parts.directory;
@@ -410,7 +421,8 @@
 	if (reader.failed || stamp > (uint64_t)now_us || age > (uint64_t)now_us)
 		return;
 	pthread_mutex_lock(&cluster->lock);
-	is_source = cluster->has_source && same_address(&cluster->source, &pong->from);
+	is_source = cluster->has_source && same_address(&cluster->source, &pong->from) &&
+		    has_pinged_locked(cluster, stamp);
 	if (is_source)
 		cluster->source_heard_us = now_us;
 	pthread_mutex_unlock(&cluster->lock);
@@ -608,8 +620,10 @@
 	expire_locked(cluster, now_us);
 	ping = cluster->has_source && now_us >= cluster->next_ping_us;
 	announce = !cluster->has_source && now_us >= cluster->next_head_us;
-	if (ping)
+	if (ping) {
 		cluster->next_ping_us = now_us + PING_INTERVAL_US;
+		cluster->pings[cluster->ping_count++ % PD_CLUSTER_PINGS_MAX] = now_us;
+	}
 	if (announce)
 		cluster->next_head_us = now_us + HEAD_INTERVAL_US;
 	pthread_mutex_unlock(&cluster->lock);
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -36,6 +36,8 @@
 #define PD_CLUSTER_ZONES_MAX	 64
 #define PD_CLUSTER_HEADS_MAX	 64
 #define PD_CLUSTER_FOLLOWERS_MAX 256
+/* Number of PINGs whose PONG is accepted: one that is 4 s late proves little more. */
+#define PD_CLUSTER_PINGS_MAX 8
 /* A head or follower that wasn't heard for this long is no longer counted: two to three of its
  * datagrams are lost, or it doesn't run. */
 #define PD_CLUSTER_HEAD_TIMEOUT_US     (1000 * PD_USEC_PER_MSEC)
@@ -128,6 +130,8 @@
  * @has_source: this instance follows another one
  * @source: address of the source, if it has one
  * @source_heard_us: time at which a PONG of the source was last received; 0 if none was
+ * @pings: time stamps of the last PINGs to the source; 0 in unused entries
+ * @ping_count: number of PINGs to the source
  * @heads: heads that were heard
  * @head_count: number of entries in @heads
  * @followers: followers that were heard
@@ -155,6 +159,8 @@
 	bool has_source;
 	struct sockaddr_in source;
 	int64_t source_heard_us;
+	int64_t pings[PD_CLUSTER_PINGS_MAX];
+	size_t ping_count;
 	struct pd_cluster_peer heads[PD_CLUSTER_HEADS_MAX];
 	size_t head_count;
 	struct pd_cluster_peer followers[PD_CLUSTER_FOLLOWERS_MAX];
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -501,6 +501,40 @@
 }
 END_TEST
 
+START_TEST(pong_to_another_ping_proves_nothing)
+{
+	/* Guards against an answer with a stamp that this process hasn't sent to this source: it
+	 * was meant for a process that had the address before, on a machine whose clock is another
+	 * one, or came from an earlier source. It would prove a time that nobody knew.
+	 */
+	struct node *node = open_node("a", "here");
+	struct peer first = open_peer("p", "here", 7), second = open_peer("q", "here", 8);
+	int64_t now = pd_os_boot_us(), stamp;
+
+	put_config(node, 4);
+	follow(node, &first);
+	stamp = ping(node, &first, now);
+	deliver_pong(node, &first, stamp - 5, 1, 4, now + 10);
+	ck_assert_int_eq(pd_directory_config_confirmed_us(&node->directory), 0);
+	ck_assert_int_eq(view(node, now).source_heard_us, 0);
+
+	follow(node, &second);
+	deliver_pong(node, &first, stamp, 1, 4, now + 10);
+	deliver_pong(node, &second, stamp, 1, 4, now + 10);
+	ck_assert_int_eq(pd_directory_config_confirmed_us(&node->directory), 0);
+	ck_assert_int_eq(view(node, now).source_heard_us, 0);
+
+	/* An answer that is late by some PINGs is one of this source. */
+	stamp = ping(node, &second, now + 20);
+	ping(node, &second, now + PD_USEC_PER_SEC);
+	ping(node, &second, now + 2 * PD_USEC_PER_SEC);
+	deliver_pong(node, &second, stamp, 1, 4, now + 2 * PD_USEC_PER_SEC);
+	ck_assert_int_eq(pd_directory_config_confirmed_us(&node->directory), stamp);
+	close(first.fd);
+	close(second.fd);
+}
+END_TEST
+
 START_TEST(peers_come_go_and_change_roles)
 {
 	/* Guards against instances that are counted twice, or after they have gone: quotas divide
@@ -763,6 +797,7 @@
 		ping_is_answered_with_the_age_of_the_proof,
 		proof_that_arrives_during_a_ping_has_age_0,
 		pong_proves_no_more_than_the_source_knew,
+		pong_to_another_ping_proves_nothing,
 		peers_come_go_and_change_roles,
 		restarted_peers_replace_their_entries,
 		many_peers_do_not_displace_each_other,
