Cluster: a head doesn't count itself

What would happen: a head that looks for other heads of its zone gets a REDIRECT to itself from an instance that has just begun to follow it. It then heard itself and counted itself and its followers twice, so that a zone of which it covers a quarter counted as covered, and it would use the whole rate of a quota beside another head that does so, too.

Cause: an instance handled its own datagrams. It can get them also if an entry of the list has its address.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -499,6 +499,12 @@
 void pd_cluster_receive(struct pd_cluster *cluster, const struct pd_datagram *datagram,
 			int64_t now_us)
 {
+	/* Its own datagrams reach an instance if another one's entry has its address, or if a
+	 * follower names it as the head.
+	 */
+	if (datagram->incarnation == cluster->incarnation &&
+	    pd_name_equal(&datagram->sender, &cluster->name))
+		return;
 	switch (datagram->kind) {
 	case PD_DATAGRAM_PING:
 		receive_ping(cluster, datagram, now_us);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -676,6 +676,33 @@
 }
 END_TEST
 
+START_TEST(head_does_not_count_itself)
+{
+	/* Guards against a head that counts itself and its followers twice: an instance of its zone
+	 * that has just begun to follow it names it as the head, and another entry of the list may
+	 * have its address. With the double number its zone counts as covered, and it would use the
+	 * whole rate of a quota beside another head that does so, too.
+	 */
+	static const char *const zones[] = {"here", "here", "here", "here"};
+	struct pd_address addresses[4];
+	struct node *node = open_node("a", "here");
+	struct peer follower = open_peer("n0", "here", 7);
+	const uint64_t to_itself[] = {INADDR_LOOPBACK, node->address.port};
+	int64_t end = pd_os_boot_us() + 100 * PD_USEC_PER_MSEC;
+
+	for (size_t i = 0; i < 4; i++)
+		addresses[i] = node->address;
+	list_instances(node, zones, addresses, 4);
+	deliver_ping(node, &follower, pd_os_boot_us());
+	deliver(node, &follower, PD_DATAGRAM_REDIRECT, to_itself, 2, pd_os_boot_us());
+	while (pd_os_boot_us() < end)
+		pd_cluster_step(&node->cluster);
+	ck_assert_uint_eq(node->cluster.head_count, 0);
+	ck_assert_uint_eq(view(node, pd_os_boot_us()).zone_covered, 2);
+	close(follower.fd);
+}
+END_TEST
+
 START_TEST(lists_of_instances_replace_each_other)
 {
 	/* Guards against instances of one zone that are taken for those of another after the list
@@ -802,6 +829,7 @@
 		restarted_peers_replace_their_entries,
 		many_peers_do_not_displace_each_other,
 		follower_names_its_source_to_heads,
+		head_does_not_count_itself,
 		lists_of_instances_replace_each_other,
 		address_in_use_is_an_error,
 		instances_learn_of_each_other_over_loopback,
