Cluster: REDIRECTs in a circle end

What would happen: instances whose sources form a circle (an address that another instance uses now) name each other, and a head that looks for theirs followed each answer at once, without end and as fast as the link allows.

Change: a head follows four REDIRECTs for each zone and interval of 250 ms.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -20,6 +20,11 @@
 #define HEAD_INTERVAL_US (250 * PD_USEC_PER_MSEC)
 /* Instances of a zone without a known head that are asked for it at each interval. */
 #define HEAD_QUERIES 2
+/* REDIRECTs that are followed for each zone and interval: each query leads to the source of an
+ * instance, and from there to that of the source, if it has one. Instances whose sources form a
+ * circle would name each other without end.
+ */
+#define REDIRECTS_PER_ZONE (2 * HEAD_QUERIES)
 /* Initial capacity of a list of instances. */
 #define LIST_CAPACITY 64
 
@@ -479,7 +484,7 @@
 	struct sockaddr_in source = {.sin_family = AF_INET};
 	struct pd_datagram_reader reader;
 	uint64_t ip, port;
-	bool is_head;
+	bool is_followed;
 
 	pd_datagram_reader_init(&reader, redirect->payload);
 	ip = pd_datagram_get_uint(&reader);
@@ -489,10 +494,12 @@
 	source.sin_addr.s_addr = htonl((uint32_t)ip);
 	source.sin_port = htons((uint16_t)port);
 	pthread_mutex_lock(&cluster->lock);
-	is_head = !cluster->has_source;
+	is_followed = !cluster->has_source && cluster->redirects_left;
+	if (is_followed)
+		cluster->redirects_left--;
 	forget_peer(cluster->heads, &cluster->head_count, &redirect->sender);
 	pthread_mutex_unlock(&cluster->lock);
-	if (is_head)
+	if (is_followed)
 		send_head(cluster, &source);
 }
 
@@ -630,8 +637,10 @@
 		cluster->next_ping_us = now_us + PING_INTERVAL_US;
 		cluster->pings[cluster->ping_count++ % PD_CLUSTER_PINGS_MAX] = now_us;
 	}
-	if (announce)
+	if (announce) {
 		cluster->next_head_us = now_us + HEAD_INTERVAL_US;
+		cluster->redirects_left = REDIRECTS_PER_ZONE * cluster->zone_count;
+	}
 	pthread_mutex_unlock(&cluster->lock);
 	if (ping)
 		send_ping(cluster, now_us);
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -140,6 +140,7 @@
  * @next_ping_us: time of the next PING
  * @next_head_us: time of the next HEAD
  * @next_tick_us: time of the next tick; used by the thread only
+ * @redirects_left: number of REDIRECTs that are followed until the next HEAD
  * @random_state: state of the random number generator
  */
 struct pd_cluster {
@@ -169,6 +170,7 @@
 	int64_t next_ping_us;
 	int64_t next_head_us;
 	int64_t next_tick_us;
+	size_t redirects_left;
 	uint64_t random_state;
 };
 
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -703,6 +703,53 @@
 }
 END_TEST
 
+START_TEST(redirects_in_a_circle_end)
+{
+	/* Guards against datagrams without end: instances whose sources form a circle, as they may
+	 * when an address is used by another instance, name each other, and a head that follows
+	 * each answer at once would fill the link.
+	 */
+	struct node *node = open_node("a", "here");
+	struct peer one = open_peer("n0", "there", 7), other = open_peer("n1", "there", 8);
+	const uint64_t to_one[] = {INADDR_LOOPBACK, ntohs(one.address.sin_port)};
+	const uint64_t to_other[] = {INADDR_LOOPBACK, ntohs(other.address.sin_port)};
+	static const char *const zones[] = {"there", "there"};
+	const struct pd_address addresses[] = {to_address(&one.address),
+					       to_address(&other.address)};
+	int64_t now = pd_os_boot_us();
+	size_t heads = 0;
+
+	list_instances(node, zones, addresses, 2);
+	pd_cluster_tick(&node->cluster, now);
+	for (int i = 0; i < 1000; i++) {
+		struct received received;
+		bool any = false;
+
+		if (receive(&one, &received, 2)) {
+			deliver(node, &one, PD_DATAGRAM_REDIRECT, to_other, 2, now);
+			any = true;
+			heads++;
+		}
+		if (receive(&other, &received, 2)) {
+			deliver(node, &other, PD_DATAGRAM_REDIRECT, to_one, 2, now);
+			any = true;
+			heads++;
+		}
+		if (!any)
+			break;
+	}
+	ck_assert_uint_ge(heads, 4); /* the two queries, and where they lead */
+	ck_assert_uint_le(heads, 20);
+	/* The next interval begins anew. */
+	pd_cluster_tick(&node->cluster, now + PD_USEC_PER_SEC);
+	ck_assert_uint_eq(count_received(&one, PD_DATAGRAM_HEAD), 1);
+	deliver(node, &one, PD_DATAGRAM_REDIRECT, to_other, 2, now + PD_USEC_PER_SEC);
+	ck_assert_uint_eq(count_received(&other, PD_DATAGRAM_HEAD), 2);
+	close(one.fd);
+	close(other.fd);
+}
+END_TEST
+
 START_TEST(lists_of_instances_replace_each_other)
 {
 	/* Guards against instances of one zone that are taken for those of another after the list
@@ -830,6 +877,7 @@
 		many_peers_do_not_displace_each_other,
 		follower_names_its_source_to_heads,
 		head_does_not_count_itself,
+		redirects_in_a_circle_end,
 		lists_of_instances_replace_each_other,
 		address_in_use_is_an_error,
 		instances_learn_of_each_other_over_loopback,
