Cluster: a datagram is passed on eight times at most

What would happen: with three or more instances that follow each other in a circle (an address that another instance uses now), a datagram that is passed on to the source ran on without end, as fast as the link allows.

Cause: nothing limited how often it is passed on. Sources rank before their followers, so that circles don't come from the list itself, but the feed doesn't check who listens at an address.

Change: the header states how many instances have passed a datagram on. No release has the format, so its version stays 1.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -318,10 +318,16 @@
 
 void pd_cluster_forward_to_source(struct pd_cluster *cluster, const struct pd_datagram *datagram)
 {
+	struct pd_datagram forwarded = *datagram;
 	struct sockaddr_in source;
 	struct pd_buf out = {0};
 
-	if (cluster->fd >= 0 && get_source(cluster, &source) && pd_datagram_encode(datagram, &out))
+	if (++forwarded.hops > PD_DATAGRAM_HOPS_MAX) {
+		pd_count(PD_COUNT_datagrams_unsent);
+		return;
+	}
+	if (cluster->fd >= 0 && get_source(cluster, &source) &&
+	    pd_datagram_encode(&forwarded, &out))
 		send_bytes(cluster, &out, &source);
 	pd_buf_finish(&out);
 }
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -214,7 +214,9 @@
 /* Sends to all other heads that were heard lately, those of this zone included. */
 void pd_cluster_send_to_heads(struct pd_cluster *cluster, enum pd_datagram_kind kind,
 			      struct pd_str payload);
-/* Passes a datagram on to the source as it is, so that its sender remains stated. */
+/* Passes a datagram on to the source, as one of its original sender. One that has been passed on
+ * PD_DATAGRAM_HOPS_MAX times is dropped.
+ */
 void pd_cluster_forward_to_source(struct pd_cluster *cluster, const struct pd_datagram *datagram);
 /* Copies up to @max listed instances of this zone with at least @cpu_share_min cores; returns their
  * number. */
--- a/ingress/datagram.c
+++ b/ingress/datagram.c
@@ -38,6 +38,7 @@
 	pd_datagram_put_str(out, pd_name_str(&datagram->sender));
 	pd_datagram_put_str(out, pd_name_str(&datagram->zone));
 	pd_datagram_put_uint(out, datagram->incarnation);
+	pd_datagram_put_uint(out, datagram->hops);
 	pd_buf_append_str(out, datagram->payload);
 	return !out->failed;
 }
@@ -101,7 +102,7 @@
 bool pd_datagram_decode(struct pd_str bytes, struct pd_datagram *datagram)
 {
 	struct pd_datagram_reader reader;
-	uint64_t version, kind;
+	uint64_t version, kind, hops;
 
 	memset(datagram, 0, sizeof(*datagram));
 	pd_datagram_reader_init(&reader, bytes);
@@ -114,6 +115,9 @@
 	    !pd_name_set(&datagram->zone, pd_datagram_get_str(&reader)))
 		return false;
 	datagram->incarnation = pd_datagram_get_uint(&reader);
+	hops = pd_datagram_get_uint(&reader);
+	datagram->hops = (uint32_t)hops;
 	datagram->payload = reader.rest;
-	return !reader.failed && datagram->payload.len <= PD_DATAGRAM_PAYLOAD_MAX_BYTES;
+	return !reader.failed && hops <= PD_DATAGRAM_HOPS_MAX &&
+	       datagram->payload.len <= PD_DATAGRAM_PAYLOAD_MAX_BYTES;
 }
--- a/ingress/datagram.h
+++ b/ingress/datagram.h
@@ -2,8 +2,8 @@
  * DOC: Datagrams between instances
  *
  * A datagram is a sequence of msgpack items: the format's version, kind, name and zone of the
- * sender, its incarnation, and then the payload, whose items depend on the kind. Datagrams may be
- * lost, doubled, reordered or late.
+ * sender, its incarnation, the number of instances that have passed it on, and then the payload,
+ * whose items depend on the kind. Datagrams may be lost, doubled, reordered or late.
  */
 #ifndef PD_DATAGRAM_H
 #define PD_DATAGRAM_H
@@ -19,6 +19,11 @@
 /* Maximum size of a datagram: names, incarnation and lengths take up the rest. */
 #define PD_DATAGRAM_MAX_BYTES 1400
 
+/* Maximum number of instances that pass a datagram on. Followers of followers are rare; instances
+ * that follow each other would pass it on without end.
+ */
+#define PD_DATAGRAM_HOPS_MAX 8
+
 /** enum pd_datagram_kind - kinds of datagrams; the values are part of the wire format. */
 enum pd_datagram_kind {
 	PD_DATAGRAM_PING = 1, /* follower to source */
@@ -41,6 +46,7 @@
  * @sender: name of the instance that sent it
  * @zone: availability zone of the sender
  * @incarnation: random number that the sender drew when its process started
+ * @hops: number of instances that have passed it on
  * @from: address that it came from; set by the receiver
  * @payload: further msgpack items; after decoding, a view into the datagram
  */
@@ -49,6 +55,7 @@
 	struct pd_name sender;
 	struct pd_name zone;
 	uint64_t incarnation;
+	uint32_t hops;
 	struct sockaddr_in from;
 	struct pd_str payload;
 };
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -314,19 +314,22 @@
 		{"GET / HTTP/1.1\r\n\r\n", 18},
 		{"\x12\x34\x01\x00\x00\x01\x00\x00\x00\x00\x00\x00\x03www", 16}, /* DNS */
 		{"\x01\x01\xa1n\xa1z", 6}, /* no incarnation */
-		{"\x01\x01\xa1n\xa1z\xa1x", 8}, /* the incarnation is a string */
-		{"\x02\x01\xa1n\xa1z\x01", 7}, /* another version */
-		{"\x01\x00\xa1n\xa1z\x01", 7}, /* no kind */
-		{"\x01\x0b\xa1n\xa1z\x01", 7}, /* unknown kind */
-		{"\x01\xcf\x80\x00\x00\x00\x00\x00\x00\x01\xa1n\xa1z\x01", 16}, /* huge kind */
-		{"\x01\x01\xa0\xa1z\x01", 6}, /* empty name */
-		{"\x01\x01\xa1n\xa0\x01", 6}, /* empty zone */
-		{"\x01\x01\xc2\xa1z\x01", 6}, /* the name is a bool */
-		{"\x01\x01\xa1 \xa1z\x01", 7}, /* the name has a blank */
-		{"\x01\x01\xa1\0\xa1z\x01", 7}, /* the name has a NUL */
-		{"\x01\x01\xdb\xff\xff\xff\xffn\xa1z\x01", 11}, /* long name */
-		{"\x97\x01\x01\xa1n\xa1z\x01\x01", 9}, /* an array */
-		{"\xa1\x01\xa1n\xa1z\x01", 7}, /* the version is a string */
+		{"\x01\x01\xa1n\xa1z\x01", 7}, /* no number of hops */
+		{"\x01\x01\xa1n\xa1z\xa1x\x00", 9}, /* the incarnation is a string */
+		{"\x01\x01\xa1n\xa1z\x01\x09", 8}, /* too many hops */
+		{"\x01\x01\xa1n\xa1z\x01\xcf\x00\x00\x00\x01\x00\x00\x00\x00", 16},
+		{"\x02\x01\xa1n\xa1z\x01\x00", 8}, /* another version */
+		{"\x01\x00\xa1n\xa1z\x01\x00", 8}, /* no kind */
+		{"\x01\x0b\xa1n\xa1z\x01\x00", 8}, /* unknown kind */
+		{"\x01\xcf\x00\x00\x00\x01\x00\x00\x00\x01\xa1n\xa1z\x01\x00", 16}, /* huge kind */
+		{"\x01\x01\xa0\xa1z\x01\x00", 7}, /* empty name */
+		{"\x01\x01\xa1n\xa0\x01\x00", 7}, /* empty zone */
+		{"\x01\x01\xc2\xa1z\x01\x00", 7}, /* the name is a bool */
+		{"\x01\x01\xa1 \xa1z\x01\x00", 8}, /* the name has a blank */
+		{"\x01\x01\xa1\0\xa1z\x01\x00", 8}, /* the name has a NUL */
+		{"\x01\x01\xdb\xff\xff\xff\xffn\xa1z\x01\x00", 12}, /* long name */
+		{"\x97\x01\x01\xa1n\xa1z\x01\x00\x01", 10}, /* an array */
+		{"\xa1\x01\xa1n\xa1z\x01\x00", 8}, /* the version is a string */
 	};
 	char payload[PD_DATAGRAM_PAYLOAD_MAX_BYTES] = {0};
 	struct pd_datagram datagram = make_datagram(20, (struct pd_str){payload, 3}), decoded;
@@ -336,7 +339,7 @@
 		ck_assert_msg(!pd_datagram_decode((struct pd_str){foreign[i].bytes, foreign[i].len},
 						  &decoded),
 			      "foreign datagram %zu", i);
-	ck_assert(pd_datagram_decode((struct pd_str){"\x01\x01\xa1n\xa1z\x01", 7}, &decoded));
+	ck_assert(pd_datagram_decode((struct pd_str){"\x01\x01\xa1n\xa1z\x01\x08", 8}, &decoded));
 	ck_assert(pd_datagram_encode(&datagram, &out));
 	/* The payload's items are checked by their reader. */
 	for (size_t len = 0; len < out.len; len++)
@@ -389,7 +392,7 @@
 	/* Guards against a follower that takes its configuration for more recent than it is: the
 	 * answer states the follower's own stamp, the age of the proof, and the version.
 	 */
-	static const char ping[] = "\x01\x01\xa1p\xa4here\x07\xcd\x30\x39";
+	static const char ping[] = "\x01\x01\xa1p\xa4here\x07\x00\xcd\x30\x39";
 	struct node *node = open_node("a", "here");
 	struct peer peer = open_peer("p", "here", 7);
 	struct received pong;
@@ -750,6 +753,37 @@
 }
 END_TEST
 
+START_TEST(forwarded_datagrams_do_not_run_in_a_circle)
+{
+	/* Guards against datagrams without end between instances that follow each other, as they
+	 * may when an address is used by another instance. A datagram passes a few instances, as
+	 * the original sender's.
+	 */
+	struct node *node = open_node("a", "here");
+	struct peer source = open_peer("s", "here", 7), sender = open_peer("n0", "here", 8);
+	struct pd_datagram datagram = sender.datagram;
+	struct received received = {0};
+	int passed = 0;
+
+	follow(node, &source);
+	datagram.kind = PD_DATAGRAM_USAGE;
+	datagram.payload = PD_STR("\x05");
+	for (; passed < 100; passed++) {
+		pd_cluster_forward_to_source(&node->cluster, &datagram);
+		if (!receive(&source, &received, QUIET_MS))
+			break;
+		ck_assert(pd_name_equal(&received.datagram.sender, &sender.datagram.sender));
+		ck_assert_uint_eq(received.datagram.incarnation, 8);
+		ck_assert_uint_eq(received.numbers[0], 5);
+		datagram = received.datagram;
+	}
+	ck_assert_int_ge(passed, 3);
+	ck_assert_int_le(passed, 16);
+	close(source.fd);
+	close(sender.fd);
+}
+END_TEST
+
 START_TEST(lists_of_instances_replace_each_other)
 {
 	/* Guards against instances of one zone that are taken for those of another after the list
@@ -878,6 +912,7 @@
 		follower_names_its_source_to_heads,
 		head_does_not_count_itself,
 		redirects_in_a_circle_end,
+		forwarded_datagrams_do_not_run_in_a_circle,
 		lists_of_instances_replace_each_other,
 		address_in_use_is_an_error,
 		instances_learn_of_each_other_over_loopback,
