Cluster: two heads that cover half of a zone each find each other

What would happen: in a zone of two instances (or of which two heads cover half each) that don't follow each other, both took the zone for covered and never looked for the other. Both would use the whole rate of each quota.

Cause: a head looked for others only below a half.

Measured: test_cluster, two_heads_of_a_zone_find_each_other, failed before (0 heads after 600 ms) and passes now; 18 of 18. The same half in the rule for quotas ("at least half") lets both sides of a partition through the middle use the whole rate; that is decided in the part for quotas.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -596,8 +596,8 @@
 	       view.zone_instances, view.zone_covered);
 }
 
-/* Announces this head to the other ones. A head whose zone isn't covered by known heads also looks
- * for one in its own zone.
+/* Announces this head to the other ones. A head that covers its zone up to a half at most, with the
+ * heads it knows, also looks for one in its own zone: another may cover the other half.
  */
 static void announce_head(struct pd_cluster *cluster, int64_t now_us)
 {
@@ -614,7 +614,7 @@
 			if (!hears_zone(cluster, &cluster->zones[i]))
 				query_zone_locked(cluster, i, &out);
 		}
-		if (2 * view.zone_covered < view.zone_instances)
+		if (2 * view.zone_covered <= view.zone_instances)
 			query_zone_locked(cluster, 0, &out);
 		pthread_mutex_unlock(&cluster->lock);
 	}
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -784,6 +784,27 @@
 }
 END_TEST
 
+START_TEST(two_heads_of_a_zone_find_each_other)
+{
+	/* Guards against two heads of one zone that both take it for covered, each by half of it,
+	 * and never look for each other.
+	 */
+	static const char *const zones[] = {"here"};
+	struct node *one = open_node("a", "here"), *other = open_node("b", "here");
+	int64_t end = pd_os_boot_us() + 600 * PD_USEC_PER_MSEC;
+
+	list_instances(one, zones, &other->address, 1);
+	list_instances(other, zones, &one->address, 1);
+	while (pd_os_boot_us() < end) {
+		pd_cluster_step(&one->cluster);
+		pd_cluster_step(&other->cluster);
+	}
+	ck_assert_uint_eq(one->cluster.head_count, 1);
+	ck_assert_uint_eq(other->cluster.head_count, 1);
+	ck_assert_uint_eq(view(one, pd_os_boot_us()).zone_covered, 2);
+}
+END_TEST
+
 START_TEST(lists_of_instances_replace_each_other)
 {
 	/* Guards against instances of one zone that are taken for those of another after the list
@@ -913,6 +934,7 @@
 		head_does_not_count_itself,
 		redirects_in_a_circle_end,
 		forwarded_datagrams_do_not_run_in_a_circle,
+		two_heads_of_a_zone_find_each_other,
 		lists_of_instances_replace_each_other,
 		address_in_use_is_an_error,
 		instances_learn_of_each_other_over_loopback,
