Cluster: datagrams from before a suspension aren't used

What would happen: a process that is resumed takes its followers and the other heads, whose last datagrams have waited in its socket, for ones that it hears now. For another 1 to 1.5 s it would use the whole rate of each quota and the share of each roll-out beside the head that its followers have found meanwhile.

Cause: a datagram counted from when it was read, not from when it arrived.

Change: the thread keeps when its socket was last empty. A datagram that is read more than 250 ms after that isn't used, because it may have arrived at any time in between; counter datagrams_late. The arrival time that the kernel can state is by the wall clock, which jumps.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -25,6 +25,11 @@
  * circle would name each other without end.
  */
 #define REDIRECTS_PER_ZONE (2 * HEAD_QUERIES)
+/* Datagrams that may have waited in the socket for longer than this aren't used: the process was
+ * suspended, and they would show its peers as they were before. The socket is looked at every 50 ms
+ * at least.
+ */
+#define WAIT_MAX_US (250 * PD_USEC_PER_MSEC)
 /* Initial capacity of a list of instances. */
 #define LIST_CAPACITY 64
 
@@ -661,7 +666,9 @@
 		pd_rollout_exchange_tick(cluster->parts.rollout, cluster, now_us);
 }
 
-/* Receives all datagrams that have arrived. */
+/* Receives all datagrams that have arrived. None of them arrived before the socket was empty last,
+ * but when after that isn't known.
+ */
 static void receive_all(struct pd_cluster *cluster)
 {
 	char bytes[PD_DATAGRAM_MAX_BYTES];
@@ -671,18 +678,27 @@
 
 	for (;;) {
 		socklen_t len = sizeof(from);
+		int64_t before = pd_os_boot_us(), now;
 
 		n = recvfrom(cluster->fd, bytes, sizeof(bytes), MSG_DONTWAIT,
 			     (struct sockaddr *)&from, &len);
-		if (n < 0)
+		if (n < 0) {
+			if (errno == EAGAIN || errno == EWOULDBLOCK)
+				cluster->emptied_us = before;
 			return;
+		}
+		now = pd_os_boot_us();
+		if (now - cluster->emptied_us > WAIT_MAX_US) {
+			pd_count(PD_COUNT_datagrams_late);
+			continue;
+		}
 		if (!pd_datagram_decode((struct pd_str){bytes, (size_t)n}, &datagram)) {
 			pd_count(PD_COUNT_datagrams_malformed);
 			continue;
 		}
 		pd_count(PD_COUNT_datagrams_in);
 		datagram.from = from;
-		pd_cluster_receive(cluster, &datagram, pd_os_boot_us());
+		pd_cluster_receive(cluster, &datagram, now);
 	}
 }
 
@@ -690,14 +706,18 @@
 {
 	struct pollfd p = {.fd = cluster->fd, .events = POLLIN};
 	int64_t now = pd_os_boot_us();
+	int ready;
 
 	if (now >= cluster->next_tick_us) {
 		pd_cluster_tick(cluster, now);
 		cluster->next_tick_us = now + PD_CLUSTER_TICK_US;
 		return;
 	}
-	if (poll(&p, 1, (int)((cluster->next_tick_us - now) / PD_USEC_PER_MSEC) + 1) > 0)
+	ready = poll(&p, 1, (int)((cluster->next_tick_us - now) / PD_USEC_PER_MSEC) + 1);
+	if (ready > 0)
 		receive_all(cluster);
+	else if (!ready)
+		cluster->emptied_us = now;
 }
 
 static void *run(void *arg)
@@ -724,6 +744,7 @@
 	}
 	pthread_mutex_lock(&cluster->lock);
 	cluster->fd = fd;
+	cluster->emptied_us = pd_os_boot_us();
 	pthread_mutex_unlock(&cluster->lock);
 	return PD_OK;
 }
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -141,6 +141,7 @@
  * @next_head_us: time of the next HEAD
  * @next_tick_us: time of the next tick; used by the thread only
  * @redirects_left: number of REDIRECTs that are followed until the next HEAD
+ * @emptied_us: time at which the socket was last known to be empty; used by the thread only
  * @random_state: state of the random number generator
  */
 struct pd_cluster {
@@ -170,6 +171,7 @@
 	int64_t next_ping_us;
 	int64_t next_head_us;
 	int64_t next_tick_us;
+	int64_t emptied_us;
 	size_t redirects_left;
 	uint64_t random_state;
 };
--- a/src/counters.h
+++ b/src/counters.h
@@ -83,6 +83,7 @@
 	X(datagram_bytes_out)                                                                      \
 	X(datagrams_unsent)                                                                        \
 	X(datagrams_malformed)                                                                     \
+	X(datagrams_late)                                                                          \
 	X(keys_unknown)                                                                            \
 	X(keys_unconfirmed)                                                                        \
 	X(quota_refused)                                                                           \
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -852,6 +852,51 @@
 }
 END_TEST
 
+START_TEST(datagrams_from_before_a_suspension_are_not_counted)
+{
+	/* Guards against a process that was suspended and takes its followers and the other heads,
+	 * whose last datagrams have waited in its socket, for ones that it hears now. It would use
+	 * the whole rate of each quota for another second, although its followers have left.
+	 */
+	static const char *const zones[] = {"here", "there"};
+	const struct pd_address addresses[] = {{"127.0.0.1", 9}, {"127.0.0.1", 9}};
+	struct node *node = open_node("a", "here");
+	struct peer follower = open_peer("n0", "here", 7), head = open_peer("n1", "there", 8);
+	struct sockaddr_in to = {.sin_family = AF_INET,
+				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+				 .sin_port = htons(node->address.port)};
+	static const char ping_bytes[] = "\x01\x01\xa2n0\xa4here\x07\x00\x01";
+	static const char head_bytes[] = "\x01\x03\xa2n1\xa5there\x08\x00\x01";
+
+	list_instances(node, zones, addresses, 2);
+	for (int suspended = 0; suspended < 2; suspended++) {
+		int64_t end;
+
+		for (int i = 0; i < 3; i++)
+			pd_cluster_step(&node->cluster);
+		sendto(follower.fd, ping_bytes, sizeof(ping_bytes) - 1, 0, (struct sockaddr *)&to,
+		       sizeof(to));
+		sendto(head.fd, head_bytes, sizeof(head_bytes) - 1, 0, (struct sockaddr *)&to,
+		       sizeof(to));
+		if (suspended)
+			pd_os_sleep_us(PD_CLUSTER_FOLLOWER_TIMEOUT_US + 100 * PD_USEC_PER_MSEC);
+		end = pd_os_boot_us() + 100 * PD_USEC_PER_MSEC;
+		while (pd_os_boot_us() < end)
+			pd_cluster_step(&node->cluster);
+		ck_assert_uint_eq(view(node, pd_os_boot_us()).followers, !suspended);
+		ck_assert_uint_eq(view(node, pd_os_boot_us()).zones_heard, !suspended);
+	}
+	/* What is sent from now on counts. */
+	sendto(follower.fd, ping_bytes, sizeof(ping_bytes) - 1, 0, (struct sockaddr *)&to,
+	       sizeof(to));
+	for (int i = 0; i < 4; i++)
+		pd_cluster_step(&node->cluster);
+	ck_assert_uint_eq(view(node, pd_os_boot_us()).followers, 1);
+	close(follower.fd);
+	close(head.fd);
+}
+END_TEST
+
 START_TEST(address_in_use_is_an_error)
 {
 	/* Guards against an instance that takes itself for connected although it can't receive
@@ -936,6 +981,7 @@
 		forwarded_datagrams_do_not_run_in_a_circle,
 		two_heads_of_a_zone_find_each_other,
 		lists_of_instances_replace_each_other,
+		datagrams_from_before_a_suspension_are_not_counted,
 		address_in_use_is_an_error,
 		instances_learn_of_each_other_over_loopback,
 	};
