Cluster: a thread that doesn't start leaves the cluster closed

What would happen: after the error, the cluster counted as started, with a socket that nobody reads. The process ends at that error today. No test: pd_os_thread_start() fails only without memory.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -764,5 +764,11 @@
 	pd_log(PD_LOG_INFO, "cluster_started", "address=%s:%u", cluster->address.ip,
 	       cluster->address.port);
 	code = pd_os_thread_start(&cluster->thread, "cluster", run, cluster, err);
-	return code == PD_OK ? code : pd_error_wrap(err, PD_LAYER_COORDINATION, code, "cluster");
+	if (code == PD_OK)
+		return code;
+	pthread_mutex_lock(&cluster->lock);
+	cluster->started = false;
+	pd_os_close(&cluster->fd);
+	pthread_mutex_unlock(&cluster->lock);
+	return pd_error_wrap(err, PD_LAYER_COORDINATION, code, "cluster");
 }
