--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -402,6 +402,79 @@
 }
 END_TEST
 
+/* Reads sound settings with one more bound. */
+static enum pd_code read_settings_with(const char *bound, struct pd_ingress_settings *settings,
+				       struct pd_error *err)
+{
+	json_t *json = json_pack(
+		"{s:{s:s,s:s,s:s,s:[i],s:{s:s,s:s},s:{s:s},s:{s:i,s:f},s:{s:f,s:i,s:i}},s:{s:s,s:"
+		"i}}",
+		"platform", "node_name", "n", "zone", "z", "ip", "127.0.0.1", "internal_port_range",
+		9, "listen_addresses", "front", "127.0.0.1:1", "ready", "127.0.0.1:2", "platform",
+		"address", "127.0.0.1:3", "limits", "max_file_descriptors", 100, "cpu_share", 1.0,
+		"bounds", "retry_budget_ratio", 0.2, "retry_budget_slack", 10, "grace_period_s", 6,
+		"ingress", "metrics_address", "127.0.0.1:4", "log_lines_per_s", 100);
+	json_t *more = json_loads(bound, 0, NULL);
+	enum pd_code code;
+
+	ck_assert_ptr_nonnull(json);
+	ck_assert_ptr_nonnull(more);
+	json_object_update(json_object_get(json_object_get(json, "platform"), "bounds"), more);
+	code = pd_settings_read_json(json, "settings", settings, err);
+	json_decref(json);
+	json_decref(more);
+	return code;
+}
+
+START_TEST(bad_optional_bounds_are_rejected_by_name)
+{
+	/* Guards against a bound that is mistyped and left out without a word: a deployment would
+	 * run without its quotas, or accept withdrawn keys.
+	 */
+	static const char *const keys[] = {
+		"config_apply_ms", "revocation_ms",  "quota_window_s", "quota_overage",
+		"quota_slack",	   "exposure_share", "exposure_slack", "rollback_ms",
+	};
+	static const char *const values[] = {"-1",    "\"5000\"", "null", "true",
+					     "1e300", "[5]",	  "{}"};
+	struct pd_ingress_settings settings;
+	struct pd_error err;
+	char text[96];
+
+	for (size_t k = 0; k < sizeof(keys) / sizeof(keys[0]); k++) {
+		for (size_t v = 0; v < sizeof(values) / sizeof(values[0]); v++) {
+			snprintf(text, sizeof(text), "{\"%s\":%s}", keys[k], values[v]);
+			ck_assert_msg(read_settings_with(text, &settings, &err) == PD_INVALID, "%s",
+				      text);
+			snprintf(text, sizeof(text), "platform.bounds.%s is", keys[k]);
+			ck_assert_msg(strstr(err.text, text) != NULL, "%s", err.text);
+		}
+	}
+	for (size_t v = 0; v < sizeof(values) / sizeof(values[0]); v++) {
+		bool is_bool = !strcmp(values[v], "true");
+
+		snprintf(text, sizeof(text), "{\"strict_revocation\":%s,\"revocation_ms\":5000}",
+			 values[v]);
+		ck_assert_msg(read_settings_with(text, &settings, &err) ==
+				      (is_bool ? PD_OK : PD_INVALID),
+			      "%s", text);
+		if (!is_bool)
+			ck_assert_ptr_nonnull(
+				strstr(err.text, "platform.bounds.strict_revocation is"));
+	}
+	ck_assert_int_eq(read_settings_with("{\"exposure_share\":1.01}", &settings, &err),
+			 PD_INVALID);
+	/* Missing ones are 0, and unknown ones are ignored. */
+	ck_assert_int_eq(read_settings_with("{\"new_bound\":\"x\"}", &settings, &err), PD_OK);
+	ck_assert_uint_eq(settings.revocation_ms, 0);
+	ck_assert(settings.quota_window_s == 0 && settings.exposure_share == 0);
+	ck_assert_int_eq(read_settings_with("{\"strict_revocation\":false,\"revocation_ms\":5000}",
+					    &settings, &err),
+			 PD_OK);
+	ck_assert_uint_eq(settings.revocation_ms, 0);
+}
+END_TEST
+
 /* Reads a page of objects, or of events, with one odd object between two readable ones; returns
  * the number of its entries that can be used.
  */
@@ -574,6 +647,7 @@
 		revisions_round_trip,
 		heartbeat_round_trip,
 		settings_errors_name_key_or_line,
+		bad_optional_bounds_are_rejected_by_name,
 		one_odd_object_does_not_hide_the_others,
 		nested_objects_fit_the_stack_of_a_thread,
 		draining_is_read_from_an_odd_entry,
