--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -90,6 +90,7 @@
  * @flood_statuses: number of responses to the last flood by hundreds of their status; [0] counts
  * the requests without a response
  * @descriptors: maximum number of file descriptors in the settings of instances
+ * @bounds: further bounds in the settings of instances, as members of a JSON object
  * @kept_fd: client connection that stays open between commands; -1 if there is none
  * @last_seq: sequence number of the last entry that an upstream wrote
  * @next_id: number of generated request ids
@@ -108,6 +109,7 @@
 	const char *ingress_program;
 	uint32_t flood_statuses[6];
 	int descriptors;
+	char bounds[512];
 	int kept_fd;
 	int last_seq;
 	uint32_t next_id;
@@ -481,11 +483,11 @@
 		"\"127.0.0.1:%u\"},\"limits\":{\"max_file_descriptors\":%d,\"memory_mb\":112,"
 		"\"cpu_share\":%g},"
 		"\"bounds\":"
-		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6}},"
+		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6%s}},"
 		"\"ingress\":{\"metrics_address\":\"127.0.0.1:%u\",\"log_lines_per_s\":500}}\n",
 		instance->name, instance->zone, instance->peer.port, instance->peer.port,
 		instance->front.port, instance->ready.port, store_port, deployment.descriptors,
-		instance->cpu_share, instance->metrics.port);
+		instance->cpu_share, deployment.bounds, instance->metrics.port);
 	fclose(file);
 }
 
@@ -581,6 +583,33 @@
 	deployment.descriptors = atoi(words[1]);
 }
 
+/* bounds [MEMBERS]: adds MEMBERS, as in '"quota_window_s":5,"quota_slack":20', to the bounds in the
+ * settings of instances that are started from now on
+ */
+static void do_bounds(char **words, int count)
+{
+	deployment.bounds[0] = '\0';
+	if (count > 1)
+		snprintf(deployment.bounds, sizeof(deployment.bounds), ",%s", words[1]);
+}
+
+/* datagrams: tells whether the selected instance has a socket for datagrams of other instances */
+static void do_datagrams(char **words, int count)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+				      .sin_port = htons(deployment.selected->peer.port)};
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	(void)words;
+	(void)count;
+	if (!bind(fd, (struct sockaddr *)&address, sizeof(address)))
+		append_output("none");
+	else
+		append_output(errno == EADDRINUSE ? "open" : "unknown");
+	pd_os_close(&fd);
+}
+
 /* Replaces the address of an instance with a slow link in the entry that it writes. */
 static void redirect_to_link(const char *kind, const char *name, json_t *spec)
 {
@@ -1185,6 +1214,8 @@
 	{"size", 3, do_size},
 	{"zone", 3, do_zone},
 	{"descriptors", 2, do_descriptors},
+	{"bounds", 1, do_bounds},
+	{"datagrams", 1, do_datagrams},
 	{"link", 3, do_link},
 	{"exit", 1, do_exit},
 	{"sleep", 2, do_sleep},
