Explanation for operators: where a request would go now, and why

GET /explain at the metrics address, and scripts/explain, which prints it: the route, the permit of each service, and each upstream in the choice with its cost, load, the age of its report, permit and reason. The same functions decide as for requests (pd_catalog_find_route(), pd_permit_check_locked(), pd_candidate_cost(), pd_pick(), pd_policy_admit()), on copies of the upstreams, because a permit may start the limit of a cold start. Nothing is sent to upstreams or to the store, and the random numbers of the choice aren't used up.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -13,7 +13,7 @@
 #include "registry.h"
 #include "registry_private.h"
 
-#define CANDIDATES_MAX 64 /* maximum number of upstreams of a service that are compared */
+#define CANDIDATES_MAX PD_CHOICES_MAX
 
 /* Weight of one sample in the moving averages of an upstream, which thus reflect about the last
  * five samples. */
@@ -221,6 +221,59 @@
 	return (int64_t)best;
 }
 
+/* Sets the share of the random numbers with which each upstream is chosen. */
+static void fill_chosen_shares(struct pd_choice *choices, size_t count)
+{
+	struct pd_candidate candidates[CANDIDATES_MAX];
+
+	for (size_t i = 0; i < count; i++)
+		candidates[i] = choices[i].candidate;
+	for (size_t i = 0; i < count; i++) {
+		long best = pd_pick(candidates, count, i);
+
+		if (best >= 0)
+			choices[best].chosen_share += 1.0 / (double)count;
+	}
+}
+
+size_t pd_registry_explain(struct pd_registry *registry, const struct pd_service *service,
+			   int64_t now_us, struct pd_choice *choices, struct pd_permit *permit,
+			   int64_t *expected_us)
+{
+	double mean_us, best_us = 0;
+	size_t count = 0;
+
+	*permit = (struct pd_permit){.block = PD_BLOCK_NO_UPSTREAM, .wait_us = PD_PERMIT_NEVER};
+	pthread_mutex_lock(&registry->lock);
+	mean_us = service->service_time_us * service_time_decay(service, now_us);
+	for (const struct pd_upstream *u = service->upstreams; u; u = u->next) {
+		/* A permit may start or end the limit of a cold start. */
+		struct pd_upstream copy = *u;
+		struct pd_permit own = pd_permit_check_locked(registry, &copy, now_us);
+
+		*permit = pd_permit_better(*permit, own);
+		if (mean_us > 0 && own.block == PD_BLOCK_NONE && !own.ejected) {
+			double latency_us = expected_latency(&copy, mean_us, now_us);
+
+			best_us = best_us <= 0 || latency_us < best_us ? latency_us : best_us;
+		}
+		if (count == PD_CHOICES_MAX)
+			continue;
+		choices[count] = (struct pd_choice){
+			.id = u->id,
+			.zone = u->zone->name,
+			.permit = own,
+			.report_age_us = u->load_reported_us ? now_us - u->load_reported_us : -1};
+		fill_candidate(registry, &copy, NULL, 0, now_us, &choices[count].candidate);
+		choices[count].cost = pd_candidate_cost(&choices[count].candidate);
+		count++;
+	}
+	fill_chosen_shares(choices, count);
+	pthread_mutex_unlock(&registry->lock);
+	*expected_us = (int64_t)best_us;
+	return count;
+}
+
 bool pd_registry_consume_retry(struct pd_registry *registry, struct pd_service *service)
 {
 	bool consumed;
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -20,6 +20,7 @@
 #include "catalog.h"
 #include "error.h"
 #include "permit.h"
+#include "pick.h"
 #include "rate_limit.h"
 #include "revision.h"
 #include "str.h"
@@ -363,6 +364,8 @@
 /* Returns the index of the target for the next request of a route that distributes its requests by
  * weight. */
 uint32_t pd_registry_next_target(struct pd_registry *registry, struct pd_route *route);
+/* Returns what pd_registry_next_target() would return, and changes nothing. */
+uint32_t pd_registry_peek_target(struct pd_registry *registry, const struct pd_route *route);
 
 /**
  * pd_registry_pick() - choose an upstream for a sub-request
@@ -389,6 +392,45 @@
  * service with the shortest queue; 0 if unknown. */
 int64_t pd_registry_expected_latency_us(struct pd_registry *registry, struct pd_service *service,
 					int64_t now_us);
+#define PD_CHOICES_MAX 64 /* maximum number of upstreams of a service that are compared */
+
+/**
+ * struct pd_choice - one upstream in the choice for a sub-request, for an explanation
+ * @id: name of the upstream's entry
+ * @zone: zone of the upstream
+ * @permit: whether a request may be sent to it
+ * @candidate: what its cost depends on
+ * @cost: its cost
+ * @chosen_share: share of the random numbers with which it would be chosen, 0 to 1
+ * @report_age_us: age of its last load report, in microseconds; -1 if there is none
+ */
+struct pd_choice {
+	struct pd_name id;
+	struct pd_name zone;
+	struct pd_permit permit;
+	struct pd_candidate candidate;
+	double cost;
+	double chosen_share;
+	int64_t report_age_us;
+};
+
+/**
+ * pd_registry_explain() - explains the choice for a sub-request that would be sent now
+ * @registry: registry
+ * @service: service that the sub-request is for
+ * @now_us: current time
+ * @choices: set to the service's upstreams; has room for PD_CHOICES_MAX. Of more upstreams, the
+ *	first ones are compared, while pd_registry_pick() begins at a random one
+ * @permit: set to the best permit of all upstreams of the service
+ * @expected_us: set as pd_registry_expected_latency_us()
+ *
+ * Decides by the same functions as pd_registry_pick(), on copies, and changes nothing.
+ *
+ * Return: number of @choices.
+ */
+size_t pd_registry_explain(struct pd_registry *registry, const struct pd_service *service,
+			   int64_t now_us, struct pd_choice *choices, struct pd_permit *permit,
+			   int64_t *expected_us);
 /* Consumes a token of the service's retry budget; false if none is left. */
 bool pd_registry_consume_retry(struct pd_registry *registry, struct pd_service *service);
 /* Adds the first attempt of a request to the service's retry budget. */
--- a/ingress/registry_config.c
+++ b/ingress/registry_config.c
@@ -57,6 +57,21 @@
 	return (uint32_t)best;
 }
 
+uint32_t pd_registry_peek_target(struct pd_registry *registry, const struct pd_route *route)
+{
+	const struct pd_route_target *targets = route->targets;
+	size_t best = 0;
+
+	pthread_mutex_lock(&registry->lock);
+	for (size_t i = 1; i < route->target_count; i++) {
+		if (targets[i].current_weight + targets[i].weight >
+		    targets[best].current_weight + targets[best].weight)
+			best = i;
+	}
+	pthread_mutex_unlock(&registry->lock);
+	return (uint32_t)best;
+}
+
 /* Starts a weighted route at a random position. Otherwise all instances would start with the same
  * service, which would distort the shares where each instance gets few requests. */
 static void randomize_start(struct pd_registry *registry, struct pd_route *route)
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "counters.h"
+#include "explain.h"
 #include "fanout.h"
 #include "headers.h"
 #include "ingress_private.h"
@@ -640,6 +641,15 @@
 		return write_response(&request, &head,
 				      ready ? PD_STR("ready\n") : PD_STR("not ready\n"));
 	}
+	if (pd_explain_is_target(pd_http_message_target(&client->msg))) {
+		int status = pd_explain(ingress, pd_http_message_target(&client->msg), &body);
+
+		begin_response(&head, status);
+		pd_buf_append_str(&head, PD_STR("Content-Type: text/plain\r\n"));
+		written = write_response(&request, &head, pd_buf_str(&body));
+		pd_buf_finish(&body);
+		return written && !request.close;
+	}
 	pd_counters_print(&body);
 	pd_histogram_print(&ingress->latency, "request_latency", &body);
 	pd_histogram_print(&ingress->directory.config_delay, "config_delay", &body);
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -1036,6 +1036,25 @@
 	pd_os_close(&fd);
 }
 
+/* explained TARGET TEXT [NOT]: prints the number of lines with TEXT, and without NOT, in what the
+ * metrics endpoint responds to TARGET, after the status
+ */
+static void do_explained(char **words, int count)
+{
+	struct pd_http_message msg;
+	char *line, *rest = NULL;
+	int found = 0;
+
+	pd_http_message_init(&msg, PD_HTTP_RESPONSE, HEAD_MAX_BYTES, BODY_MAX_BYTES);
+	http_get(&deployment.selected->metrics, words[1], &msg);
+	if (msg.body.len && pd_buf_append(&msg.body, "", 1))
+		rest = msg.body.data;
+	while (rest && (line = strsep(&rest, "\n")))
+		found += strstr(line, words[2]) && (count < 4 || !strstr(line, words[3]));
+	append_output("%u %d", msg.complete ? msg.parser.status_code : 0, found);
+	pd_http_message_finish(&msg);
+}
+
 /* ready: prints the status of the readiness endpoint; 0 without a response */
 static void do_ready(char **words, int count)
 {
@@ -1228,6 +1247,7 @@
 	{"leave", 4, do_leave},
 	{"raw", 2, do_raw},
 	{"ready", 1, do_ready},
+	{"explained", 3, do_explained},
 	{"metric", 2, do_metric},
 	{"runs", 2, do_upstream_info},
 	{"arrivals", 2, do_upstream_info},
--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "headers.h"
+#include "log.h"
 #include "os.h"
 #include "permit.h"
 #include "policy.h"
@@ -523,6 +524,97 @@
 }
 END_TEST
 
+/* Puts an upstream into one of the states that a choice depends on. */
+static void set_state(struct pd_upstream *upstream, int state)
+{
+	switch (state) {
+	case 0:
+		upstream->cold_until_us = NOW_US + PD_USEC_PER_SEC;
+		break;
+	case 1:
+		upstream->terms.paused_until_us = NOW_US + PD_USEC_PER_SEC;
+		break;
+	case 2:
+		upstream->ejected_until_us = NOW_US + PD_USEC_PER_SEC;
+		break;
+	case 3:
+		upstream->in_flight = 5;
+		break;
+	case 4:
+		upstream->reported_load = 9;
+		upstream->load_reported_us = NOW_US - 1;
+		break;
+	case 5:
+		upstream->draining = true;
+		break;
+	case 6:
+		record(upstream, (struct pd_directives){.has_limit = true, .limit_per_s = 1},
+		       NOW_US);
+		break;
+	default:
+		break;
+	}
+}
+
+START_TEST(explanation_agrees_with_the_choice_and_changes_nothing)
+{
+	/* Guards against an explanation that names another upstream or reason than the choice, and
+	 * against one that starts the limit of a cold start, uses up a token or counts a request.
+	 */
+	struct pd_service *service;
+	struct pd_upstream *upstreams[3];
+
+	pd_log_open("test", PD_LOG_ERROR);
+	for (int states = 0; states < 8 * 8 * 8; states++) {
+		struct pd_choice choices[PD_CHOICES_MAX];
+		struct pd_upstream before[3], *chosen;
+		struct pd_permit permit, actual;
+		uint64_t random;
+		int64_t expected_us;
+		size_t count;
+
+		teardown();
+		setup();
+		for (int i = 0; i < 3; i++) {
+			char id[] = {(char)('a' + i), 0};
+
+			upstreams[i] = put_upstream(id, (uint16_t)(9 + i), STARTED_MS);
+		}
+		service = upstreams[0]->service;
+		service->cold_per_s = 1;
+		service->service_time_us = 10000;
+		service->service_time_updated_us = NOW_US;
+		set_state(upstreams[0], states % 8);
+		set_state(upstreams[1], states / 8 % 8);
+		set_state(upstreams[2], states / 64);
+		for (int i = 0; i < 3; i++)
+			before[i] = *upstreams[i];
+		random = registry.random_state;
+		count = pd_registry_explain(&registry, service, NOW_US, choices, &permit,
+					    &expected_us);
+		ck_assert_uint_eq(count, 3);
+		ck_assert_uint_eq(registry.random_state, random);
+		for (int i = 0; i < 3; i++)
+			ck_assert_int_eq(memcmp(&before[i], upstreams[i], sizeof(before[i])), 0);
+		actual = pd_registry_permit(&registry, service, NULL, 0, NOW_US);
+		ck_assert_int_eq(permit.block, actual.block);
+		ck_assert_int_eq(permit.wait_us, actual.wait_us);
+		ck_assert_int_eq(expected_us,
+				 pd_registry_expected_latency_us(&registry, service, NOW_US));
+		chosen = pd_registry_pick(&registry, service, NULL, 0, NOW_US);
+		for (size_t i = 0; i < count; i++) {
+			bool same = chosen && pd_name_equal(&choices[i].id, &chosen->id);
+
+			ck_assert(!same || choices[i].chosen_share > 0);
+			ck_assert(chosen || choices[i].chosen_share <= 0);
+			ck_assert(choices[i].permit.block == PD_BLOCK_NONE ||
+				  choices[i].chosen_share <= 0);
+		}
+		ck_assert_int_eq(permit.block == PD_BLOCK_NONE, chosen != NULL);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *tests[] = {
@@ -536,6 +628,7 @@
 		clients_return_from_a_pause_one_after_the_other,
 		no_way_leads_past_a_block,
 		best_permit_is_the_earliest,
+		explanation_agrees_with_the_choice_and_changes_nothing,
 	};
 
 	return suite_run_with("permit", setup, teardown, tests, sizeof(tests) / sizeof(tests[0]));
