--- a/ingress/explain.c
+++ b/ingress/explain.c
@@ -179,7 +179,7 @@
 static void print_result(const struct pd_route *route, struct leg_outlook *outlooks, size_t legs,
 			 struct pd_buf *out)
 {
-	int64_t now = pd_os_boot_us(), *expected = calloc(legs, sizeof(*expected));
+	int64_t now = pd_os_boot_us(), *expected = calloc(legs + 1, sizeof(*expected));
 	int64_t deadline = pd_policy_deadline(route, now, false, 0);
 	size_t needed = pd_policy_parts_needed(route);
 	bool admitted;
