--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -20,6 +20,16 @@
 #define HEAD_INTERVAL_US (250 * PD_USEC_PER_MSEC)
 /* Instances of a zone without a known head that are asked for it at each interval. */
 #define HEAD_QUERIES 2
+/* REDIRECTs that are followed for each zone and interval: each query leads to the source of an
+ * instance, and from there to that of the source, if it has one. Instances whose sources form a
+ * circle would name each other without end.
+ */
+#define REDIRECTS_PER_ZONE (2 * HEAD_QUERIES)
+/* Datagrams that may have waited in the socket for longer than this aren't used: the process was
+ * suspended, and they would show its peers as they were before. The socket is looked at every 50 ms
+ * at least.
+ */
+#define WAIT_MAX_US (250 * PD_USEC_PER_MSEC)
 /* Initial capacity of a list of instances. */
 #define LIST_CAPACITY 64
 
@@ -139,6 +149,7 @@
 	if (has_source != cluster->has_source ||
 	    (has_source && !same_address(&source, &cluster->source))) {
 		cluster->source_heard_us = 0;
+		memset(cluster->pings, 0, sizeof(cluster->pings));
 		cluster->next_ping_us = 0;
 		cluster->next_head_us = 0;
 	}
@@ -312,10 +323,16 @@
 
 void pd_cluster_forward_to_source(struct pd_cluster *cluster, const struct pd_datagram *datagram)
 {
+	struct pd_datagram forwarded = *datagram;
 	struct sockaddr_in source;
 	struct pd_buf out = {0};
 
-	if (cluster->fd >= 0 && get_source(cluster, &source) && pd_datagram_encode(datagram, &out))
+	if (++forwarded.hops > PD_DATAGRAM_HOPS_MAX) {
+		pd_count(PD_COUNT_datagrams_unsent);
+		return;
+	}
+	if (cluster->fd >= 0 && get_source(cluster, &source) &&
+	    pd_datagram_encode(&forwarded, &out))
 		send_bytes(cluster, &out, &source);
 	pd_buf_finish(&out);
 }
@@ -374,6 +391,8 @@
 	struct pd_datagram_reader reader;
 	struct pd_buf pong = {0};
 	int64_t confirmed_us = pd_directory_config_confirmed_us(cluster->parts.directory);
+	/* The proof may be younger than the PING's reception, but not for the PING's sender. */
+	uint64_t age_us = confirmed_us < now_us ? (uint64_t)(now_us - confirmed_us) : 0;
 	uint64_t stamp;
 
 	pd_datagram_reader_init(&reader, ping->payload);
@@ -387,13 +406,23 @@
 	forget_peer(cluster->heads, &cluster->head_count, &ping->sender);
 	pthread_mutex_unlock(&cluster->lock);
 	pd_datagram_put_uint(&pong, stamp);
-	pd_datagram_put_uint(&pong, confirmed_us ? (uint64_t)(now_us - confirmed_us) + 1 : 0);
+	pd_datagram_put_uint(&pong, confirmed_us ? age_us + 1 : 0);
 	/* Read after the proof: the version may only be too high for it, which is safe. */
 	pd_datagram_put_uint(&pong, pd_directory_config_version(cluster->parts.directory));
 	pd_cluster_send(cluster, PD_DATAGRAM_PONG, pd_buf_str(&pong), &ping->from);
 	pd_buf_finish(&pong);
 }
 
+/* Whether a PING with that stamp was sent to the source. */
+static bool has_pinged_locked(const struct pd_cluster *cluster, uint64_t stamp)
+{
+	for (size_t i = 0; i < PD_CLUSTER_PINGS_MAX; i++) {
+		if (stamp && (uint64_t)cluster->pings[i] == stamp)
+			return true;
+	}
+	return false;
+}
+
 static void receive_pong(struct pd_cluster *cluster, const struct pd_datagram *pong, int64_t now_us)
 {
 	struct pd_directory *directory = cluster->parts.directory;
@@ -408,7 +437,8 @@
 	if (reader.failed || stamp > (uint64_t)now_us || age > (uint64_t)now_us)
 		return;
 	pthread_mutex_lock(&cluster->lock);
-	is_source = cluster->has_source && same_address(&cluster->source, &pong->from);
+	is_source = cluster->has_source && same_address(&cluster->source, &pong->from) &&
+		    has_pinged_locked(cluster, stamp);
 	if (is_source)
 		cluster->source_heard_us = now_us;
 	pthread_mutex_unlock(&cluster->lock);
@@ -465,7 +495,7 @@
 	struct sockaddr_in source = {.sin_family = AF_INET};
 	struct pd_datagram_reader reader;
 	uint64_t ip, port;
-	bool is_head;
+	bool is_followed;
 
 	pd_datagram_reader_init(&reader, redirect->payload);
 	ip = pd_datagram_get_uint(&reader);
@@ -475,16 +505,24 @@
 	source.sin_addr.s_addr = htonl((uint32_t)ip);
 	source.sin_port = htons((uint16_t)port);
 	pthread_mutex_lock(&cluster->lock);
-	is_head = !cluster->has_source;
+	is_followed = !cluster->has_source && cluster->redirects_left;
+	if (is_followed)
+		cluster->redirects_left--;
 	forget_peer(cluster->heads, &cluster->head_count, &redirect->sender);
 	pthread_mutex_unlock(&cluster->lock);
-	if (is_head)
+	if (is_followed)
 		send_head(cluster, &source);
 }
 
 void pd_cluster_receive(struct pd_cluster *cluster, const struct pd_datagram *datagram,
 			int64_t now_us)
 {
+	/* Its own datagrams reach an instance if another one's entry has its address, or if a
+	 * follower names it as the head.
+	 */
+	if (datagram->incarnation == cluster->incarnation &&
+	    pd_name_equal(&datagram->sender, &cluster->name))
+		return;
 	switch (datagram->kind) {
 	case PD_DATAGRAM_PING:
 		receive_ping(cluster, datagram, now_us);
@@ -501,14 +539,18 @@
 	case PD_DATAGRAM_USAGE:
 	case PD_DATAGRAM_SHARE:
 	case PD_DATAGRAM_QUOTA:
-		pd_quota_exchange_receive(cluster->parts.quota, cluster, datagram, now_us);
+		if (cluster->parts.quota)
+			pd_quota_exchange_receive(cluster->parts.quota, cluster, datagram, now_us);
 		break;
 	case PD_DATAGRAM_LOAD:
-		pd_load_report_receive(cluster->parts.load, cluster, datagram, now_us);
+		if (cluster->parts.load)
+			pd_load_report_receive(cluster->parts.load, cluster, datagram, now_us);
 		break;
 	case PD_DATAGRAM_EVIDENCE:
 	case PD_DATAGRAM_EXPOSURE:
-		pd_rollout_exchange_receive(cluster->parts.rollout, cluster, datagram, now_us);
+		if (cluster->parts.rollout)
+			pd_rollout_exchange_receive(cluster->parts.rollout, cluster, datagram,
+						    now_us);
 		break;
 	}
 }
@@ -559,8 +601,8 @@
 	       view.zone_instances, view.zone_covered);
 }
 
-/* Announces this head to the other ones. A head whose zone isn't covered by known heads also looks
- * for one in its own zone.
+/* Announces this head to the other ones. A head that covers its zone up to a half at most, with the
+ * heads it knows, also looks for one in its own zone: another may cover the other half.
  */
 static void announce_head(struct pd_cluster *cluster, int64_t now_us)
 {
@@ -577,7 +619,7 @@
 			if (!hears_zone(cluster, &cluster->zones[i]))
 				query_zone_locked(cluster, i, &out);
 		}
-		if (2 * view.zone_covered < view.zone_instances)
+		if (2 * view.zone_covered <= view.zone_instances)
 			query_zone_locked(cluster, 0, &out);
 		pthread_mutex_unlock(&cluster->lock);
 	}
@@ -602,22 +644,31 @@
 	expire_locked(cluster, now_us);
 	ping = cluster->has_source && now_us >= cluster->next_ping_us;
 	announce = !cluster->has_source && now_us >= cluster->next_head_us;
-	if (ping)
+	if (ping) {
 		cluster->next_ping_us = now_us + PING_INTERVAL_US;
-	if (announce)
+		cluster->pings[cluster->ping_count++ % PD_CLUSTER_PINGS_MAX] = now_us;
+	}
+	if (announce) {
 		cluster->next_head_us = now_us + HEAD_INTERVAL_US;
+		cluster->redirects_left = REDIRECTS_PER_ZONE * cluster->zone_count;
+	}
 	pthread_mutex_unlock(&cluster->lock);
 	if (ping)
 		send_ping(cluster, now_us);
 	if (announce)
 		announce_head(cluster, now_us);
 	log_changes(cluster, now_us);
-	pd_quota_exchange_tick(cluster->parts.quota, cluster, now_us);
-	pd_load_report_tick(cluster->parts.load, cluster, now_us);
-	pd_rollout_exchange_tick(cluster->parts.rollout, cluster, now_us);
+	if (cluster->parts.quota)
+		pd_quota_exchange_tick(cluster->parts.quota, cluster, now_us);
+	if (cluster->parts.load)
+		pd_load_report_tick(cluster->parts.load, cluster, now_us);
+	if (cluster->parts.rollout)
+		pd_rollout_exchange_tick(cluster->parts.rollout, cluster, now_us);
 }
 
-/* Receives all datagrams that have arrived. */
+/* Receives all datagrams that have arrived. None of them arrived before the socket was empty last,
+ * but when after that isn't known.
+ */
 static void receive_all(struct pd_cluster *cluster)
 {
 	char bytes[PD_DATAGRAM_MAX_BYTES];
@@ -627,49 +678,61 @@
 
 	for (;;) {
 		socklen_t len = sizeof(from);
+		int64_t before = pd_os_boot_us(), now;
 
 		n = recvfrom(cluster->fd, bytes, sizeof(bytes), MSG_DONTWAIT,
 			     (struct sockaddr *)&from, &len);
-		if (n < 0)
+		if (n < 0) {
+			if (errno == EAGAIN || errno == EWOULDBLOCK)
+				cluster->emptied_us = before;
 			return;
+		}
+		now = pd_os_boot_us();
+		if (now - cluster->emptied_us > WAIT_MAX_US) {
+			pd_count(PD_COUNT_datagrams_late);
+			continue;
+		}
 		if (!pd_datagram_decode((struct pd_str){bytes, (size_t)n}, &datagram)) {
 			pd_count(PD_COUNT_datagrams_malformed);
 			continue;
 		}
 		pd_count(PD_COUNT_datagrams_in);
 		datagram.from = from;
-		pd_cluster_receive(cluster, &datagram, pd_os_boot_us());
+		pd_cluster_receive(cluster, &datagram, now);
 	}
 }
 
-static void *run(void *arg)
+void pd_cluster_step(struct pd_cluster *cluster)
 {
-	struct pd_cluster *cluster = arg;
-	int64_t next_tick = pd_os_boot_us();
+	struct pollfd p = {.fd = cluster->fd, .events = POLLIN};
+	int64_t now = pd_os_boot_us();
+	int ready;
 
-	for (;;) {
-		struct pollfd p = {.fd = cluster->fd, .events = POLLIN};
-		int64_t now = pd_os_boot_us();
-
-		if (now >= next_tick) {
-			pd_cluster_tick(cluster, now);
-			next_tick = now + PD_CLUSTER_TICK_US;
-			continue;
-		}
-		if (poll(&p, 1, (int)((next_tick - now) / PD_USEC_PER_MSEC) + 1) > 0)
-			receive_all(cluster);
+	if (now >= cluster->next_tick_us) {
+		pd_cluster_tick(cluster, now);
+		cluster->next_tick_us = now + PD_CLUSTER_TICK_US;
+		return;
 	}
+	ready = poll(&p, 1, (int)((cluster->next_tick_us - now) / PD_USEC_PER_MSEC) + 1);
+	if (ready > 0)
+		receive_all(cluster);
+	else if (!ready)
+		cluster->emptied_us = now;
+}
+
+static void *run(void *arg)
+{
+	for (;;)
+		pd_cluster_step(arg);
 	return NULL;
 }
 
-enum pd_code pd_cluster_start(struct pd_cluster *cluster, struct pd_error *err)
+enum pd_code pd_cluster_open(struct pd_cluster *cluster, struct pd_error *err)
 {
 	struct sockaddr_in address;
 	enum pd_code code;
 	int fd;
 
-	if (pd_cluster_is_started(cluster))
-		return PD_OK;
 	fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
 	if (fd < 0 || !to_sockaddr(&cluster->address, &address) ||
 	    bind(fd, (struct sockaddr *)&address, sizeof(address))) {
@@ -681,10 +744,31 @@
 	}
 	pthread_mutex_lock(&cluster->lock);
 	cluster->fd = fd;
+	cluster->emptied_us = pd_os_boot_us();
+	pthread_mutex_unlock(&cluster->lock);
+	return PD_OK;
+}
+
+enum pd_code pd_cluster_start(struct pd_cluster *cluster, struct pd_error *err)
+{
+	enum pd_code code;
+
+	if (pd_cluster_is_started(cluster))
+		return PD_OK;
+	code = pd_cluster_open(cluster, err);
+	if (code != PD_OK)
+		return code;
+	pthread_mutex_lock(&cluster->lock);
 	cluster->started = true;
 	pthread_mutex_unlock(&cluster->lock);
 	pd_log(PD_LOG_INFO, "cluster_started", "address=%s:%u", cluster->address.ip,
 	       cluster->address.port);
 	code = pd_os_thread_start(&cluster->thread, "cluster", run, cluster, err);
-	return code == PD_OK ? code : pd_error_wrap(err, PD_LAYER_COORDINATION, code, "cluster");
+	if (code == PD_OK)
+		return code;
+	pthread_mutex_lock(&cluster->lock);
+	cluster->started = false;
+	pd_os_close(&cluster->fd);
+	pthread_mutex_unlock(&cluster->lock);
+	return pd_error_wrap(err, PD_LAYER_COORDINATION, code, "cluster");
 }
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -36,6 +36,8 @@
 #define PD_CLUSTER_ZONES_MAX	 64
 #define PD_CLUSTER_HEADS_MAX	 64
 #define PD_CLUSTER_FOLLOWERS_MAX 256
+/* Number of PINGs whose PONG is accepted: one that is 4 s late proves little more. */
+#define PD_CLUSTER_PINGS_MAX 8
 /* A head or follower that wasn't heard for this long is no longer counted: two to three of its
  * datagrams are lost, or it doesn't run. */
 #define PD_CLUSTER_HEAD_TIMEOUT_US     (1000 * PD_USEC_PER_MSEC)
@@ -74,8 +76,8 @@
 };
 
 /**
- * struct pd_cluster_parts - the parts to which datagrams are passed
- * @directory: copy of the platform's objects
+ * struct pd_cluster_parts - the parts to which datagrams are passed; one that is NULL gets none
+ * @directory: copy of the platform's objects; never NULL
  * @quota: use of quotas
  * @load: load reports of upstreams
  * @rollout: roll-outs
@@ -128,6 +130,8 @@
  * @has_source: this instance follows another one
  * @source: address of the source, if it has one
  * @source_heard_us: time at which a PONG of the source was last received; 0 if none was
+ * @pings: time stamps of the last PINGs to the source; 0 in unused entries
+ * @ping_count: number of PINGs to the source
  * @heads: heads that were heard
  * @head_count: number of entries in @heads
  * @followers: followers that were heard
@@ -135,6 +139,9 @@
  * @logged: view that was last logged
  * @next_ping_us: time of the next PING
  * @next_head_us: time of the next HEAD
+ * @next_tick_us: time of the next tick; used by the thread only
+ * @redirects_left: number of REDIRECTs that are followed until the next HEAD
+ * @emptied_us: time at which the socket was last known to be empty; used by the thread only
  * @random_state: state of the random number generator
  */
 struct pd_cluster {
@@ -154,6 +161,8 @@
 	bool has_source;
 	struct sockaddr_in source;
 	int64_t source_heard_us;
+	int64_t pings[PD_CLUSTER_PINGS_MAX];
+	size_t ping_count;
 	struct pd_cluster_peer heads[PD_CLUSTER_HEADS_MAX];
 	size_t head_count;
 	struct pd_cluster_peer followers[PD_CLUSTER_FOLLOWERS_MAX];
@@ -161,6 +170,9 @@
 	struct pd_cluster_view logged;
 	int64_t next_ping_us;
 	int64_t next_head_us;
+	int64_t next_tick_us;
+	int64_t emptied_us;
+	size_t redirects_left;
 	uint64_t random_state;
 };
 
@@ -204,14 +216,21 @@
 /* Sends to all other heads that were heard lately, those of this zone included. */
 void pd_cluster_send_to_heads(struct pd_cluster *cluster, enum pd_datagram_kind kind,
 			      struct pd_str payload);
-/* Passes a datagram on to the source as it is, so that its sender remains stated. */
+/* Passes a datagram on to the source, as one of its original sender. One that has been passed on
+ * PD_DATAGRAM_HOPS_MAX times is dropped.
+ */
 void pd_cluster_forward_to_source(struct pd_cluster *cluster, const struct pd_datagram *datagram);
 /* Copies up to @max listed instances of this zone with at least @cpu_share_min cores; returns their
  * number. */
 size_t pd_cluster_zone_instances(struct pd_cluster *cluster, double cpu_share_min,
 				 struct pd_cluster_instance *instances, size_t max);
 
-/* Handle a datagram, and run what is due. The thread calls them; tests call them without it. */
+/* The functions below are called by pd_cluster_start() and its thread, and by tests without it. */
+
+/* Opens the socket. */
+enum pd_code pd_cluster_open(struct pd_cluster *cluster, struct pd_error *err);
+/* Runs the tick if it is due; otherwise waits for datagrams until then, and receives them. */
+void pd_cluster_step(struct pd_cluster *cluster);
 void pd_cluster_receive(struct pd_cluster *cluster, const struct pd_datagram *datagram,
 			int64_t now_us);
 void pd_cluster_tick(struct pd_cluster *cluster, int64_t now_us);
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -90,6 +90,7 @@
  * @flood_statuses: number of responses to the last flood by hundreds of their status; [0] counts
  * the requests without a response
  * @descriptors: maximum number of file descriptors in the settings of instances
+ * @bounds: further bounds in the settings of instances, as members of a JSON object
  * @kept_fd: client connection that stays open between commands; -1 if there is none
  * @last_seq: sequence number of the last entry that an upstream wrote
  * @next_id: number of generated request ids
@@ -108,6 +109,7 @@
 	const char *ingress_program;
 	uint32_t flood_statuses[6];
 	int descriptors;
+	char bounds[512];
 	int kept_fd;
 	int last_seq;
 	uint32_t next_id;
@@ -175,6 +177,13 @@
 		append_output("no mode %s", words[2]);
 }
 
+/* status ID TEXT: an upstream responds with TEXT as the status code, until its mode is set */
+static void do_status(char **words, int count)
+{
+	(void)count;
+	platform_upstream_set_status(find_upstream(words[1]), words[2]);
+}
+
 /* limit ID [RATE]: sets the rate limit that an upstream states in its responses; none without RATE
  */
 static void do_limit(char **words, int count)
@@ -474,11 +483,11 @@
 		"\"127.0.0.1:%u\"},\"limits\":{\"max_file_descriptors\":%d,\"memory_mb\":112,"
 		"\"cpu_share\":%g},"
 		"\"bounds\":"
-		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6}},"
+		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6%s}},"
 		"\"ingress\":{\"metrics_address\":\"127.0.0.1:%u\",\"log_lines_per_s\":500}}\n",
 		instance->name, instance->zone, instance->peer.port, instance->peer.port,
 		instance->front.port, instance->ready.port, store_port, deployment.descriptors,
-		instance->cpu_share, instance->metrics.port);
+		instance->cpu_share, deployment.bounds, instance->metrics.port);
 	fclose(file);
 }
 
@@ -523,6 +532,20 @@
 				     "front", address, "cpu_share", 1.0));
 }
 
+/* larger ID: registers an instance that is larger than all others and whose requests the upstream
+ * of that id answers
+ */
+static void do_larger(char **words, int count)
+{
+	char address[PD_ADDRESS_TEXT_MAX_BYTES];
+
+	(void)count;
+	pd_address_format(&find_upstream(words[1])->address, address, sizeof(address));
+	platform_store_put(&deployment.store, "instances", words[1],
+			   json_pack("{s:s,s:s,s:s,s:f}", "zone", "here", "address", "127.0.0.1:9",
+				     "front", address, "cpu_share", 8.0));
+}
+
 /* instances COUNT: registers instances of another zone, which don't run */
 static void do_instances(char **words, int count)
 {
@@ -560,6 +583,33 @@
 	deployment.descriptors = atoi(words[1]);
 }
 
+/* bounds [MEMBERS]: adds MEMBERS, as in '"quota_window_s":5,"quota_slack":20', to the bounds in the
+ * settings of instances that are started from now on
+ */
+static void do_bounds(char **words, int count)
+{
+	deployment.bounds[0] = '\0';
+	if (count > 1)
+		snprintf(deployment.bounds, sizeof(deployment.bounds), ",%s", words[1]);
+}
+
+/* datagrams: tells whether the selected instance has a socket for datagrams of other instances */
+static void do_datagrams(char **words, int count)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+				      .sin_port = htons(deployment.selected->peer.port)};
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	(void)words;
+	(void)count;
+	if (!bind(fd, (struct sockaddr *)&address, sizeof(address)))
+		append_output("none");
+	else
+		append_output(errno == EADDRINUSE ? "open" : "unknown");
+	pd_os_close(&fd);
+}
+
 /* Replaces the address of an instance with a slow link in the entry that it writes. */
 static void redirect_to_link(const char *kind, const char *name, json_t *spec)
 {
@@ -986,6 +1036,25 @@
 	pd_os_close(&fd);
 }
 
+/* explained TARGET TEXT [NOT]: prints the number of lines with TEXT, and without NOT, in what the
+ * metrics endpoint responds to TARGET, after the status
+ */
+static void do_explained(char **words, int count)
+{
+	struct pd_http_message msg;
+	char *line, *rest = NULL;
+	int found = 0;
+
+	pd_http_message_init(&msg, PD_HTTP_RESPONSE, HEAD_MAX_BYTES, BODY_MAX_BYTES);
+	http_get(&deployment.selected->metrics, words[1], &msg);
+	if (msg.body.len && pd_buf_append(&msg.body, "", 1))
+		rest = msg.body.data;
+	while (rest && (line = strsep(&rest, "\n")))
+		found += strstr(line, words[2]) && (count < 4 || !strstr(line, words[3]));
+	append_output("%u %d", msg.complete ? msg.parser.status_code : 0, found);
+	pd_http_message_finish(&msg);
+}
+
 /* ready: prints the status of the readiness endpoint; 0 without a response */
 static void do_ready(char **words, int count)
 {
@@ -1127,6 +1196,7 @@
 static const struct command commands[] = {
 	{"upstream", 3, do_upstream},
 	{"mode", 3, do_mode},
+	{"status", 3, do_status},
 	{"limit", 2, do_limit},
 	{"retry_after", 2, do_retry_after},
 	{"leaving", 2, do_leaving},
@@ -1158,10 +1228,13 @@
 	{"resume", 1, do_signal},
 	{"use", 2, do_use},
 	{"instance", 2, do_instance},
+	{"larger", 2, do_larger},
 	{"instances", 2, do_instances},
 	{"size", 3, do_size},
 	{"zone", 3, do_zone},
 	{"descriptors", 2, do_descriptors},
+	{"bounds", 1, do_bounds},
+	{"datagrams", 1, do_datagrams},
 	{"link", 3, do_link},
 	{"exit", 1, do_exit},
 	{"sleep", 2, do_sleep},
@@ -1174,6 +1247,7 @@
 	{"leave", 4, do_leave},
 	{"raw", 2, do_raw},
 	{"ready", 1, do_ready},
+	{"explained", 3, do_explained},
 	{"metric", 2, do_metric},
 	{"runs", 2, do_upstream_info},
 	{"arrivals", 2, do_upstream_info},
--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "headers.h"
+#include "log.h"
 #include "os.h"
 #include "permit.h"
 #include "policy.h"
@@ -523,6 +524,131 @@
 }
 END_TEST
 
+/* Puts an upstream into one of the states that a choice depends on. */
+static void set_state(struct pd_upstream *upstream, int state)
+{
+	switch (state) {
+	case 0:
+		upstream->cold_until_us = NOW_US + PD_USEC_PER_SEC;
+		break;
+	case 1:
+		upstream->terms.paused_until_us = NOW_US + PD_USEC_PER_SEC;
+		break;
+	case 2:
+		upstream->ejected_until_us = NOW_US + PD_USEC_PER_SEC;
+		break;
+	case 3:
+		upstream->in_flight = 5;
+		break;
+	case 4:
+		upstream->reported_load = 9;
+		upstream->load_reported_us = NOW_US - 1;
+		break;
+	case 5:
+		upstream->draining = true;
+		break;
+	case 6:
+		record(upstream, (struct pd_directives){.has_limit = true, .limit_per_s = 1},
+		       NOW_US);
+		break;
+	default:
+		break;
+	}
+}
+
+static void check_unchanged_limit(const struct pd_rate_limit *before,
+				  const struct pd_rate_limit *now)
+{
+	ck_assert_int_eq(before->active, now->active);
+	ck_assert(before->limit_per_s == now->limit_per_s && before->tokens == now->tokens);
+	ck_assert_int_eq(before->updated_us, now->updated_us);
+	ck_assert_int_eq(before->probe_us, now->probe_us);
+}
+
+/* Compares all that a choice, a permit or a report changes. */
+static void check_unchanged(const struct pd_upstream *before, const struct pd_upstream *now)
+{
+	check_unchanged_limit(&before->terms.rate_limit, &now->terms.rate_limit);
+	check_unchanged_limit(&before->terms.cold_limit, &now->terms.cold_limit);
+	ck_assert_int_eq(before->terms.answered, now->terms.answered);
+	ck_assert_int_eq(before->terms.leaving, now->terms.leaving);
+	ck_assert_int_eq(before->terms.paused_until_us, now->terms.paused_until_us);
+	ck_assert_uint_eq(before->terms.sent_count, now->terms.sent_count);
+	ck_assert(before->terms.sent_lately == now->terms.sent_lately);
+	ck_assert_int_eq(before->terms.sent_us, now->terms.sent_us);
+	ck_assert_int_eq(before->references, now->references);
+	ck_assert_uint_eq(before->in_flight, now->in_flight);
+	ck_assert_uint_eq(before->connections, now->connections);
+	ck_assert(before->latency_ratio == now->latency_ratio &&
+		  before->failure_rate == now->failure_rate &&
+		  before->reported_load == now->reported_load);
+	ck_assert_int_eq(before->stats_updated_us, now->stats_updated_us);
+	ck_assert_int_eq(before->load_reported_us, now->load_reported_us);
+	ck_assert_uint_eq(before->failures, now->failures);
+	ck_assert_int_eq(before->ejected_until_us, now->ejected_until_us);
+	ck_assert_int_eq(before->cold_until_us, now->cold_until_us);
+	ck_assert_ptr_eq(before->next, now->next);
+	ck_assert_ptr_eq(before->idle, now->idle);
+}
+
+START_TEST(explanation_agrees_with_the_choice_and_changes_nothing)
+{
+	/* Guards against an explanation that names another upstream or reason than the choice, and
+	 * against one that starts the limit of a cold start, uses up a token or counts a request.
+	 */
+	static const char *const ids[] = {"a", "b", "c"};
+	struct pd_service *service;
+	struct pd_upstream *upstreams[3];
+
+	pd_log_open("test", PD_LOG_ERROR);
+	for (int states = 0; states < 8 * 8 * 8; states++) {
+		struct pd_choice choices[PD_CHOICES_MAX];
+		struct pd_upstream before[3], *chosen;
+		struct pd_permit permit, actual;
+		uint64_t random;
+		int64_t expected_us;
+		size_t count;
+
+		teardown();
+		setup();
+		for (int i = 0; i < 3; i++) {
+			upstreams[i] = put_upstream(ids[i], (uint16_t)(9 + i), STARTED_MS);
+		}
+		service = upstreams[0]->service;
+		service->cold_per_s = 1;
+		service->service_time_us = 10000;
+		service->service_time_updated_us = NOW_US;
+		set_state(upstreams[0], states % 8);
+		set_state(upstreams[1], states / 8 % 8);
+		set_state(upstreams[2], states / 64);
+		for (int i = 0; i < 3; i++)
+			before[i] = *upstreams[i];
+		random = registry.random_state;
+		count = pd_registry_explain(&registry, service, NOW_US, choices, &permit,
+					    &expected_us);
+		ck_assert_uint_eq(count, 3);
+		ck_assert_uint_eq(registry.random_state, random);
+		for (int i = 0; i < 3; i++)
+			check_unchanged(&before[i], upstreams[i]);
+		actual = pd_registry_permit(&registry, service, NULL, 0, NOW_US);
+		ck_assert_int_eq(permit.block, actual.block);
+		ck_assert_int_eq(permit.wait_us, actual.wait_us);
+		ck_assert_int_eq(expected_us,
+				 pd_registry_expected_latency_us(&registry, service, NOW_US));
+		chosen = pd_registry_pick(&registry, service, NULL, 0, NOW_US);
+		for (size_t i = 0; i < count; i++) {
+			bool same = chosen && pd_name_equal(&choices[i].id, &chosen->id);
+
+			ck_assert(!same || choices[i].chosen_share > 0);
+			ck_assert(chosen || choices[i].chosen_share <= 0);
+			ck_assert(choices[i].permit.block == PD_BLOCK_NONE ||
+				  choices[i].chosen_share <= 0);
+		}
+		ck_assert_int_eq(permit.block == PD_BLOCK_NONE, chosen != NULL);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *tests[] = {
@@ -536,6 +662,7 @@
 		clients_return_from_a_pause_one_after_the_other,
 		no_way_leads_past_a_block,
 		best_permit_is_the_earliest,
+		explanation_agrees_with_the_choice_and_changes_nothing,
 	};
 
 	return suite_run_with("permit", setup, teardown, tests, sizeof(tests) / sizeof(tests[0]));
