--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -205,6 +205,18 @@
 	return count;
 }
 
+/* Number of instances that follow this one, directly or through others. An instance stays with its
+ * source when that begins to follow another one.
+ */
+static size_t count_followers(const struct pd_cluster *cluster)
+{
+	size_t count = cluster->follower_count;
+
+	for (size_t i = 0; i < cluster->follower_count; i++)
+		count += cluster->followers[i].followers;
+	return count;
+}
+
 static void fill_view(const struct pd_cluster *cluster, struct pd_cluster_view *view)
 {
 	memset(view, 0, sizeof(*view));
@@ -213,8 +225,8 @@
 	view->instance_count = cluster->instance_count + 1;
 	view->zone_count = cluster->zone_count;
 	view->zone_instances = count_zone_instances(cluster);
-	view->followers = cluster->follower_count;
-	view->zone_covered = 1 + cluster->follower_count;
+	view->followers = count_followers(cluster);
+	view->zone_covered = 1 + view->followers;
 	for (size_t i = 0; i < cluster->head_count; i++) {
 		if (pd_name_equal(&cluster->heads[i].zone, &cluster->zone))
 			view->zone_covered += 1 + cluster->heads[i].followers;
@@ -393,15 +405,16 @@
 	int64_t confirmed_us = pd_directory_config_confirmed_us(cluster->parts.directory);
 	/* The proof may be younger than the PING's reception, but not for the PING's sender. */
 	uint64_t age_us = confirmed_us < now_us ? (uint64_t)(now_us - confirmed_us) : 0;
-	uint64_t stamp;
+	uint64_t stamp, followers;
 
 	pd_datagram_reader_init(&reader, ping->payload);
 	stamp = pd_datagram_get_uint(&reader);
-	if (reader.failed)
+	followers = pd_datagram_get_uint(&reader);
+	if (reader.failed || followers > PD_CLUSTER_FOLLOWERS_MAX)
 		return;
 	pthread_mutex_lock(&cluster->lock);
-	record_peer(cluster->followers, &cluster->follower_count, PD_CLUSTER_FOLLOWERS_MAX, ping, 0,
-		    now_us);
+	record_peer(cluster->followers, &cluster->follower_count, PD_CLUSTER_FOLLOWERS_MAX, ping,
+		    (uint32_t)followers, now_us);
 	/* A head that has begun to follow this instance is none any more. */
 	forget_peer(cluster->heads, &cluster->head_count, &ping->sender);
 	pthread_mutex_unlock(&cluster->lock);
@@ -629,9 +642,12 @@
 
 static void send_ping(struct pd_cluster *cluster, int64_t now_us)
 {
+	struct pd_cluster_view view;
 	struct pd_buf payload = {0};
 
+	pd_cluster_view(cluster, now_us, &view);
 	pd_datagram_put_uint(&payload, (uint64_t)now_us);
+	pd_datagram_put_uint(&payload, view.followers);
 	pd_cluster_send_to_source(cluster, PD_DATAGRAM_PING, pd_buf_str(&payload));
 	pd_buf_finish(&payload);
 }
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -64,7 +64,7 @@
  * @incarnation: number of its process
  * @address: address that its datagrams come from
  * @heard_us: time at which it was last heard
- * @followers: number of its followers, as stated by a head
+ * @followers: number of instances that follow it, directly or through others, as it states
  */
 struct pd_cluster_peer {
 	struct pd_name name;
@@ -96,7 +96,8 @@
  * @instance_count: number of listed instances, this one included
  * @zone_count: number of zones of the listed instances
  * @zone_instances: number of listed instances of this zone, this one included
- * @followers: number of followers that were heard lately
+ * @followers: number of instances that follow this one, directly or through others, of those
+ *	that were heard lately
  * @zone_covered: number of instances of this zone that are this one, other heads of the zone that
  *were heard lately, and the followers of all these
  * @zones_heard: number of other zones of which a head was heard lately
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -152,11 +152,17 @@
 	pd_buf_finish(&payload);
 }
 
-static void deliver_ping(struct node *node, const struct peer *peer, int64_t now_us)
+static void deliver_ping_of(struct node *node, const struct peer *peer, uint64_t followers,
+			    int64_t now_us)
 {
-	uint64_t stamp = 1;
+	const uint64_t numbers[] = {1, followers};
 
-	deliver(node, peer, PD_DATAGRAM_PING, &stamp, 1, now_us);
+	deliver(node, peer, PD_DATAGRAM_PING, numbers, 2, now_us);
+}
+
+static void deliver_ping(struct node *node, const struct peer *peer, int64_t now_us)
+{
+	deliver_ping_of(node, peer, 0, now_us);
 }
 
 static void deliver_head(struct node *node, const struct peer *peer, uint64_t followers,
@@ -392,7 +398,7 @@
 	/* Guards against a follower that takes its configuration for more recent than it is: the
 	 * answer states the follower's own stamp, the age of the proof, and the version.
 	 */
-	static const char ping[] = "\x01\x01\xa1p\xa4here\x07\x00\xcd\x30\x39";
+	static const char ping[] = "\x01\x01\xa1p\xa4here\x07\x00\xcd\x30\x39\x00";
 	struct node *node = open_node("a", "here");
 	struct peer peer = open_peer("p", "here", 7);
 	struct received pong;
@@ -460,7 +466,7 @@
 	pd_cluster_tick(&node->cluster, now_us);
 	ck_assert(receive(source, &received, RECEIVE_WAIT_MS));
 	ck_assert_int_eq(received.datagram.kind, PD_DATAGRAM_PING);
-	ck_assert_uint_eq(received.count, 1);
+	ck_assert_uint_eq(received.count, 2);
 	ck_assert_int_eq((int64_t)received.numbers[0], now_us);
 	return (int64_t)received.numbers[0];
 }
@@ -643,6 +649,25 @@
 }
 END_TEST
 
+START_TEST(followers_of_followers_are_counted)
+{
+	/* Guards against a head that takes its zone for cut off, since instances that began to
+	 * follow another one in an outage stay with it when that follows the head: the quotas of
+	 * accounts were divided for good after a partition of some instances.
+	 */
+	struct node *node = open_node("a", "here");
+	struct peer direct = open_peer("p", "here", 7), chained = open_peer("q", "here", 8);
+	int64_t now = pd_os_boot_us();
+
+	deliver_ping(node, &direct, now);
+	deliver_ping_of(node, &chained, 3, now);
+	ck_assert_uint_eq(view(node, now).followers, 5);
+	ck_assert_uint_eq(view(node, now).zone_covered, 6);
+	close(direct.fd);
+	close(chained.fd);
+}
+END_TEST
+
 START_TEST(follower_names_its_source_to_heads)
 {
 	/* Guards against heads that don't find each other: an instance that has a source answers a
@@ -865,7 +890,7 @@
 	struct sockaddr_in to = {.sin_family = AF_INET,
 				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
 				 .sin_port = htons(node->address.port)};
-	static const char ping_bytes[] = "\x01\x01\xa2n0\xa4here\x07\x00\x01";
+	static const char ping_bytes[] = "\x01\x01\xa2n0\xa4here\x07\x00\x01\x00";
 	static const char head_bytes[] = "\x01\x03\xa2n1\xa5there\x08\x00\x01";
 
 	list_instances(node, zones, addresses, 2);
@@ -975,6 +1000,7 @@
 		peers_come_go_and_change_roles,
 		restarted_peers_replace_their_entries,
 		many_peers_do_not_displace_each_other,
+		followers_of_followers_are_counted,
 		follower_names_its_source_to_heads,
 		head_does_not_count_itself,
 		redirects_in_a_circle_end,
