Roll-out: the decision on an order, and its evidence, without a network

An order asks to move a service's traffic to another version by a deadline; nothing in the ingress read orders. Evidence is kept by the process that counted it, so that datagrams that are lost, doubled or late change nothing. The decision compares both versions by route and zone (Fisher's exact test for failures, a rank sum test for latencies), since the new version gets about two requests per second. Nothing calls it yet.

--- /dev/null
+++ b/ingress/rollout.c
@@ -0,0 +1,795 @@
+#include "rollout.h"
+
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "os.h"
+
+/* The canary phase ends this long before the deadline: the full phase, the write and a lag of the
+ * store's messages have to fit in.
+ */
+#define CANARY_END_US (3000 * PD_USEC_PER_MSEC)
+/* Length of the full phase, in which faults under load show, and its part at a late completion of a
+ * version that has passed before.
+ */
+#define FULL_US	      (1200 * PD_USEC_PER_MSEC)
+#define FULL_AGAIN_US (500 * PD_USEC_PER_MSEC)
+/* Time for requests that are still in flight to the old version, and for the write of the outcome.
+ */
+#define DRAIN_US (400 * PD_USEC_PER_MSEC)
+#define WRITE_US (600 * PD_USEC_PER_MSEC)
+/* Without a reason to wait, an order that can't be completed is rolled back this long before its
+ * deadline.
+ */
+#define GIVE_UP_US (400 * PD_USEC_PER_MSEC)
+/* An order whose heads don't hear each other is rolled back this long after its deadline. */
+#define ABANDON_US (30 * PD_USEC_PER_SEC)
+/* Responses of the new version after which the full phase needn't go on; fewer requests than that
+ * make it begin earlier and end later.
+ */
+#define FULL_SAMPLES 20
+/* Requests whose results aren't known yet: evidence is up to this old, and a few more. */
+#define EVIDENCE_AGE_S	 0.25
+#define EXPOSURE_RESERVE 4
+/* The new version fails if it has this many failures, a rate that is higher by this factor and
+ * share, and the difference isn't chance. A comparison is made every 50 ms, but of counts that
+ * mostly are the same.
+ */
+#define FAILURES_MIN	  3
+#define FAILURE_FACTOR	  2.0
+#define FAILURE_MARGIN	  0.03
+#define CHANCE_MAX	  0.002
+#define ROUTE_CHANCE_MAX  0.0005
+#define REJECTIONS_MIN	  8
+#define REJECTION_SHARE	  0.5
+#define REJECTION_OLD_MAX 0.1
+/* It is slow if its median latency is higher by this factor, which machines of different speeds
+ * (0.8 to 1.3) and slow phases of one machine don't reach, and the ranks differ by this many
+ * standard deviations.
+ */
+#define SLOW_FACTOR	 2.2
+#define SLOW_SAMPLES_MIN 5
+#define SLOW_DEVIATIONS	 3.5
+/* In the full phase, requests without a response count as slow if there are more than this factor
+ * times the expected number, and this many more.
+ */
+#define PENDING_FACTOR 3.0
+#define PENDING_MIN    6.0
+/* More requests per second than this factor times those of the canary phase are a burst. */
+#define BURST_FACTOR 1.6
+/* Length of a window; faults that begin late show in the last two of them. */
+#define WINDOW_US	(3000 * PD_USEC_PER_MSEC)
+#define CALL_BACKOFF_US (300 * PD_USEC_PER_MSEC)
+/* A head waits this long for each head that writes before it. */
+#define RANK_DELAY_US	      (250 * PD_USEC_PER_MSEC)
+#define RUNNING_RANK_DELAY_US (1000 * PD_USEC_PER_MSEC)
+
+const char *pd_rollout_state_name(enum pd_rollout_state state)
+{
+	switch (state) {
+	case PD_ROLLOUT_NONE:
+		return "none";
+	case PD_ROLLOUT_RUNNING:
+		return "running";
+	case PD_ROLLOUT_COMPLETED:
+		return "completed";
+	case PD_ROLLOUT_ROLLED_BACK:
+		return "rolled_back";
+	}
+	return "unlisted";
+}
+
+const char *pd_rollout_phase_name(enum pd_rollout_phase phase)
+{
+	switch (phase) {
+	case PD_ROLLOUT_HALTED:
+		return "halted";
+	case PD_ROLLOUT_CANARY:
+		return "canary";
+	case PD_ROLLOUT_FULL:
+		return "full";
+	}
+	return "unlisted";
+}
+
+bool pd_rollout_is_final(enum pd_rollout_state state)
+{
+	return state == PD_ROLLOUT_COMPLETED || state == PD_ROLLOUT_ROLLED_BACK;
+}
+
+bool pd_rollout_same_order(const struct pd_rollout_order *a, const struct pd_rollout_order *b)
+{
+	return pd_name_equal(&a->service, &b->service) && pd_name_equal(&a->target, &b->target);
+}
+
+const struct pd_rollout_order *pd_rollout_set_find(const struct pd_rollout_set *set,
+						   const struct pd_name *service)
+{
+	for (size_t i = 0; i < set->count; i++) {
+		if (pd_name_equal(&set->orders[i].service, service))
+			return &set->orders[i];
+	}
+	return NULL;
+}
+
+void pd_rollout_set_encode(const struct pd_rollout_set *set, int64_t now_us, struct pd_buf *out)
+{
+	pd_datagram_put_uint(out, set->count);
+	for (size_t i = 0; i < set->count; i++) {
+		const struct pd_rollout_order *order = &set->orders[i];
+
+		pd_datagram_put_str(out, (struct pd_str){order->object, order->object_len});
+		pd_datagram_put_str(out, pd_name_str(&order->service));
+		pd_datagram_put_str(out, pd_name_str(&order->target));
+		pd_datagram_put_uint(out, order->duration_ms);
+		pd_datagram_put_uint(out, (uint64_t)order->state);
+		pd_datagram_put_uint(out, order->revision);
+		pd_datagram_put_uint(out, (uint64_t)(now_us - order->started_us));
+	}
+}
+
+static bool decode_order(struct pd_datagram_reader *reader, int64_t now_us,
+			 struct pd_rollout_order *order)
+{
+	struct pd_str object = pd_datagram_get_str(reader);
+	uint64_t duration_ms, state, age_us;
+
+	if (reader->failed || !object.len || object.len > sizeof(order->object) ||
+	    !pd_name_set(&order->service, pd_datagram_get_str(reader)) ||
+	    !pd_name_set(&order->target, pd_datagram_get_str(reader)))
+		return false;
+	memcpy(order->object, object.data, object.len);
+	order->object_len = (uint8_t)object.len;
+	duration_ms = pd_datagram_get_uint(reader);
+	state = pd_datagram_get_uint(reader);
+	order->revision = pd_datagram_get_uint(reader);
+	age_us = pd_datagram_get_uint(reader);
+	if (reader->failed || duration_ms > PD_ROLLOUT_DURATION_MAX_MS ||
+	    state > PD_ROLLOUT_ROLLED_BACK || age_us > INT64_MAX / 2)
+		return false;
+	order->duration_ms = (uint32_t)duration_ms;
+	order->state = (enum pd_rollout_state)state;
+	order->started_us = now_us - (int64_t)age_us;
+	return true;
+}
+
+bool pd_rollout_set_decode(struct pd_str text, int64_t now_us, struct pd_rollout_set *set)
+{
+	struct pd_datagram_reader reader;
+	uint64_t count;
+
+	memset(set, 0, sizeof(*set));
+	pd_datagram_reader_init(&reader, text);
+	count = pd_datagram_get_uint(&reader);
+	if (reader.failed || count > PD_ROLLOUTS_MAX)
+		return false;
+	for (; set->count < count; set->count++) {
+		if (!decode_order(&reader, now_us, &set->orders[set->count]))
+			return false;
+	}
+	return pd_datagram_reader_at_end(&reader);
+}
+
+/**
+ * struct comparison - results of both versions, over some strata
+ * @total: number of results
+ * @failed: failures
+ * @rejected: rejections
+ * @rank_sum: sum over the strata of how much the ranks of the new version's latencies exceed those
+ *	that are expected if the versions don't differ
+ * @rank_variance: variance of @rank_sum
+ * @ratio_sum: logarithm of the ratio of the medians, weighted by @latencies
+ * @latencies: number of latencies of the new version that have a counterpart
+ */
+struct comparison {
+	uint32_t total[PD_ROLLOUT_SIDES];
+	uint32_t failed[PD_ROLLOUT_SIDES];
+	uint32_t rejected[PD_ROLLOUT_SIDES];
+	double rank_sum;
+	double rank_variance;
+	double ratio_sum;
+	uint32_t latencies;
+};
+
+static uint32_t count_latencies(const struct pd_rollout_counts *counts)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < PD_ROLLOUT_BINS; i++)
+		count += counts->latency[i];
+	return count;
+}
+
+static double median_latency_us(const struct pd_rollout_counts *counts, uint32_t count)
+{
+	uint32_t below = 0;
+	size_t bin = 0;
+
+	while (bin < PD_ROLLOUT_BINS - 1 && 2 * (below + counts->latency[bin]) < count)
+		below += counts->latency[bin++];
+	return pd_rollout_bin_latency_us(bin);
+}
+
+static double mean_latency_us(const struct pd_rollout_evidence *evidence, enum pd_rollout_side side)
+{
+	double sum = 0, count = 0;
+
+	for (size_t i = 0; i < evidence->count; i++) {
+		const struct pd_rollout_counts *counts = &evidence->strata[i].sides[side];
+
+		for (size_t bin = 0; bin < PD_ROLLOUT_BINS; bin++) {
+			sum += counts->latency[bin] * pd_rollout_bin_latency_us(bin);
+			count += counts->latency[bin];
+		}
+	}
+	return count > 0 ? sum / count : 0;
+}
+
+/* Adds the latencies of one stratum: the rank sum test with ties. */
+static void add_latencies(struct comparison *comparison, const struct pd_rollout_counts *old,
+			  const struct pd_rollout_counts *new)
+{
+	double old_count = count_latencies(old), new_count = count_latencies(new);
+	double all = old_count + new_count, below = 0, ranks = 0, ties = 0;
+
+	if (old_count < 1 || new_count < 1)
+		return;
+	for (size_t i = 0; i < PD_ROLLOUT_BINS; i++) {
+		double tied = (double)old->latency[i] + new->latency[i];
+
+		ranks += new->latency[i] * (below + (tied + 1) / 2);
+		ties += tied * tied * tied - tied;
+		below += tied;
+	}
+	/* Weighted by the inverse of the stratum's size, so that the strata count alike. */
+	comparison->rank_sum += (ranks - new_count * (all + 1) / 2) / (all + 1);
+	if (all > 1)
+		comparison->rank_variance += old_count * new_count / 12 *
+					     (all + 1 - ties / (all * (all - 1))) /
+					     ((all + 1) * (all + 1));
+	comparison->ratio_sum += new_count * log(median_latency_us(new, (uint32_t)new_count) /
+						 median_latency_us(old, (uint32_t)old_count));
+	comparison->latencies += (uint32_t)new_count;
+}
+
+static uint32_t count_results(const struct pd_rollout_counts *counts)
+{
+	return counts->ok + counts->failed;
+}
+
+/* Sums up the strata of a route, or all if @route is NULL. */
+static void sum_up(const struct pd_rollout_evidence *evidence, const struct pd_name *route,
+		   struct comparison *comparison)
+{
+	memset(comparison, 0, sizeof(*comparison));
+	for (size_t i = 0; i < evidence->count; i++) {
+		const struct pd_rollout_stratum *stratum = &evidence->strata[i];
+
+		if (route && !pd_name_equal(&stratum->route, route))
+			continue;
+		for (int side = 0; side < PD_ROLLOUT_SIDES; side++) {
+			comparison->total[side] += count_results(&stratum->sides[side]);
+			comparison->failed[side] += stratum->sides[side].failed;
+			comparison->rejected[side] += stratum->sides[side].rejected;
+		}
+		add_latencies(comparison, &stratum->sides[PD_ROLLOUT_OLD],
+			      &stratum->sides[PD_ROLLOUT_NEW]);
+	}
+}
+
+static double log_choose(double n, double k)
+{
+	int sign;
+
+	return lgamma_r(n + 1, &sign) - lgamma_r(k + 1, &sign) - lgamma_r(n - k + 1, &sign);
+}
+
+/* Returns the probability that at least as many failures fall on the new version if both versions
+ * fail alike (Fisher's exact test).
+ */
+static double failure_chance(const struct comparison *comparison)
+{
+	double new_total = comparison->total[PD_ROLLOUT_NEW];
+	double all = new_total + comparison->total[PD_ROLLOUT_OLD];
+	double failed =
+		(double)comparison->failed[PD_ROLLOUT_NEW] + comparison->failed[PD_ROLLOUT_OLD];
+	double chance = 0;
+
+	for (double k = comparison->failed[PD_ROLLOUT_NEW]; k <= failed && k <= new_total; k++) {
+		if (new_total - k <= all - failed)
+			chance += exp(log_choose(failed, k) +
+				      log_choose(all - failed, new_total - k) -
+				      log_choose(all, new_total));
+	}
+	return chance;
+}
+
+static double share_of(uint32_t part, uint32_t whole)
+{
+	return whole ? (double)part / whole : 0;
+}
+
+static double latency_factor(const struct comparison *comparison)
+{
+	return comparison->latencies ? exp(comparison->ratio_sum / comparison->latencies) : 0;
+}
+
+static double latency_deviations(const struct comparison *comparison)
+{
+	return comparison->rank_variance > 0
+		       ? comparison->rank_sum / sqrt(comparison->rank_variance)
+		       : 0;
+}
+
+static bool fails_more(const struct comparison *comparison, double chance_max)
+{
+	double old_rate =
+		share_of(comparison->failed[PD_ROLLOUT_OLD], comparison->total[PD_ROLLOUT_OLD]);
+	double new_rate =
+		share_of(comparison->failed[PD_ROLLOUT_NEW], comparison->total[PD_ROLLOUT_NEW]);
+
+	return comparison->failed[PD_ROLLOUT_NEW] >= FAILURES_MIN &&
+	       new_rate >= old_rate * FAILURE_FACTOR && new_rate >= old_rate + FAILURE_MARGIN &&
+	       failure_chance(comparison) < chance_max;
+}
+
+static bool is_slower(const struct comparison *comparison)
+{
+	return comparison->latencies >= SLOW_SAMPLES_MIN &&
+	       latency_factor(comparison) >= SLOW_FACTOR &&
+	       latency_deviations(comparison) >= SLOW_DEVIATIONS;
+}
+
+static bool rejects_more(const struct comparison *comparison)
+{
+	const uint32_t *rejected = comparison->rejected, *total = comparison->total;
+
+	return rejected[PD_ROLLOUT_NEW] >= REJECTIONS_MIN &&
+	       share_of(rejected[PD_ROLLOUT_NEW],
+			rejected[PD_ROLLOUT_NEW] + total[PD_ROLLOUT_NEW]) >= REJECTION_SHARE &&
+	       share_of(rejected[PD_ROLLOUT_OLD],
+			rejected[PD_ROLLOUT_OLD] + total[PD_ROLLOUT_OLD]) <= REJECTION_OLD_MAX;
+}
+
+static const char *find_objection(const struct comparison *comparison, bool latency_too,
+				  double chance_max)
+{
+	if (fails_more(comparison, chance_max))
+		return "failures";
+	if (latency_too && is_slower(comparison))
+		return "latency";
+	return latency_too && rejects_more(comparison) ? "rejections" : NULL;
+}
+
+static void describe(const struct comparison *comparison, struct pd_rollout_verdict *verdict)
+{
+	snprintf(verdict->figures, sizeof(verdict->figures),
+		 "route=%s old=%" PRIu32 " old_failed=%" PRIu32 " old_rejected=%" PRIu32
+		 " new=%" PRIu32 " new_failed=%" PRIu32 " new_rejected=%" PRIu32
+		 " failure_chance=%.2g latency_factor=%.2f deviations=%.1f",
+		 verdict->route.len ? verdict->route.text : "-", comparison->total[PD_ROLLOUT_OLD],
+		 comparison->failed[PD_ROLLOUT_OLD], comparison->rejected[PD_ROLLOUT_OLD],
+		 comparison->total[PD_ROLLOUT_NEW], comparison->failed[PD_ROLLOUT_NEW],
+		 comparison->rejected[PD_ROLLOUT_NEW], failure_chance(comparison),
+		 latency_factor(comparison), latency_deviations(comparison));
+}
+
+/* Whether less than half of the new version's results have results of the old one in their zone. */
+static bool zones_differ(const struct pd_rollout_evidence *evidence)
+{
+	uint32_t matched = 0, all = 0;
+
+	for (size_t i = 0; i < evidence->count; i++) {
+		const struct pd_rollout_counts *sides = evidence->strata[i].sides;
+
+		all += count_results(&sides[PD_ROLLOUT_NEW]);
+		if (count_results(&sides[PD_ROLLOUT_OLD]))
+			matched += count_results(&sides[PD_ROLLOUT_NEW]);
+	}
+	return 2 * matched < all;
+}
+
+void pd_rollout_compare(struct pd_rollout_evidence *evidence, bool latency_too,
+			struct pd_rollout_verdict *verdict)
+{
+	struct comparison comparison, route;
+
+	memset(verdict, 0, sizeof(*verdict));
+	if (zones_differ(evidence))
+		pd_rollout_evidence_merge_zones(evidence);
+	sum_up(evidence, NULL, &comparison);
+	verdict->samples = comparison.total[PD_ROLLOUT_NEW];
+	verdict->reason = find_objection(&comparison, latency_too, CHANCE_MAX);
+	for (size_t i = 0; i < evidence->count && !verdict->reason; i++) {
+		sum_up(evidence, &evidence->strata[i].route, &route);
+		verdict->reason = find_objection(&route, latency_too, ROUTE_CHANCE_MAX);
+		if (!verdict->reason)
+			continue;
+		verdict->route = evidence->strata[i].route;
+		comparison = route;
+	}
+	verdict->bad = verdict->reason != NULL;
+	describe(&comparison, verdict);
+}
+
+void pd_rollout_init(struct pd_rollout *rollout)
+{
+	memset(rollout, 0, sizeof(*rollout));
+	rollout->phase = PD_ROLLOUT_CANARY;
+	rollout->decided = PD_ROLLOUT_RUNNING;
+}
+
+void pd_rollout_finish(struct pd_rollout *rollout)
+{
+	pd_rollout_evidence_finish(&rollout->full_base);
+	pd_rollout_evidence_finish(&rollout->recent_base);
+	pd_rollout_evidence_finish(&rollout->earlier_base);
+	pd_rollout_evidence_finish(&rollout->work);
+}
+
+static void copy_evidence(struct pd_rollout_evidence *copy,
+			  const struct pd_rollout_evidence *evidence)
+{
+	pd_rollout_evidence_finish(copy);
+	pd_rollout_evidence_add(copy, evidence);
+}
+
+/* Requests per second to the service since the order began. */
+static double requests_per_s(const struct pd_rollout_input *input)
+{
+	double age_s = (double)input->age_us / PD_USEC_PER_SEC;
+
+	return input->evidence->requests / (age_s > 1 ? age_s : 1);
+}
+
+/* Returns the number of requests that the new version may still get before the deadline. */
+static double exposure_left(const struct pd_rollout_input *input)
+{
+	return input->share * input->evidence->requests + input->slack -
+	       input->evidence->sent[PD_ROLLOUT_NEW] - EXPOSURE_RESERVE -
+	       EVIDENCE_AGE_S * requests_per_s(input);
+}
+
+static bool is_late(const struct pd_rollout_input *input)
+{
+	return input->age_us >= input->duration_us;
+}
+
+/* Returns the length of the full phase, without the time for requests that are still in flight. */
+static int64_t full_length_us(const struct pd_rollout *rollout)
+{
+	return rollout->passed ? FULL_AGAIN_US : FULL_US;
+}
+
+/* Returns the age of the order at which the full phase begins. With few requests, it begins earlier
+ * by the time that FULL_SAMPLES responses take, but not in the first half.
+ */
+static int64_t canary_end_us(const struct pd_rollout_input *input)
+{
+	double per_s = requests_per_s(input);
+	double needed_us = per_s > 0 ? FULL_SAMPLES / per_s * PD_USEC_PER_SEC : 0;
+	int64_t end_us = input->duration_us - CANARY_END_US;
+
+	if (needed_us > FULL_US)
+		end_us -= (int64_t)(needed_us < (double)input->duration_us
+					    ? needed_us
+					    : (double)input->duration_us) -
+			  FULL_US;
+	if (end_us < input->duration_us / 2 && input->duration_us > 2 * CANARY_END_US)
+		end_us = input->duration_us / 2;
+	return end_us < input->duration_us / 4 ? input->duration_us / 4 : end_us;
+}
+
+/* Whether the service gets more requests now than in the canary phase. */
+static bool is_burst(const struct pd_rollout *rollout, const struct pd_rollout_input *input,
+		     int64_t now_us)
+{
+	double full_s = (double)(now_us - rollout->phase_since_us) / PD_USEC_PER_SEC;
+	double requests = (double)input->evidence->requests - rollout->full_requests;
+
+	return rollout->phase == PD_ROLLOUT_FULL &&
+	       requests > BURST_FACTOR * rollout->canary_per_s * (full_s + EVIDENCE_AGE_S);
+}
+
+/* Whether more requests of the full phase are without a response than the latency of the old
+ * version lets expect. Those that hang would otherwise not show before the phase ends.
+ */
+static bool has_too_many_pending(const struct pd_rollout *rollout,
+				 const struct pd_rollout_input *input, int64_t now_us,
+				 struct pd_rollout_verdict *verdict)
+{
+	const struct pd_rollout_evidence *evidence = input->evidence;
+	double full_s = (double)(now_us - rollout->phase_since_us) / PD_USEC_PER_SEC;
+	double sent =
+		(double)evidence->sent[PD_ROLLOUT_NEW] - rollout->full_base.sent[PD_ROLLOUT_NEW];
+	double pending = (double)evidence->sent[PD_ROLLOUT_NEW] - evidence->ended[PD_ROLLOUT_NEW];
+	double latency_us = mean_latency_us(evidence, PD_ROLLOUT_OLD);
+	double expected;
+
+	if (latency_us <= 0 || full_s < EVIDENCE_AGE_S)
+		return false;
+	expected = sent / full_s * latency_us / PD_USEC_PER_SEC;
+	if (pending < PENDING_MIN + PENDING_FACTOR * expected)
+		return false;
+	verdict->bad = true;
+	verdict->reason = "unanswered";
+	snprintf(verdict->figures, sizeof(verdict->figures),
+		 "sent=%.0f pending=%.0f expected=%.1f old_latency_ms=%.1f", sent, pending,
+		 expected, latency_us / PD_USEC_PER_MSEC);
+	return true;
+}
+
+/* Compares the versions since the order began, and in the last windows. In the full phase, the new
+ * version's results of this phase are compared with all of the old one, which gets no requests now.
+ */
+static void judge(struct pd_rollout *rollout, const struct pd_rollout_input *input, int64_t now_us,
+		  struct pd_rollout_verdict *verdict)
+{
+	struct pd_rollout_evidence *work = &rollout->work;
+	bool full = rollout->phase == PD_ROLLOUT_FULL;
+	bool latency_too = !is_burst(rollout, input, now_us);
+	struct pd_rollout_verdict recent;
+
+	copy_evidence(work, input->evidence);
+	pd_rollout_compare(work, latency_too, verdict);
+	if (verdict->bad)
+		return;
+	copy_evidence(work, input->evidence);
+	if (full)
+		pd_rollout_evidence_subtract(work, &rollout->full_base, 1U << PD_ROLLOUT_NEW);
+	else
+		pd_rollout_evidence_subtract(work, &rollout->earlier_base,
+					     1U << PD_ROLLOUT_NEW | 1U << PD_ROLLOUT_OLD);
+	pd_rollout_compare(work, latency_too, &recent);
+	if (recent.bad)
+		*verdict = recent;
+	else if (full && latency_too)
+		has_too_many_pending(rollout, input, now_us, verdict);
+}
+
+/* Whether the full phase has shown enough. */
+static bool is_full_enough(const struct pd_rollout *rollout, const struct pd_rollout_input *input,
+			   uint32_t samples, int64_t now_us)
+{
+	int64_t length_us = now_us - rollout->phase_since_us;
+
+	if (length_us >= full_length_us(rollout) &&
+	    (rollout->passed || samples >= FULL_SAMPLES ||
+	     input->age_us >= input->duration_us - GIVE_UP_US - WRITE_US))
+		return true;
+	/* The requests that the phase may take are few at a high rate, but so is the time in which
+	 * they are many.
+	 */
+	return length_us >= FULL_AGAIN_US &&
+	       exposure_left(input) < requests_per_s(input) * WRITE_US / PD_USEC_PER_SEC;
+}
+
+/* Whether the full phase may begin. After the deadline it may, too, because the old version has to
+ * be without requests when the outcome is written; a version that has passed needs no more
+ * evidence.
+ */
+static bool may_advance(const struct pd_rollout *rollout, const struct pd_rollout_input *input)
+{
+	double needed = requests_per_s(input) * (FULL_AGAIN_US + WRITE_US) / PD_USEC_PER_SEC;
+
+	if (!input->connected || !input->target_ready || rollout->must_read || rollout->writing)
+		return false;
+	return (rollout->passed && is_late(input)) ||
+	       (input->age_us >= canary_end_us(input) && exposure_left(input) >= needed);
+}
+
+static enum pd_rollout_action give_up(const char *reason, struct pd_rollout_verdict *verdict)
+{
+	verdict->reason = reason;
+	return PD_ROLLOUT_ROLL_BACK;
+}
+
+/* Decides on an order that isn't bad by its evidence, towards its deadline and later. */
+static enum pd_rollout_action decide_at_end(const struct pd_rollout *rollout,
+					    const struct pd_rollout_input *input,
+					    struct pd_rollout_verdict *verdict)
+{
+	if (input->age_us >= input->duration_us + ABANDON_US)
+		return give_up("deadline", verdict);
+	/* Partitions and outages of the store say nothing about the version. */
+	if (input->age_us < input->duration_us - GIVE_UP_US || !input->connected)
+		return PD_ROLLOUT_WAIT;
+	if (!input->target_ready)
+		return give_up("no_target", verdict);
+	if (!verdict->samples)
+		return give_up("no_evidence", verdict);
+	/* A full phase or a write is under way, or follows. */
+	return rollout->passed || rollout->phase == PD_ROLLOUT_FULL || !is_late(input)
+		       ? PD_ROLLOUT_WAIT
+		       : give_up("deadline", verdict);
+}
+
+enum pd_rollout_action pd_rollout_decide(struct pd_rollout *rollout,
+					 const struct pd_rollout_input *input, int64_t now_us,
+					 struct pd_rollout_verdict *verdict)
+{
+	int64_t length_us = now_us - rollout->phase_since_us;
+
+	memset(verdict, 0, sizeof(*verdict));
+	if (input->same_version) {
+		verdict->reason = "same_version";
+		return PD_ROLLOUT_COMPLETE;
+	}
+	judge(rollout, input, now_us, verdict);
+	if (verdict->bad)
+		return PD_ROLLOUT_ROLL_BACK;
+	if (input->halted)
+		return give_up("another_head", verdict);
+	verdict->reason = "no_objection";
+	if (rollout->phase == PD_ROLLOUT_FULL) {
+		uint32_t samples = input->evidence->ended[PD_ROLLOUT_NEW] -
+				   rollout->full_base.ended[PD_ROLLOUT_NEW];
+
+		if (input->connected && input->all_full && verdict->samples &&
+		    is_full_enough(rollout, input, samples, now_us) &&
+		    (input->drained || length_us >= full_length_us(rollout) + DRAIN_US))
+			return PD_ROLLOUT_COMPLETE;
+	} else if (may_advance(rollout, input)) {
+		return PD_ROLLOUT_ADVANCE;
+	}
+	return decide_at_end(rollout, input, verdict);
+}
+
+static void set_phase(struct pd_rollout *rollout, enum pd_rollout_phase phase, int64_t now_us)
+{
+	rollout->phase = phase;
+	rollout->phase_since_us = now_us;
+}
+
+static void begin_full(struct pd_rollout *rollout, const struct pd_rollout_input *input,
+		       int64_t now_us)
+{
+	copy_evidence(&rollout->full_base, input->evidence);
+	rollout->full_requests = input->evidence->requests;
+	rollout->canary_per_s = requests_per_s(input);
+	set_phase(rollout, PD_ROLLOUT_FULL, now_us);
+}
+
+/* Begins the next window when the current one is over. */
+static void move_window(struct pd_rollout *rollout, const struct pd_rollout_input *input,
+			int64_t now_us)
+{
+	struct pd_rollout_evidence earlier = rollout->earlier_base;
+
+	if (now_us - rollout->window_us < WINDOW_US)
+		return;
+	rollout->window_us = now_us;
+	rollout->earlier_base = rollout->recent_base;
+	rollout->recent_base = earlier;
+	copy_evidence(&rollout->recent_base, input->evidence);
+}
+
+/* Ends a full phase that can't go on: its outcome wasn't written in time, or it can't be decided.
+ */
+static void end_full_when_due(struct pd_rollout *rollout, const struct pd_rollout_input *input,
+			      int64_t now_us)
+{
+	int64_t length_us = now_us - rollout->phase_since_us;
+	if (rollout->phase != PD_ROLLOUT_FULL)
+		return;
+	if (is_late(input) ? length_us < full_length_us(rollout) + DRAIN_US + WRITE_US
+			   : exposure_left(input) > 0 && input->connected)
+		return;
+	rollout->passed = rollout->passed || length_us >= FULL_US;
+	rollout->decided = PD_ROLLOUT_RUNNING;
+	set_phase(rollout, is_late(input) ? PD_ROLLOUT_HALTED : PD_ROLLOUT_CANARY, now_us);
+}
+
+void pd_rollout_update(struct pd_rollout *rollout, const struct pd_rollout_input *input,
+		       int64_t now_us)
+{
+	struct pd_rollout_verdict verdict;
+
+	if (!rollout->phase_since_us) {
+		rollout->phase_since_us = now_us;
+		rollout->window_us = now_us;
+	}
+	if (input->completed)
+		rollout->state = PD_ROLLOUT_COMPLETED;
+	if (rollout->state == PD_ROLLOUT_COMPLETED) {
+		if (rollout->phase != PD_ROLLOUT_FULL)
+			set_phase(rollout, PD_ROLLOUT_FULL, now_us);
+		return;
+	}
+	if (rollout->state == PD_ROLLOUT_ROLLED_BACK ||
+	    rollout->decided == PD_ROLLOUT_ROLLED_BACK) {
+		if (rollout->phase != PD_ROLLOUT_HALTED)
+			set_phase(rollout, PD_ROLLOUT_HALTED, now_us);
+		return;
+	}
+	move_window(rollout, input, now_us);
+	switch (pd_rollout_decide(rollout, input, now_us, &verdict)) {
+	case PD_ROLLOUT_WAIT:
+		break;
+	case PD_ROLLOUT_ADVANCE:
+		begin_full(rollout, input, now_us);
+		break;
+	case PD_ROLLOUT_COMPLETE:
+		if (rollout->decided != PD_ROLLOUT_COMPLETED)
+			rollout->verdict = verdict;
+		rollout->decided = PD_ROLLOUT_COMPLETED;
+		break;
+	case PD_ROLLOUT_ROLL_BACK:
+		rollout->verdict = verdict;
+		rollout->decided = PD_ROLLOUT_ROLLED_BACK;
+		set_phase(rollout, PD_ROLLOUT_HALTED, now_us);
+		break;
+	}
+	if (!input->same_version)
+		end_full_when_due(rollout, input, now_us);
+	if (rollout->phase == PD_ROLLOUT_CANARY && (is_late(input) || exposure_left(input) <= 0))
+		set_phase(rollout, PD_ROLLOUT_HALTED, now_us);
+	else if (rollout->phase == PD_ROLLOUT_HALTED && !is_late(input) &&
+		 rollout->decided == PD_ROLLOUT_RUNNING && exposure_left(input) > EXPOSURE_RESERVE)
+		set_phase(rollout, PD_ROLLOUT_CANARY, now_us);
+	/* A head that writes after others waits for them. */
+	if (rollout->wanted != rollout->decided && pd_rollout_is_final(rollout->decided)) {
+		rollout->wanted = rollout->decided;
+		if (rollout->next_call_us < now_us + input->rank * RANK_DELAY_US)
+			rollout->next_call_us = now_us + input->rank * RANK_DELAY_US;
+	} else if (!rollout->wanted) {
+		rollout->wanted = PD_ROLLOUT_RUNNING;
+		rollout->next_call_us = now_us + input->rank * RUNNING_RANK_DELAY_US;
+	}
+}
+
+void pd_rollout_observe(struct pd_rollout *rollout, enum pd_rollout_state state, uint64_t revision)
+{
+	if (revision <= rollout->revision)
+		return;
+	rollout->revision = revision;
+	rollout->state = state;
+}
+
+enum pd_rollout_call pd_rollout_next_call(struct pd_rollout *rollout, int64_t now_us)
+{
+	enum pd_rollout_state next = PD_ROLLOUT_RUNNING;
+
+	if (rollout->writing || now_us < rollout->next_call_us || !rollout->wanted ||
+	    pd_rollout_is_final(rollout->state))
+		return PD_ROLLOUT_NO_CALL;
+	if (rollout->must_read) {
+		rollout->writing = true;
+		return PD_ROLLOUT_CALL_READ;
+	}
+	/* The status is "running" before it has an outcome. */
+	if (rollout->state == PD_ROLLOUT_RUNNING)
+		next = rollout->decided;
+	if (next == rollout->state || !rollout->revision)
+		return PD_ROLLOUT_NO_CALL;
+	rollout->writing = true;
+	rollout->written = next;
+	return PD_ROLLOUT_CALL_WRITE;
+}
+
+void pd_rollout_end_write(struct pd_rollout *rollout, enum pd_code code, int64_t now_us)
+{
+	rollout->writing = false;
+	if (code == PD_OK) {
+		rollout->state = rollout->written;
+		return;
+	}
+	/* Only a write that the store has refused is certainly not executed later. */
+	rollout->must_read = code != PD_UNAVAILABLE;
+	rollout->next_call_us = now_us + (code == PD_CONFLICT ? 0 : CALL_BACKOFF_US);
+}
+
+void pd_rollout_end_read(struct pd_rollout *rollout, bool succeeded, bool found,
+			 enum pd_rollout_state state, uint64_t revision, int64_t now_us)
+{
+	rollout->writing = false;
+	if (!succeeded || !found) {
+		/* Without the object, the order is over as soon as the store's watch says so. */
+		rollout->next_call_us = now_us + CALL_BACKOFF_US;
+		return;
+	}
+	rollout->must_read = false;
+	pd_rollout_observe(rollout, state, revision);
+}
