Registry: upstreams of a version without permission get no requests

Callers would have been sent to the upstreams of a new version as soon as these are listed. Where versions are enabled, a service's requests go to one version; a running order permits another one a share of the first attempts, or all. Every way to an upstream asks pd_permit_check_locked(), which has the reason for it (version). Without the setting nothing changes: the choice takes the same path and draws the same random numbers.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -86,13 +86,14 @@
 
 static void fill_candidate(struct pd_registry *registry, struct pd_upstream *upstream,
 			   struct pd_upstream *const *tried, size_t tried_count, int64_t now_us,
-			   struct pd_candidate *candidate)
+			   struct pd_candidate *candidate, enum pd_version_use *use)
 {
 	struct pd_permit permit = pd_permit_check_locked(registry, upstream, now_us);
 	double weight = pd_load_weight(now_us - upstream->load_reported_us);
 
 	candidate->usable =
 		permit.block == PD_BLOCK_NONE && !was_tried(upstream, tried, tried_count);
+	*use = permit.use;
 	candidate->cold = permit.cold;
 	candidate->unanswered = permit.unanswered;
 	candidate->ejected = permit.ejected;
@@ -123,22 +124,66 @@
 	return first;
 }
 
+/* Chooses among the upstreams with one use; those of the version that is rolled out only if they
+ * work: what a cold or ejected one gets says nothing about the version.
+ */
+static long pick_by_use(const struct pd_candidate *candidates, const enum pd_version_use *uses,
+			size_t count, enum pd_version_use use, uint64_t random)
+{
+	struct pd_candidate chosen[CANDIDATES_MAX];
+
+	for (size_t i = 0; i < count; i++) {
+		chosen[i] = candidates[i];
+		if (uses[i] != use ||
+		    (use == PD_VERSION_CANARY && (candidates[i].cold || candidates[i].ejected)))
+			chosen[i].usable = false;
+	}
+	return pd_pick(chosen, count, random);
+}
+
+/* Chooses an upstream while a roll-out decides which versions get the request. */
+static long pick_by_version(struct pd_service *service, const struct pd_candidate *candidates,
+			    const enum pd_version_use *uses, size_t count, bool first,
+			    uint64_t random)
+{
+	struct pd_service_rollout *rollout = &service->rollout;
+	bool canary_due = first && pd_version_canary_is_due(service);
+	long best = -1;
+
+	if (canary_due)
+		best = pick_by_use(candidates, uses, count, PD_VERSION_CANARY, random);
+	if (first && rollout->phase == PD_ROLLOUT_CANARY)
+		rollout->credit += best >= 0 ? rollout->share - 1 : rollout->share;
+	/* What the version couldn't take isn't made up for. */
+	if (rollout->credit > 1)
+		rollout->credit = 1;
+	if (best < 0)
+		best = pick_by_use(candidates, uses, count, PD_VERSION_ANY, random);
+	return best < 0 ? pick_by_use(candidates, uses, count, PD_VERSION_LAST, random) : best;
+}
+
 static struct pd_upstream *pick_locked(struct pd_registry *registry, struct pd_service *service,
 				       struct pd_upstream *const *tried, size_t tried_count,
 				       int64_t now_us)
 {
 	struct pd_candidate candidates[CANDIDATES_MAX];
 	struct pd_upstream *upstreams[CANDIDATES_MAX];
+	enum pd_version_use uses[CANDIDATES_MAX];
 	size_t count = 0;
+	uint64_t random;
 	long best;
 
 	for (struct pd_upstream *u = first_candidate(registry, service);
 	     u && count < service->upstream_count && count < CANDIDATES_MAX;
 	     u = u->next ? u->next : service->upstreams) {
-		fill_candidate(registry, u, tried, tried_count, now_us, &candidates[count]);
+		fill_candidate(registry, u, tried, tried_count, now_us, &candidates[count],
+			       &uses[count]);
 		upstreams[count++] = u;
 	}
-	best = pd_pick(candidates, count, pd_registry_random_locked(registry) >> 8);
+	random = pd_registry_random_locked(registry) >> 8;
+	best = service->rollout.ordered
+		       ? pick_by_version(service, candidates, uses, count, !tried_count, random)
+		       : pd_pick(candidates, count, random);
 	return best < 0 ? NULL : upstreams[best];
 }
 
@@ -154,6 +199,7 @@
 		upstream->references++;
 		upstream->in_flight++;
 		pd_permit_consume_locked(upstream, now_us);
+		pd_version_count_sent_locked(upstream, !tried_count);
 	}
 	pthread_mutex_unlock(&registry->lock);
 	return upstream;
@@ -167,8 +213,17 @@
 
 	pthread_mutex_lock(&registry->lock);
 	for (struct pd_upstream *u = service->upstreams; u; u = u->next) {
-		if (!was_tried(u, tried, tried_count))
-			best = pd_permit_better(best, pd_permit_check_locked(registry, u, now_us));
+		struct pd_permit permit;
+
+		if (was_tried(u, tried, tried_count))
+			continue;
+		permit = pd_permit_check_locked(registry, u, now_us);
+		if (permit.use == PD_VERSION_CANARY &&
+		    (tried_count || !pd_version_canary_is_due(service))) {
+			permit.block = PD_BLOCK_VERSION;
+			permit.wait_us = PD_PERMIT_NEVER;
+		}
+		best = pd_permit_better(best, permit);
 	}
 	pthread_mutex_unlock(&registry->lock);
 	return best;
@@ -211,7 +266,8 @@
 		struct pd_permit permit = pd_permit_check_locked(registry, u, now_us);
 		double expected;
 
-		if (permit.block != PD_BLOCK_NONE || permit.ejected)
+		if (permit.block != PD_BLOCK_NONE || permit.ejected ||
+		    permit.use == PD_VERSION_CANARY)
 			continue;
 		expected = expected_latency(u, mean_service_time_us, now_us);
 		if (best <= 0 || expected < best)
@@ -459,6 +515,7 @@
 	if (report->kind == PD_REPORT_SUCCESS || report->kind == PD_REPORT_REJECTED)
 		pd_registry_report_received_locked(upstream, now_us);
 	apply_report(registry, upstream, report, now_us);
+	pd_version_count_result_locked(upstream, report, now_us);
 	upstream->in_flight--;
 	pd_registry_unref_locked(upstream);
 	pthread_mutex_unlock(&registry->lock);
--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -372,7 +372,10 @@
 void pd_exchange_abandon(struct pd_exchange *exchange, struct pd_pool *pool, bool close,
 			 enum pd_report_kind kind, int64_t now_us)
 {
-	struct pd_report report = {.kind = kind};
+	struct pd_report report = {.kind = kind,
+				   .latency_us = now_us - exchange->started_us,
+				   .late = exchange->overdue,
+				   .stats = exchange->stats};
 
 	if (!close && exchange->state == PD_EXCHANGE_WAITING)
 		pd_pool_drain(pool, exchange->conn, now_us + DRAIN_TIMEOUT_US);
--- a/ingress/exchange.h
+++ b/ingress/exchange.h
@@ -72,6 +72,7 @@
  * @directives: what the response states about further requests to the upstream
  * @closing: the response states that the upstream closes the connection
  * @overdue: the exchange was reported to the registry as overdue
+ * @stats: latency statistics of the request's route, or NULL
  */
 struct pd_exchange {
 	enum pd_exchange_state state;
@@ -96,6 +97,7 @@
 	struct pd_directives directives;
 	bool closing;
 	bool overdue;
+	struct pd_route_stats *stats;
 };
 
 /**
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -125,6 +125,7 @@
 			  fanout->route->idempotent ? REUSE_IDLE_MAX_US
 						    : REUSE_IDLE_MAX_NON_IDEMPOTENT_US,
 			  now_us);
+	exchange->stats = fanout->stats;
 	pd_count(PD_COUNT_subrequests_sent);
 	return true;
 }
@@ -206,6 +207,7 @@
 	struct pd_report report = {
 		.kind = kind,
 		.latency_us = now_us - exchange->started_us,
+		.late = exchange->overdue,
 		.stats = fanout->stats,
 		.has_load = exchange->has_load,
 		.load = exchange->load,
--- a/ingress/permit.c
+++ b/ingress/permit.c
@@ -36,6 +36,8 @@
 		return "draining";
 	case PD_BLOCK_LEAVING:
 		return "leaving";
+	case PD_BLOCK_VERSION:
+		return "version";
 	case PD_BLOCK_EVACUATED:
 		return "evacuated";
 	case PD_BLOCK_UNREACHABLE:
@@ -129,8 +131,11 @@
 				   .cold = now_us < upstream->cold_until_us,
 				   .unanswered = !upstream->terms.answered &&
 						 !upstream->service->internal &&
-						 upstream->in_flight > 0};
+						 upstream->in_flight > 0,
+				   .use = pd_version_use_locked(upstream, now_us)};
 
+	if (permit.block == PD_BLOCK_NONE && permit.use == PD_VERSION_BARRED)
+		permit.block = PD_BLOCK_VERSION;
 	if (permit.block == PD_BLOCK_NONE)
 		permit.block = zone_block(upstream);
 	if (permit.block != PD_BLOCK_NONE) {
@@ -153,7 +158,9 @@
 
 bool pd_permit_allows_probe_locked(const struct pd_upstream *upstream, int64_t now_us)
 {
-	return final_block(upstream) == PD_BLOCK_NONE && now_us >= upstream->terms.paused_until_us;
+	return final_block(upstream) == PD_BLOCK_NONE &&
+	       pd_version_use_locked(upstream, now_us) != PD_VERSION_BARRED &&
+	       now_us >= upstream->terms.paused_until_us;
 }
 
 struct pd_permit pd_permit_better(struct pd_permit a, struct pd_permit b)
--- a/ingress/permit.h
+++ b/ingress/permit.h
@@ -43,6 +43,7 @@
 	PD_BLOCK_REPLACED, /* another instance responded at the address */
 	PD_BLOCK_DRAINING, /* the upstream's entry states that it is draining */
 	PD_BLOCK_LEAVING, /* a response of the upstream states that it is leaving */
+	PD_BLOCK_VERSION, /* the upstream's version isn't permitted, or not for this request */
 	PD_BLOCK_EVACUATED, /* operators have evacuated the zone */
 	PD_BLOCK_UNREACHABLE, /* the zone is assumed to be unreachable */
 	PD_BLOCK_PAUSED, /* the upstream has asked for a pause */
@@ -53,6 +54,14 @@
 /* Returns the name of a reason, for logs. */
 const char *pd_block_name(enum pd_block block);
 
+/** enum pd_version_use - requests that an upstream may get by its version. */
+enum pd_version_use {
+	PD_VERSION_ANY, /* all */
+	PD_VERSION_CANARY, /* a share of the first attempts, no hedges and no retries */
+	PD_VERSION_LAST, /* those for which no upstream of the other version can be used */
+	PD_VERSION_BARRED, /* none */
+};
+
 /**
  * struct pd_permit - whether a request may be sent
  * @block: PD_BLOCK_NONE if it may be sent, or else the reason why not
@@ -62,6 +71,7 @@
  * @cold: the upstream is in its cold start; it is used only if no warm one can be
  * @unanswered: a request is in flight to the upstream, and none has been answered yet, so that its
  *	limits aren't known; another one is sent only if no other upstream can be used
+ * @use: requests that the upstream may get by its version
  */
 struct pd_permit {
 	enum pd_block block;
@@ -69,6 +79,7 @@
 	bool ejected;
 	bool cold;
 	bool unanswered;
+	enum pd_version_use use;
 };
 
 #define PD_PERMIT_NEVER INT64_MAX
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -85,6 +85,7 @@
 	HASH_CLEAR(hh, registry->routes);
 	for (; service; service = next_service) {
 		next_service = service->hh.next;
+		pd_rollout_evidence_finish(&service->rollout.evidence);
 		free(service);
 	}
 	for (; zone; zone = next_zone) {
@@ -294,6 +295,7 @@
 	 * table still holds other elements. */
 	HASH_DEL(*table, upstream); /* NOLINT(clang-analyzer-*) */
 	unlink_from_service(upstream);
+	pd_version_update_locked(upstream->service);
 	upstream->removed = true;
 	pd_pool_close_idle_locked(upstream);
 	if (!upstream->references)
@@ -328,9 +330,10 @@
 
 	pd_log(PD_LOG_INFO, "upstream_added",
 	       "upstream=%s service=%s zone=%s address=%s slots=%" PRIu32 " cold_ms=%" PRId64
-	       " draining=%d",
+	       " draining=%d version=%s",
 	       upstream->id.text, upstream->service->name.text, upstream->zone->name.text,
-	       upstream->address_text, entry->slots, entry->cold_ms, entry->draining);
+	       upstream->address_text, entry->slots, entry->cold_ms, entry->draining,
+	       entry->version.len ? entry->version.text : "-");
 	if (upstream->id_text)
 		pd_log(PD_LOG_INFO, "upstream_id", "upstream=%s id=%s", upstream->id.text,
 		       pd_log_quote(pd_upstream_id(upstream), quoted));
@@ -360,6 +363,8 @@
 	upstream->address = entry->address.in;
 	memcpy(upstream->address_text, entry->address.text, sizeof(upstream->address_text));
 	upstream->started_unix_ms = entry->started_unix_ms;
+	upstream->version = entry->version;
+	upstream->added_us = pd_os_boot_us();
 	upstream->latency_ratio = 1;
 	upstream->terms.limit_changed_us = pd_os_boot_us();
 	if (!service->internal)
@@ -367,6 +372,7 @@
 	upstream->next = service->upstreams;
 	service->upstreams = upstream;
 	service->upstream_count++;
+	pd_version_update_locked(service);
 	HASH_ADD_KEYPTR(hh, *table, upstream->id.text, upstream->id.len, upstream);
 	log_added(upstream, entry);
 	return upstream;
@@ -399,6 +405,7 @@
 	entry->started_unix_ms = upstream->started_unix_ms;
 	entry->sequence = upstream->sequence;
 	entry->revision = upstream->revision;
+	entry->version = upstream->version;
 }
 
 static void set_draining(struct pd_upstream *upstream, bool draining)
@@ -416,6 +423,10 @@
 		set_draining(upstream, entry->draining);
 	upstream->slots = entry->slots;
 	upstream->sequence = entry->sequence;
+	if (!pd_name_equal(&upstream->version, &entry->version)) {
+		upstream->version = entry->version;
+		pd_version_update_locked(upstream->service);
+	}
 	if (!pd_revision_is_before(entry->revision, upstream->revision))
 		upstream->revision = entry->revision;
 	upstream->replaced = false;
@@ -679,6 +690,7 @@
 void pd_registry_apply_removals(struct pd_registry *registry)
 {
 	struct pd_upstream *upstream, *next;
+	struct pd_service *service;
 
 	pthread_mutex_lock(&registry->lock);
 	pd_removed_expire(&registry->removed, pd_os_boot_us());
@@ -688,6 +700,10 @@
 			remove_locked(registry, upstream, upstream->removed_at,
 				      "not_back_after_outage");
 	}
+	for (service = registry->services; service; service = service->hh.next) {
+		if (service->rollout.missing_since_us)
+			pd_version_update_locked(service);
+	}
 	pthread_mutex_unlock(&registry->lock);
 }
 
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -22,6 +22,7 @@
 #include "permit.h"
 #include "rate_limit.h"
 #include "revision.h"
+#include "rollout.h"
 #include "str.h"
 
 struct pd_conn;
@@ -79,6 +80,8 @@
  * @sequence: sequence number of the upstream's entry; 0 if unknown
  * @revision: revision of the store at which the upstream's entry was written; unknown if the entry
  *	      has none
+ * @version: version of its software; empty if the entry states none
+ * @added_us: time at which it was added to the registry
  * @slots: maximum number of requests that the upstream executes concurrently
  * @draining: the upstream's entry states that it is draining; no requests are sent to it
  * @replaced: another instance responded at @address; no requests are sent there until the
@@ -115,6 +118,8 @@
 	int64_t started_unix_ms;
 	uint64_t sequence;
 	struct pd_revision revision;
+	struct pd_name version;
+	int64_t added_us;
 	uint32_t slots;
 	bool draining;
 	bool replaced;
@@ -140,6 +145,34 @@
 	UT_hash_handle hh;
 };
 
+/**
+ * struct pd_service_rollout - versions of a service's upstreams that may get requests
+ * @has_baseline: @baseline is known
+ * @baseline: version that gets the requests without an order
+ * @missing_since_us: time since which the service has no upstream of @baseline; 0 if it has one
+ * @ordered: there is an order
+ * @target: version of the order
+ * @state: state of the order
+ * @phase: what @target gets while the order runs
+ * @share: share of the first attempts that @target gets in the canary phase
+ * @permitted_until_us: end of the permission for @phase; after it, @target gets nothing
+ * @credit: first attempts that @target may get, plus a random part of one
+ * @evidence: results of the requests of this process since the order began
+ */
+struct pd_service_rollout {
+	bool has_baseline;
+	struct pd_name baseline;
+	int64_t missing_since_us;
+	bool ordered;
+	struct pd_name target;
+	enum pd_rollout_state state;
+	enum pd_rollout_phase phase;
+	double share;
+	int64_t permitted_until_us;
+	double credit;
+	struct pd_rollout_evidence evidence;
+};
+
 /**
  * struct pd_service - a service and its upstreams
  * @name: name of the service; key of the hash table, if it is in one
@@ -156,6 +189,7 @@
  * @service_time_us: moving average of the response time while no request is queued at the upstream,
  *		     in microseconds; 0 until the first sample
  * @service_time_updated_us: time at which @service_time_us was last updated
+ * @rollout: versions of its upstreams that may get requests
  */
 struct pd_service {
 	struct pd_name name;
@@ -169,6 +203,7 @@
 	double cold_per_s;
 	double service_time_us;
 	int64_t service_time_updated_us;
+	struct pd_service_rollout rollout;
 	UT_hash_handle hh;
 };
 
@@ -206,6 +241,8 @@
  *		   entries may have expired in an outage of the store
  * @last_list: number of the last list of upstreams that has begun
  * @list_complete: a complete list of upstreams has been read
+ * @versions_enabled: upstreams of versions without permission get no requests
+ * @rollouts_known: the orders of roll-outs were received
  * @connections: number of open connections from this process to all upstreams
  * @random_state: state of the random number generator
  */
@@ -226,6 +263,8 @@
 	bool hold_removals;
 	uint64_t last_list;
 	bool list_complete;
+	bool versions_enabled;
+	bool rollouts_known;
 	uint32_t connections;
 	uint64_t random_state;
 };
@@ -251,6 +290,7 @@
  * @sequence: sequence number, which rises with each entry that the upstream writes after its start;
  *	0 if the entry has none
  * @revision: revision of the store at which the entry was written; unknown if the entry has none
+ * @version: version of the upstream's software; empty if the entry states none
  */
 struct pd_upstream_entry {
 	struct pd_name id;
@@ -267,6 +307,7 @@
 	int64_t started_unix_ms;
 	uint64_t sequence;
 	struct pd_revision revision;
+	struct pd_name version;
 };
 
 /* Maximum length of an id, which is sent in the header of each request: a quarter of the size of a
@@ -409,7 +450,9 @@
 /**
  * struct pd_report - result and statistics of one sub-request
  * @kind: result
- * @latency_us: time from the start of the sub-request to the end of its response in microseconds
+ * @latency_us: time from the start of the sub-request to the end of its response, or until it was
+ *	given up, in microseconds
+ * @late: it was reported as overdue
  * @stats: statistics of the sub-request's route, or NULL
  * @has_load: the response states the upstream's load: @load and @queued are valid
  * @load: number of requests running or queued at the upstream
@@ -421,6 +464,7 @@
 struct pd_report {
 	enum pd_report_kind kind;
 	int64_t latency_us;
+	bool late;
 	struct pd_route_stats *stats;
 	bool has_load;
 	double load;
@@ -444,6 +488,35 @@
 void pd_registry_report_received(struct pd_registry *registry, struct pd_upstream *upstream,
 				 int64_t now_us);
 
+/* Lets only upstreams of permitted versions get requests from now on. */
+void pd_registry_enable_versions(struct pd_registry *registry);
+/* Replaces the orders of roll-outs. */
+void pd_registry_set_rollouts(struct pd_registry *registry, const struct pd_rollout_set *set);
+/* Permits what a phase allows to the version of a running order until @until_us. */
+void pd_registry_permit_version(struct pd_registry *registry, const struct pd_rollout_order *order,
+				enum pd_rollout_phase phase, double share, int64_t until_us);
+
+/**
+ * struct pd_version_view - what a roll-out needs to know of a service
+ * @exists: the service is configured or has upstreams
+ * @target_ready: an upstream of the ordered version can take requests and isn't cold
+ * @same_version: the ordered version is the one that gets the requests without an order
+ * @full: this process sends all requests to the ordered version
+ * @old_in_flight: requests of this process in flight to upstreams of other versions
+ */
+struct pd_version_view {
+	bool exists;
+	bool target_ready;
+	bool same_version;
+	bool full;
+	uint32_t old_in_flight;
+};
+
+/* Fills @view, and adds this process's results since the order began to @evidence. */
+void pd_registry_view_version(struct pd_registry *registry, const struct pd_rollout_order *order,
+			      int64_t now_us, struct pd_version_view *view,
+			      struct pd_rollout_evidence *evidence);
+
 /* Returns the share, 0 to 1, of the targets of all gather routes that aren't unreachable. A target
  * is unreachable if all zones in which it has upstreams are. */
 double pd_registry_reachable_share(struct pd_registry *registry);
--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -330,6 +330,13 @@
 	case PD_BLOCK_LEAVING:
 		record(upstream, (struct pd_directives){.leaving = true}, NOW_US);
 		break;
+	case PD_BLOCK_VERSION:
+		pd_registry_enable_versions(&registry);
+		ck_assert(pd_name_set(&upstream->version, PD_STR("v2")));
+		upstream->service->rollout.has_baseline = true;
+		registry.list_complete = true;
+		registry.rollouts_known = true;
+		break;
 	case PD_BLOCK_EVACUATED:
 		ck_assert(pd_name_set(&zone, PD_STR("there")));
 		pd_registry_set_evacuated(&registry, &zone, 1);
