Sync, feed: orders of roll-outs and versions of upstreams are read and passed on

A fifth task reads the orders where it is enabled, without stale reads: by a stale outcome, requests would go to upstreams that have stopped. The feed carries the set with its revision, and its format is 7, since entries of upstreams have their version.

--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -65,7 +65,8 @@
  */
 static bool replaces_earlier(enum pd_feed_kind kind)
 {
-	return kind == PD_FEED_CONFIG || kind == PD_FEED_EVACUATIONS || kind == PD_FEED_PROGRESS;
+	return kind == PD_FEED_CONFIG || kind == PD_FEED_EVACUATIONS || kind == PD_FEED_ROLLOUTS ||
+	       kind == PD_FEED_PROGRESS;
 }
 
 /* Removes the last change of the kind from the log, so that followers which haven't received it yet
@@ -354,6 +355,134 @@
 	return known;
 }
 
+static void log_order(const char *event, const struct pd_rollout_order *order, int64_t now_us)
+{
+	pd_log(PD_LOG_INFO, event,
+	       "service=%s version=%s state=%s duration_ms=%" PRIu32 " age_ms=%" PRId64
+	       " revision=%" PRIu64,
+	       order->service.text, order->target.text, pd_rollout_state_name(order->state),
+	       order->duration_ms, (now_us - order->started_us) / PD_USEC_PER_MSEC,
+	       order->revision);
+}
+
+static void count_outcome(const struct pd_rollout_order *order)
+{
+	if (order->state == PD_ROLLOUT_COMPLETED)
+		pd_count(PD_COUNT_rollouts_completed);
+	else if (order->state == PD_ROLLOUT_ROLLED_BACK)
+		pd_count(PD_COUNT_rollouts_rolled_back);
+}
+
+/* Takes over the age of a known order, and logs what has changed. */
+static void merge_order(const struct pd_rollout_order *known, struct pd_rollout_order *order,
+			int64_t now_us)
+{
+	bool same = known && pd_rollout_same_order(known, order);
+
+	/* An order whose outcome is taken back is a new one. */
+	if (same && pd_rollout_is_final(known->state) && !pd_rollout_is_final(order->state))
+		same = false;
+	if (same && known->started_us < order->started_us)
+		order->started_us = known->started_us;
+	if (!same) {
+		log_order(pd_rollout_is_final(order->state) ? "rollout_state" : "rollout_started",
+			  order, now_us);
+	} else if (known->state != order->state) {
+		log_order("rollout_state", order, now_us);
+		count_outcome(order);
+	}
+}
+
+/* Logs the orders that are no longer in the store. */
+static void log_removed_orders(const struct pd_rollout_set *known, const struct pd_rollout_set *set,
+			       int64_t now_us)
+{
+	for (size_t i = 0; i < known->count; i++) {
+		if (!pd_rollout_set_find(set, &known->orders[i].service))
+			log_order("rollout_removed", &known->orders[i], now_us);
+	}
+}
+
+/* Logs the current orders for followers. */
+static void log_rollouts_locked(struct pd_directory *directory, int64_t now_us)
+{
+	struct pd_feed_message msg = {.kind = PD_FEED_ROLLOUTS};
+	struct pd_buf text = {0};
+
+	pd_rollout_set_encode(&directory->rollouts, now_us, &text);
+	msg.rollouts.text = pd_buf_str(&text);
+	msg.rollouts.at = directory->rollouts_at;
+	log_locked(directory, &msg);
+	pd_buf_finish(&text);
+}
+
+void pd_directory_set_rollouts(struct pd_directory *directory, const struct pd_rollout_set *set,
+			       struct pd_revision at)
+{
+	struct pd_rollout_set *known = &directory->rollouts, merged = *set;
+	int64_t now = pd_os_boot_us();
+
+	pthread_mutex_lock(&directory->lock);
+	if (pd_revision_is_before(at, directory->rollouts_at)) {
+		pd_log(PD_LOG_INFO, "rollouts_ignored",
+		       "orders=%zu revision=%" PRIu64 " known=%" PRIu64 " reason=older", set->count,
+		       at.number, directory->rollouts_at.number);
+		pthread_mutex_unlock(&directory->lock);
+		return;
+	}
+	for (size_t i = 0; i < merged.count; i++)
+		merge_order(pd_rollout_set_find(known, &merged.orders[i].service),
+			    &merged.orders[i], now);
+	log_removed_orders(known, &merged, now);
+	*known = merged;
+	directory->rollouts_at = at;
+	directory->rollouts_changes++;
+	/* The store and a source may both send a set, so the lock covers the registry as well. */
+	pd_registry_set_rollouts(directory->registry, known);
+	log_rollouts_locked(directory, now);
+	pthread_mutex_unlock(&directory->lock);
+}
+
+bool pd_directory_knows_rollouts(struct pd_directory *directory)
+{
+	bool known;
+
+	pthread_mutex_lock(&directory->lock);
+	known = pd_revision_is_known(directory->rollouts_at);
+	pthread_mutex_unlock(&directory->lock);
+	return known;
+}
+
+bool pd_directory_get_rollouts(struct pd_directory *directory, uint64_t *changes,
+			       struct pd_rollout_set *set)
+{
+	bool changed;
+
+	pthread_mutex_lock(&directory->lock);
+	changed = *changes != directory->rollouts_changes;
+	*changes = directory->rollouts_changes;
+	if (changed)
+		*set = directory->rollouts;
+	pthread_mutex_unlock(&directory->lock);
+	return changed;
+}
+
+void pd_directory_age_rollout(struct pd_directory *directory, const struct pd_rollout_order *order,
+			      int64_t started_us)
+{
+	struct pd_rollout_set *set = &directory->rollouts;
+
+	pthread_mutex_lock(&directory->lock);
+	for (size_t i = 0; i < set->count; i++) {
+		if (!pd_rollout_same_order(&set->orders[i], order) ||
+		    set->orders[i].started_us <= started_us)
+			continue;
+		set->orders[i].started_us = started_us;
+		directory->rollouts_changes++;
+	}
+	pthread_mutex_unlock(&directory->lock);
+}
+
 bool pd_directory_add_crash(struct pd_directory *directory, uint64_t fingerprint,
 			    const struct pd_name *event)
 {
@@ -451,7 +580,7 @@
 static void encode_snapshot(struct pd_directory *directory, struct pd_snapshot *snapshot)
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_CONFIG};
-	struct pd_buf frames = {0};
+	struct pd_buf frames = {0}, rollouts = {0};
 	struct pd_revision upstreams_at;
 
 	pthread_mutex_lock(&directory->lock);
@@ -464,6 +593,13 @@
 	set_evacuations_message_locked(directory, &msg);
 	if (pd_revision_is_known(msg.evacuations.at))
 		pd_feed_message_encode(&msg, &frames);
+	if (pd_revision_is_known(directory->rollouts_at)) {
+		pd_rollout_set_encode(&directory->rollouts, pd_os_boot_us(), &rollouts);
+		msg = (struct pd_feed_message){.kind = PD_FEED_ROLLOUTS};
+		msg.rollouts.text = pd_buf_str(&rollouts);
+		msg.rollouts.at = directory->rollouts_at;
+		pd_feed_message_encode(&msg, &frames);
+	}
 	pthread_mutex_unlock(&directory->lock);
 	append_upstreams(directory, upstreams_at, &frames);
 	append_crashes(directory, &frames);
@@ -471,6 +607,7 @@
 	append_frames(pd_buf_str(&frames), &snapshot->frames);
 	snapshot->frames.failed = snapshot->frames.failed || frames.failed;
 	snapshot->encoded_us = pd_os_boot_us();
+	pd_buf_finish(&rollouts);
 	pd_buf_finish(&frames);
 }
 
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -79,6 +79,9 @@
  * @evacuated: names of the evacuated zones
  * @evacuated_count: number of entries in @evacuated
  * @evacuated_at: revision of the store at which @evacuated was read; unknown until then
+ * @rollouts: orders of roll-outs
+ * @rollouts_at: revision of the store at which @rollouts was read; unknown until then
+ * @rollouts_changes: number of changes of @rollouts
  * @upstreams_at: revision of the store up to which all changes of upstreams are known; unknown
  *	until a complete list was received
  * @store: state of the store
@@ -109,6 +112,9 @@
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
 	size_t evacuated_count;
 	struct pd_revision evacuated_at;
+	struct pd_rollout_set rollouts;
+	struct pd_revision rollouts_at;
+	uint64_t rollouts_changes;
 	struct pd_revision upstreams_at;
 	enum pd_store_state store;
 	bool removals_held;
@@ -172,6 +178,21 @@
 				size_t count, struct pd_revision at);
 /* Whether the set of evacuated zones was received. */
 bool pd_directory_knows_evacuated(struct pd_directory *directory);
+/* Replaces the orders of roll-outs by those that the store had at revision @at. An older set than
+ * the current one is ignored. Orders that are known keep their age, if it is larger.
+ */
+void pd_directory_set_rollouts(struct pd_directory *directory, const struct pd_rollout_set *set,
+			       struct pd_revision at);
+/* Whether the orders of roll-outs were received. */
+bool pd_directory_knows_rollouts(struct pd_directory *directory);
+/* Copies the orders if they have changed since *@changes, which is updated; returns whether they
+ * have. Begin with 0.
+ */
+bool pd_directory_get_rollouts(struct pd_directory *directory, uint64_t *changes,
+			       struct pd_rollout_set *set);
+/* Raises the age of a known order, which another instance has read earlier. */
+void pd_directory_age_rollout(struct pd_directory *directory, const struct pd_rollout_order *order,
+			      int64_t started_us);
 /* Records a crash of an upstream by the request with that fingerprint; false if the crash @event is
  * already recorded or the request has reached the limit of recorded crashes.
  */
--- a/ingress/feed_apply.c
+++ b/ingress/feed_apply.c
@@ -1,5 +1,8 @@
 #include "feed_apply.h"
 
+#include "log.h"
+#include "os.h"
+
 static void begin_list(struct pd_directory *directory, struct pd_feed_lists *lists,
 		       struct pd_revision at)
 {
@@ -18,6 +21,16 @@
 	lists->ended = lists->list;
 }
 
+static void apply_rollouts(struct pd_directory *directory, const struct pd_feed_message *msg)
+{
+	struct pd_rollout_set set;
+
+	if (pd_rollout_set_decode(msg->rollouts.text, pd_os_boot_us(), &set))
+		pd_directory_set_rollouts(directory, &set, msg->rollouts.at);
+	else
+		pd_log(PD_LOG_ERROR, "rollouts_unreadable", "bytes=%zu", msg->rollouts.text.len);
+}
+
 void pd_feed_apply(struct pd_directory *directory, struct pd_feed_lists *lists,
 		   const struct pd_feed_message *msg)
 {
@@ -48,6 +61,9 @@
 		pd_directory_set_evacuated(directory, msg->evacuations.zones,
 					   msg->evacuations.count, msg->evacuations.at);
 		break;
+	case PD_FEED_ROLLOUTS:
+		apply_rollouts(directory, msg);
+		break;
 	case PD_FEED_CRASH:
 		pd_directory_add_crash(directory, msg->crash.fingerprint, &msg->crash.event);
 		break;
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -6,12 +6,13 @@
 #include "msgpack_check.h"
 #include "os.h"
 
-/* Since 5, messages state revisions of the store. An instance of another version isn't followed:
- * how recent its messages are is unknown.
+/* Since 5, messages state revisions of the store; since 7, upstreams have versions. An instance of
+ * another version isn't followed: how recent its messages are, or which upstreams may get requests,
+ * is unknown.
  */
-#define FORMAT_VERSION	     6
+#define FORMAT_VERSION	     7
 #define REVISION_FIELD_COUNT 2
-#define UPSTREAM_FIELD_COUNT (9 + REVISION_FIELD_COUNT)
+#define UPSTREAM_FIELD_COUNT (10 + REVISION_FIELD_COUNT)
 #define ARRAY_ITEMS_MAX	     (PD_FEED_ZONES_MAX + REVISION_FIELD_COUNT + 2)
 
 static int append(void *data, const char *bytes, size_t len)
@@ -43,6 +44,7 @@
 	msgpack_pack_int64(packer, entry->started_unix_ms);
 	msgpack_pack_uint64(packer, entry->sequence);
 	pack_revision(packer, entry->revision);
+	pack_str(packer, pd_name_str(&entry->version));
 }
 
 static size_t field_count(const struct pd_feed_message *msg)
@@ -60,6 +62,7 @@
 	case PD_FEED_HELLO:
 		return 1;
 	case PD_FEED_REMOVED:
+	case PD_FEED_ROLLOUTS:
 		return 1 + REVISION_FIELD_COUNT;
 	case PD_FEED_LIST_BEGIN:
 	case PD_FEED_LIST_END:
@@ -102,6 +105,10 @@
 		for (size_t i = 0; i < msg->evacuations.count; i++)
 			pack_str(&packer, pd_name_str(&msg->evacuations.zones[i]));
 		break;
+	case PD_FEED_ROLLOUTS:
+		pack_revision(&packer, msg->rollouts.at);
+		pack_str(&packer, msg->rollouts.text);
+		break;
 	case PD_FEED_HEARTBEAT:
 		msgpack_pack_uint32(&packer, msg->heartbeat.store_reachable);
 		msgpack_pack_uint32(&packer, msg->heartbeat.removals_held);
@@ -184,6 +191,15 @@
 	return true;
 }
 
+/* Decodes a name that may be empty. */
+static bool to_optional_name(const msgpack_object *object, struct pd_name *name)
+{
+	struct pd_str s;
+
+	memset(name, 0, sizeof(*name));
+	return to_str(object, &s) && (!s.len || pd_name_set(name, s));
+}
+
 static bool decode_upstream(const msgpack_object *fields, struct pd_upstream_entry *entry)
 {
 	uint64_t draining, slots, cold, started;
@@ -196,7 +212,8 @@
 	    !to_number(&fields[6], PD_UPSTREAM_COLD_MAX_MS, &cold) ||
 	    !to_number(&fields[7], INT64_MAX, &started) ||
 	    !to_number(&fields[8], UINT64_MAX, &entry->sequence) ||
-	    !to_revision(&fields[9], &entry->revision))
+	    !to_revision(&fields[9], &entry->revision) ||
+	    !to_optional_name(&fields[11], &entry->version))
 		return false;
 	entry->draining = draining != 0;
 	entry->slots = (uint32_t)slots;
@@ -233,6 +250,10 @@
 		return count >= REVISION_FIELD_COUNT && to_revision(fields, &msg->evacuations.at) &&
 		       decode_zones(fields + REVISION_FIELD_COUNT, count - REVISION_FIELD_COUNT,
 				    msg);
+	case PD_FEED_ROLLOUTS:
+		return count == 1 + REVISION_FIELD_COUNT &&
+		       to_revision(fields, &msg->rollouts.at) &&
+		       to_str(&fields[REVISION_FIELD_COUNT], &msg->rollouts.text);
 	case PD_FEED_HEARTBEAT:
 		if (count != 2 || !to_number(&fields[0], 1, &reachable) ||
 		    !to_number(&fields[1], 1, &held))
--- a/ingress/feed_message.h
+++ b/ingress/feed_message.h
@@ -32,9 +32,10 @@
 	PD_FEED_BATCH = 10, /* frames of other kinds, compressed */
 	PD_FEED_PROGRESS = 11, /* all changes of upstreams up to a revision were sent */
 	PD_FEED_LIST_FAILED = 12, /* a list of upstreams that has begun doesn't end */
+	PD_FEED_ROLLOUTS = 13, /* new set of the orders of roll-outs */
 };
 
-#define PD_FEED_KIND_MAX PD_FEED_LIST_FAILED
+#define PD_FEED_KIND_MAX PD_FEED_ROLLOUTS
 
 /**
  * struct pd_feed_message - one message
@@ -48,6 +49,8 @@
  * @config: the configuration as JSON, after decoding a view into the decoded frame, and the Unix
  *	time in milliseconds at which the zone received it from the store; 0 if unknown
  * @evacuations: names of all evacuated zones, and revision of the store at which they were read
+ * @rollouts: all orders of roll-outs, see pd_rollout_set_encode(), after decoding a view into the
+ *	decoded frame, and revision of the store at which they were read
  * @heartbeat: whether the store is reachable from the source, and whether the source still holds
  *	back removals because entries may have expired while the store was unreachable
  * @crash: fingerprint of the request that crashed an upstream, and name of the crash
@@ -74,6 +77,10 @@
 			size_t count;
 			struct pd_revision at;
 		} evacuations;
+		struct {
+			struct pd_str text;
+			struct pd_revision at;
+		} rollouts;
 		struct {
 			bool store_reachable;
 			bool removals_held;
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -33,11 +33,13 @@
 		  const struct sockaddr_in *address)
 {
 	static const enum pd_object_kind kinds[PD_SYNC_TASK_COUNT] = {
-		PD_OBJECT_CONFIG, PD_OBJECT_UPSTREAMS, PD_OBJECT_EVACUATIONS, PD_OBJECT_CRASHES};
+		PD_OBJECT_CONFIG, PD_OBJECT_UPSTREAMS, PD_OBJECT_EVACUATIONS, PD_OBJECT_CRASHES,
+		PD_OBJECT_ROLLOUTS};
 
 	memset(sync, 0, sizeof(*sync));
 	sync->directory = directory;
 	sync->address = *address;
+	sync->task_count = PD_SYNC_TASK_COUNT - 1;
 	pthread_mutex_init(&sync->lock, NULL);
 	pd_os_cond_init(&sync->changed);
 	for (size_t i = 0; i < PD_SYNC_TASK_COUNT; i++) {
@@ -49,6 +51,11 @@
 	}
 }
 
+void pd_sync_enable_rollouts(struct pd_sync *sync)
+{
+	sync->task_count = PD_SYNC_TASK_COUNT;
+}
+
 void pd_sync_set_address(struct pd_sync *sync, const struct sockaddr_in *address)
 {
 	pthread_mutex_lock(&sync->lock);
@@ -98,7 +105,7 @@
 
 void pd_sync_restart_watches(struct pd_sync *sync)
 {
-	for (size_t i = 0; i < PD_SYNC_TASK_COUNT; i++) {
+	for (size_t i = 0; i < sync->task_count; i++) {
 		set_listed(&sync->tasks[i], false);
 		wake(&sync->tasks[i]);
 	}
@@ -145,7 +152,7 @@
 	int64_t now = pd_os_boot_us();
 
 	pthread_mutex_lock(&sync->lock);
-	for (size_t i = 0; i < PD_SYNC_TASK_COUNT; i++) {
+	for (size_t i = 0; i < sync->task_count; i++) {
 		const struct pd_watch_cover *cover = &sync->tasks[i].cover;
 
 		doubtful[i] = pd_watch_cover_is_doubtful(cover, sync->revision, now);
@@ -154,7 +161,7 @@
 	}
 	/* The response to a watch that is about to be sent may account for the changes. */
 	sync->renewal_postponed = any_doubtful && !all_waiting && !sync->renewal_postponed;
-	for (size_t i = 0; i < PD_SYNC_TASK_COUNT && !sync->renewal_postponed; i++) {
+	for (size_t i = 0; i < sync->task_count && !sync->renewal_postponed; i++) {
 		if (doubtful[i])
 			wake(&sync->tasks[i]);
 	}
@@ -167,7 +174,7 @@
 				uint64_t era)
 {
 	pthread_mutex_lock(&sync->lock);
-	for (size_t i = 0; i < PD_SYNC_TASK_COUNT && era == sync->era; i++)
+	for (size_t i = 0; i < sync->task_count && era == sync->era; i++)
 		pd_watch_cover_account(&sync->tasks[i].cover, page);
 	pthread_mutex_unlock(&sync->lock);
 }
@@ -178,7 +185,7 @@
 
 	pthread_mutex_lock(&sync->lock);
 	current = sync->mode != PD_SYNC_PAUSED;
-	for (size_t i = 0; i < PD_SYNC_TASK_COUNT; i++)
+	for (size_t i = 0; i < sync->task_count; i++)
 		current = current && sync->tasks[i].listed;
 	pthread_mutex_unlock(&sync->lock);
 	return current;
@@ -352,6 +359,41 @@
 					  "the name isn't that of a crash report");
 }
 
+/* Removes the order that an object has held so far. */
+static void remove_rollout(struct pd_rollout_set *set, struct pd_str object)
+{
+	for (size_t i = 0; i < set->count; i++) {
+		const struct pd_rollout_order *order = &set->orders[i];
+
+		if (pd_str_equal((struct pd_str){order->object, order->object_len}, object)) {
+			set->orders[i] = set->orders[--set->count];
+			return;
+		}
+	}
+}
+
+static void apply_rollout(struct pd_sync *sync, const struct pd_object *object)
+{
+	struct pd_rollout_set *set = &sync->rollouts;
+	struct pd_rollout_order order;
+	const char *reason = NULL;
+	struct pd_error err;
+
+	remove_rollout(set, object->name);
+	if (object->removed)
+		return;
+	if (pd_object_read_rollout(object, pd_os_boot_us(), &order, &err) != PD_OK)
+		reason = err.text;
+	else if (pd_rollout_set_find(set, &order.service))
+		reason = "another order names the service";
+	else if (set->count == PD_ROLLOUTS_MAX)
+		reason = "too many orders";
+	if (reason)
+		pd_sync_report_unreadable(sync, PD_OBJECT_ROLLOUTS, object->name, reason);
+	else
+		set->orders[set->count++] = order;
+}
+
 /* Applies the objects or events of the page that the last call returned, which the store had at
  * @received_unix_ms.
  */
@@ -381,6 +423,9 @@
 		case PD_OBJECT_CRASHES:
 			apply_crash(task->sync, &object);
 			break;
+		case PD_OBJECT_ROLLOUTS:
+			apply_rollout(task->sync, &object);
+			break;
 		case PD_OBJECT_CONFIG:
 		case PD_OBJECT_INSTANCES:
 			break;
@@ -394,6 +439,8 @@
 	if (task->kind == PD_OBJECT_EVACUATIONS)
 		pd_directory_set_evacuated(task->sync->directory, task->sync->evacuated,
 					   task->sync->evacuated_count, at);
+	else if (task->kind == PD_OBJECT_ROLLOUTS)
+		pd_directory_set_rollouts(task->sync->directory, &task->sync->rollouts, at);
 	else if (task->kind == PD_OBJECT_UPSTREAMS)
 		pd_directory_advance(task->sync->directory, task->sync->upstream_list, at);
 }
@@ -517,15 +564,19 @@
 static enum pd_code list_all(struct pd_sync_task *task, struct pd_error *err)
 {
 	/* The first list may be some seconds old, because such a read is billed at a tenth
-	 * of the price. Watching from its revision returns the changes since then.
+	 * of the price. Watching from its revision returns the changes since then. By a stale
+	 * outcome of a roll-out, requests would be sent to a version that has ended.
 	 */
-	struct listing listing = {.stale_ok = !task->listed_before};
+	struct listing listing = {.stale_ok =
+					  !task->listed_before && task->kind != PD_OBJECT_ROLLOUTS};
 	struct pd_buf after = {0};
 	enum pd_code code = PD_OK;
 	bool more = true;
 
 	if (task->kind == PD_OBJECT_EVACUATIONS)
 		task->sync->evacuated_count = 0;
+	if (task->kind == PD_OBJECT_ROLLOUTS)
+		task->sync->rollouts.count = 0;
 	while (more && code == PD_OK)
 		code = list_page(task, &listing, &after, &more, err);
 	pd_buf_finish(&after);
@@ -680,7 +731,7 @@
 
 enum pd_code pd_sync_start(struct pd_sync *sync, struct pd_error *err)
 {
-	for (size_t i = 0; i < PD_SYNC_TASK_COUNT; i++) {
+	for (size_t i = 0; i < sync->task_count; i++) {
 		struct pd_sync_task *task = &sync->tasks[i];
 		const char *name = pd_object_kind_name(task->kind);
 		enum pd_code code;
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -65,7 +65,7 @@
 	int wake_pipe[2];
 };
 
-#define PD_SYNC_TASK_COUNT 4
+#define PD_SYNC_TASK_COUNT 5
 /* Number of unreadable objects that are remembered, so that each is logged and counted once. */
 #define PD_SYNC_UNREADABLE_MAX 64
 
@@ -81,9 +81,11 @@
  * @revision: highest revision of @era that a response stated
  * @renewal_postponed: the renewal of watches was postponed, because another response is due
  * @tasks: one task for each kind of object
+ * @task_count: number of tasks in use; the last one is for roll-outs
  * @upstream_list: number of the last complete list of upstreams
  * @evacuated: names of the evacuated zones; used only by the task for evacuations
  * @evacuated_count: number of entries in @evacuated
+ * @rollouts: orders of roll-outs; used only by the task for them
  * @unreadable: hashes of the unreadable objects that were logged last, with their reasons
  * @unreadable_count: number of unreadable objects that were logged
  */
@@ -97,15 +99,19 @@
 	uint64_t revision;
 	bool renewal_postponed;
 	struct pd_sync_task tasks[PD_SYNC_TASK_COUNT];
+	size_t task_count;
 	uint64_t upstream_list;
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
 	size_t evacuated_count;
+	struct pd_rollout_set rollouts;
 	uint64_t unreadable[PD_SYNC_UNREADABLE_MAX];
 	size_t unreadable_count;
 };
 
 void pd_sync_init(struct pd_sync *sync, struct pd_directory *directory,
 		  const struct sockaddr_in *address);
+/* Lets the orders of roll-outs be read, too; before pd_sync_start(). */
+void pd_sync_enable_rollouts(struct pd_sync *sync);
 enum pd_code pd_sync_start(struct pd_sync *sync, struct pd_error *err);
 void pd_sync_set_address(struct pd_sync *sync, const struct sockaddr_in *address);
 void pd_sync_get_address(struct pd_sync *sync, struct sockaddr_in *address);
