Roll-outs: heads decide and write the outcome, followers get a permission

Where exposure_share is in the bounds, each instance sends its evidence to its source, heads send theirs to the other heads, decide by the sum, and permit the phase to their followers for a second at a time. Ready includes that the orders are known.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -148,6 +148,16 @@
 	pthread_mutex_unlock(&cluster->lock);
 }
 
+bool pd_cluster_is_source(struct pd_cluster *cluster, const struct sockaddr_in *from)
+{
+	bool is_source;
+
+	pthread_mutex_lock(&cluster->lock);
+	is_source = cluster->has_source && same_address(&cluster->source, from);
+	pthread_mutex_unlock(&cluster->lock);
+	return is_source;
+}
+
 bool pd_cluster_is_started(struct pd_cluster *cluster)
 {
 	bool started;
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -192,6 +192,8 @@
 /* Records that this instance follows the instance at @address, or none if it is NULL. */
 void pd_cluster_set_source(struct pd_cluster *cluster, const struct pd_address *address);
 
+/* Whether datagrams from the address come from the instance that this one follows. */
+bool pd_cluster_is_source(struct pd_cluster *cluster, const struct sockaddr_in *from);
 void pd_cluster_view(struct pd_cluster *cluster, int64_t now_us, struct pd_cluster_view *view);
 
 /* Send a payload; nothing is sent before the start. */
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -46,6 +46,10 @@
 	pd_cluster_init(&ingress->cluster, &parts, &ingress->settings.node, &ingress->settings.zone,
 			&ingress->settings.peer);
 	ingress->membership.cluster = &ingress->cluster;
+	if (ingress->settings.exposure_share > 0)
+		pd_rollout_exchange_enable(&ingress->rollout, &ingress->directory, &ingress->sync,
+					   ingress->settings.exposure_share,
+					   ingress->settings.exposure_slack);
 }
 
 /* Whether the settings ask for a part that exchanges datagrams. */
@@ -266,6 +270,8 @@
 	code = pd_feed_start(&ingress->feed, err);
 	if (code == PD_OK && needs_cluster(&ingress->settings))
 		code = pd_cluster_start(&ingress->cluster, err);
+	if (code == PD_OK && ingress->settings.exposure_share > 0)
+		code = pd_rollout_exchange_start(&ingress->rollout, err);
 	if (code == PD_OK)
 		code = pd_sync_start(&ingress->sync, err);
 	if (code == PD_OK)
@@ -290,7 +296,9 @@
 	return stopping;
 }
 
-/* Whether a configuration, a complete list of upstreams and the evacuated zones were received. */
+/* Whether a configuration, a complete list of upstreams, the evacuated zones and the orders of
+ * roll-outs were received.
+ */
 static bool is_initialised(struct pd_ingress *ingress)
 {
 	bool initialised;
@@ -298,7 +306,9 @@
 	pthread_mutex_lock(&ingress->registry.lock);
 	initialised = ingress->registry.list_complete && ingress->registry.catalog;
 	pthread_mutex_unlock(&ingress->registry.lock);
-	return initialised && pd_directory_knows_evacuated(&ingress->directory);
+	return initialised && pd_directory_knows_evacuated(&ingress->directory) &&
+	       (ingress->settings.exposure_share <= 0 ||
+		pd_directory_knows_rollouts(&ingress->directory));
 }
 
 bool pd_ingress_is_ready(struct pd_ingress *ingress)
