--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -11,15 +11,21 @@
  * store's messages have to fit in.
  */
 #define CANARY_END_US (3000 * PD_USEC_PER_MSEC)
-/* Length of the full phase, in which faults under load show, and its part at a late completion of a
- * version that has passed before.
+/* Length of the full phase, in which faults under load show, until the outcome may be written: this
+ * number of requests, within these bounds; the last one is for a version that has passed before.
  */
-#define FULL_US	      (1200 * PD_USEC_PER_MSEC)
+#define FULL_REQUESTS 36
+#define FULL_MIN_US   (300 * PD_USEC_PER_MSEC)
+#define FULL_MAX_US   (900 * PD_USEC_PER_MSEC)
 #define FULL_AGAIN_US (500 * PD_USEC_PER_MSEC)
 /* Time for requests that are still in flight to the old version, and for the write of the outcome.
+ * All heads stay in the full phase for it, because the old upstreams stop with the write.
  */
-#define DRAIN_US (400 * PD_USEC_PER_MSEC)
-#define WRITE_US (600 * PD_USEC_PER_MSEC)
+#define DRAIN_US      (300 * PD_USEC_PER_MSEC)
+#define WRITE_US      (300 * PD_USEC_PER_MSEC)
+#define WRITE_LEFT_US (150 * PD_USEC_PER_MSEC)
+/* A head begins the full phase up to this much earlier if another one has begun. */
+#define FOLLOW_US (500 * PD_USEC_PER_MSEC)
 /* Without a reason to wait, an order that can't be completed is rolled back this long before its
  * deadline.
  */
@@ -33,37 +39,34 @@
 /* Requests whose results aren't known yet: evidence is up to this old, and a few more. */
 #define EVIDENCE_AGE_S	 0.25
 #define EXPOSURE_RESERVE 4
-/* The new version fails if it has this many failures, a rate that is higher by this factor and
- * share, and the difference isn't chance. A comparison is made every 50 ms, but of counts that
- * mostly are the same.
+/* The new version fails if its rate of failures is higher by this factor and share, and the
+ * difference isn't chance, see struct thresholds.
  */
-#define FAILURES_MIN	  3
 #define FAILURE_FACTOR	  2.0
 #define FAILURE_MARGIN	  0.03
-#define CHANCE_MAX	  0.002
-#define ROUTE_CHANCE_MAX  0.0005
 #define REJECTIONS_MIN	  8
 #define REJECTION_SHARE	  0.5
 #define REJECTION_OLD_MAX 0.1
 /* It is slow if its median latency is higher by this factor, which machines of different speeds
- * (0.8 to 1.3) and slow phases of one machine don't reach, and the ranks differ by this many
- * standard deviations.
+ * (0.8 to 1.3) and slow phases of one machine don't reach, and the difference isn't chance.
  */
-#define SLOW_FACTOR	 2.2
-#define SLOW_SAMPLES_MIN 5
-#define SLOW_DEVIATIONS	 3.5
-/* In the full phase, requests without a response count as slow if there are more than this factor
- * times the expected number, and this many more.
+#define SLOW_FACTOR 2.2
+/* In the full phase, requests without a response count as slow if they are more than this factor
+ * times the expected number, this many more, and this share of all. Requests to one zone that is
+ * unreachable are fewer.
  */
 #define PENDING_FACTOR 3.0
 #define PENDING_MIN    6.0
+#define PENDING_SHARE  0.6
 /* More requests per second than this factor times those of the canary phase are a burst. */
 #define BURST_FACTOR 1.6
+/* Time constant of the number of requests per second. */
+#define RATE_US (1000.0 * PD_USEC_PER_MSEC)
 /* Length of a window; faults that begin late show in the last two of them. */
 #define WINDOW_US	(3000 * PD_USEC_PER_MSEC)
 #define CALL_BACKOFF_US (300 * PD_USEC_PER_MSEC)
 /* A head waits this long for each head that writes before it. */
-#define RANK_DELAY_US	      (250 * PD_USEC_PER_MSEC)
+#define RANK_DELAY_US	      (200 * PD_USEC_PER_MSEC)
 #define RUNNING_RANK_DELAY_US (1000 * PD_USEC_PER_MSEC)
 
 const char *pd_rollout_state_name(enum pd_rollout_state state)
@@ -172,6 +175,27 @@
 	return pd_datagram_reader_at_end(&reader);
 }
 
+/**
+ * struct thresholds - from when on a difference isn't chance
+ * @failures_min: number of failures
+ * @chance_max: probability of as many failures if both versions fail alike
+ * @latencies_min: number of latencies
+ * @deviations: standard deviations by which the ranks of the latencies differ
+ */
+struct thresholds {
+	uint32_t failures_min;
+	double chance_max;
+	uint32_t latencies_min;
+	double deviations;
+};
+
+/* A comparison is made every 50 ms, but of counts that are mostly the same; of one route among
+ * some, it has to be clearer. Without the worst zone, it only has to point in the same direction.
+ */
+static const struct thresholds service_thresholds = {3, 0.0003, 5, 3.5};
+static const struct thresholds route_thresholds = {3, 0.0001, 5, 3.8};
+static const struct thresholds zone_thresholds = {2, 0.05, 2, 1.6};
+
 /**
  * struct comparison - results of both versions, over some strata
  * @total: number of results
@@ -259,15 +283,18 @@
 	return counts->ok + counts->failed;
 }
 
-/* Sums up the strata of a route, or all if @route is NULL. */
+/* Sums up the strata of a route, or all if @route is empty, without those of a zone, unless that is
+ * 0.
+ */
 static void sum_up(const struct pd_rollout_evidence *evidence, const struct pd_name *route,
-		   struct comparison *comparison)
+		   uint64_t without_zone, struct comparison *comparison)
 {
 	memset(comparison, 0, sizeof(*comparison));
 	for (size_t i = 0; i < evidence->count; i++) {
 		const struct pd_rollout_stratum *stratum = &evidence->strata[i];
 
-		if (route && !pd_name_equal(&stratum->route, route))
+		if ((route->len && !pd_name_equal(&stratum->route, route)) ||
+		    (without_zone && stratum->zone == without_zone))
 			continue;
 		for (int side = 0; side < PD_ROLLOUT_SIDES; side++) {
 			comparison->total[side] += count_results(&stratum->sides[side]);
@@ -323,23 +350,23 @@
 		       : 0;
 }
 
-static bool fails_more(const struct comparison *comparison, double chance_max)
+static bool fails_more(const struct comparison *comparison, const struct thresholds *thresholds)
 {
 	double old_rate =
 		share_of(comparison->failed[PD_ROLLOUT_OLD], comparison->total[PD_ROLLOUT_OLD]);
 	double new_rate =
 		share_of(comparison->failed[PD_ROLLOUT_NEW], comparison->total[PD_ROLLOUT_NEW]);
 
-	return comparison->failed[PD_ROLLOUT_NEW] >= FAILURES_MIN &&
+	return comparison->failed[PD_ROLLOUT_NEW] >= thresholds->failures_min &&
 	       new_rate >= old_rate * FAILURE_FACTOR && new_rate >= old_rate + FAILURE_MARGIN &&
-	       failure_chance(comparison) < chance_max;
+	       failure_chance(comparison) < thresholds->chance_max;
 }
 
-static bool is_slower(const struct comparison *comparison)
+static bool is_slower(const struct comparison *comparison, const struct thresholds *thresholds)
 {
-	return comparison->latencies >= SLOW_SAMPLES_MIN &&
+	return comparison->latencies >= thresholds->latencies_min &&
 	       latency_factor(comparison) >= SLOW_FACTOR &&
-	       latency_deviations(comparison) >= SLOW_DEVIATIONS;
+	       latency_deviations(comparison) >= thresholds->deviations;
 }
 
 static bool rejects_more(const struct comparison *comparison)
@@ -354,11 +381,11 @@
 }
 
 static const char *find_objection(const struct comparison *comparison, bool latency_too,
-				  double chance_max)
+				  const struct thresholds *thresholds)
 {
-	if (fails_more(comparison, chance_max))
+	if (fails_more(comparison, thresholds))
 		return "failures";
-	if (latency_too && is_slower(comparison))
+	if (latency_too && is_slower(comparison, thresholds))
 		return "latency";
 	return latency_too && rejects_more(comparison) ? "rejections" : NULL;
 }
@@ -391,7 +418,27 @@
 	return 2 * matched < all;
 }
 
-void pd_rollout_compare(struct pd_rollout_evidence *evidence, bool latency_too,
+/* Whether the new version has results in at least two zones, and is also worse without any one of
+ * them. A fault of one zone would be worse only there.
+ */
+static bool holds_without_each_zone(const struct pd_rollout_evidence *evidence,
+				    const struct pd_name *route, bool latency_too)
+{
+	struct comparison all, comparison;
+
+	sum_up(evidence, route, 0, &all);
+	for (size_t i = 0; i < evidence->count; i++) {
+		sum_up(evidence, route, evidence->strata[i].zone, &comparison);
+		/* There is nothing to compare if all results are from one zone. */
+		if (comparison.total[PD_ROLLOUT_NEW] &&
+		    comparison.total[PD_ROLLOUT_NEW] < all.total[PD_ROLLOUT_NEW] &&
+		    !find_objection(&comparison, latency_too, &zone_thresholds))
+			return false;
+	}
+	return true;
+}
+
+void pd_rollout_compare(struct pd_rollout_evidence *evidence, bool latency_too, bool same_time,
 			struct pd_rollout_verdict *verdict)
 {
 	struct comparison comparison, route;
@@ -399,17 +446,20 @@
 	memset(verdict, 0, sizeof(*verdict));
 	if (zones_differ(evidence))
 		pd_rollout_evidence_merge_zones(evidence);
-	sum_up(evidence, NULL, &comparison);
+	sum_up(evidence, &verdict->route, 0, &comparison);
 	verdict->samples = comparison.total[PD_ROLLOUT_NEW];
-	verdict->reason = find_objection(&comparison, latency_too, CHANCE_MAX);
+	verdict->reason = find_objection(&comparison, latency_too, &service_thresholds);
 	for (size_t i = 0; i < evidence->count && !verdict->reason; i++) {
-		sum_up(evidence, &evidence->strata[i].route, &route);
-		verdict->reason = find_objection(&route, latency_too, ROUTE_CHANCE_MAX);
+		sum_up(evidence, &evidence->strata[i].route, 0, &route);
+		verdict->reason = find_objection(&route, latency_too, &route_thresholds);
 		if (!verdict->reason)
 			continue;
 		verdict->route = evidence->strata[i].route;
 		comparison = route;
 	}
+	if (verdict->reason && !same_time &&
+	    !holds_without_each_zone(evidence, &verdict->route, latency_too))
+		verdict->reason = NULL;
 	verdict->bad = verdict->reason != NULL;
 	describe(&comparison, verdict);
 }
@@ -436,20 +486,30 @@
 	pd_rollout_evidence_add(copy, evidence);
 }
 
-/* Requests per second to the service since the order began. */
-static double requests_per_s(const struct pd_rollout_input *input)
+/* Updates the number of requests per second, of which the last second counts most. */
+static void update_rate(struct pd_rollout *rollout, const struct pd_rollout_input *input,
+			int64_t now_us)
 {
-	double age_s = (double)input->age_us / PD_USEC_PER_SEC;
+	double past_us = (double)(now_us - rollout->rate_us);
+	double requests = (double)input->evidence->requests - rollout->rate_requests;
 
-	return input->evidence->requests / (age_s > 1 ? age_s : 1);
+	if (past_us <= 0)
+		return;
+	if (!rollout->rate_us)
+		rollout->per_s = requests / ((double)input->age_us / PD_USEC_PER_SEC + 1);
+	else if (requests >= 0)
+		rollout->per_s += (1 - exp(-past_us / RATE_US)) *
+				  (requests * PD_USEC_PER_SEC / past_us - rollout->per_s);
+	rollout->rate_us = now_us;
+	rollout->rate_requests = input->evidence->requests;
 }
 
 /* Returns the number of requests that the new version may still get before the deadline. */
-static double exposure_left(const struct pd_rollout_input *input)
+static double exposure_left(const struct pd_rollout *rollout, const struct pd_rollout_input *input)
 {
 	return input->share * input->evidence->requests + input->slack -
 	       input->evidence->sent[PD_ROLLOUT_NEW] - EXPOSURE_RESERVE -
-	       EVIDENCE_AGE_S * requests_per_s(input);
+	       EVIDENCE_AGE_S * rollout->per_s;
 }
 
 static bool is_late(const struct pd_rollout_input *input)
@@ -457,26 +517,48 @@
 	return input->age_us >= input->duration_us;
 }
 
-/* Returns the length of the full phase, without the time for requests that are still in flight. */
+/* Returns the time for which the new version may get all requests. */
+static int64_t exposure_time_us(const struct pd_rollout *rollout,
+				const struct pd_rollout_input *input)
+{
+	double per_s = rollout->per_s * (1 - input->share);
+	double left = exposure_left(rollout, input);
+
+	if (left <= 0)
+		return 0;
+	return per_s * (double)input->duration_us > left * PD_USEC_PER_SEC
+		       ? (int64_t)(left / per_s * PD_USEC_PER_SEC)
+		       : input->duration_us;
+}
+
+/* Returns the time after which the full phase has shown enough at many requests per second. */
 static int64_t full_length_us(const struct pd_rollout *rollout)
 {
-	return rollout->passed ? FULL_AGAIN_US : FULL_US;
+	double length_us;
+
+	if (rollout->passed)
+		return FULL_AGAIN_US;
+	if (rollout->per_s < 1)
+		return FULL_MAX_US;
+	length_us = FULL_REQUESTS / rollout->per_s * PD_USEC_PER_SEC;
+	if (length_us > FULL_MAX_US)
+		return FULL_MAX_US;
+	return length_us < FULL_MIN_US ? FULL_MIN_US : (int64_t)length_us;
 }
 
 /* Returns the age of the order at which the full phase begins. With few requests, it begins earlier
  * by the time that FULL_SAMPLES responses take, but not in the first half.
  */
-static int64_t canary_end_us(const struct pd_rollout_input *input)
+static int64_t canary_end_us(const struct pd_rollout *rollout, const struct pd_rollout_input *input)
 {
-	double per_s = requests_per_s(input);
-	double needed_us = per_s > 0 ? FULL_SAMPLES / per_s * PD_USEC_PER_SEC : 0;
+	double needed_us = rollout->per_s > 0 ? FULL_SAMPLES / rollout->per_s * PD_USEC_PER_SEC : 0;
 	int64_t end_us = input->duration_us - CANARY_END_US;
 
-	if (needed_us > FULL_US)
+	if (needed_us > FULL_MAX_US)
 		end_us -= (int64_t)(needed_us < (double)input->duration_us
 					    ? needed_us
 					    : (double)input->duration_us) -
-			  FULL_US;
+			  FULL_MAX_US;
 	if (end_us < input->duration_us / 2 && input->duration_us > 2 * CANARY_END_US)
 		end_us = input->duration_us / 2;
 	return end_us < input->duration_us / 4 ? input->duration_us / 4 : end_us;
@@ -511,7 +593,7 @@
 	if (latency_us <= 0 || full_s < EVIDENCE_AGE_S)
 		return false;
 	expected = sent / full_s * latency_us / PD_USEC_PER_SEC;
-	if (pending < PENDING_MIN + PENDING_FACTOR * expected)
+	if (pending < PENDING_MIN + PENDING_FACTOR * expected || pending < PENDING_SHARE * sent)
 		return false;
 	verdict->bad = true;
 	verdict->reason = "unanswered";
@@ -533,7 +615,7 @@
 	struct pd_rollout_verdict recent;
 
 	copy_evidence(work, input->evidence);
-	pd_rollout_compare(work, latency_too, verdict);
+	pd_rollout_compare(work, latency_too, !rollout->full_since_us, verdict);
 	if (verdict->bad)
 		return;
 	copy_evidence(work, input->evidence);
@@ -542,42 +624,59 @@
 	else
 		pd_rollout_evidence_subtract(work, &rollout->earlier_base,
 					     1U << PD_ROLLOUT_NEW | 1U << PD_ROLLOUT_OLD);
-	pd_rollout_compare(work, latency_too, &recent);
+	pd_rollout_compare(work, latency_too, !rollout->full_since_us, &recent);
 	if (recent.bad)
 		*verdict = recent;
 	else if (full && latency_too)
 		has_too_many_pending(rollout, input, now_us, verdict);
 }
 
-/* Whether the full phase has shown enough. */
+/* Whether the full phase has shown enough. With few requests, it goes on until the deadline is
+ * near.
+ */
 static bool is_full_enough(const struct pd_rollout *rollout, const struct pd_rollout_input *input,
-			   uint32_t samples, int64_t now_us)
+			   int64_t now_us)
+{
+	uint32_t samples =
+		input->evidence->ended[PD_ROLLOUT_NEW] - rollout->full_base.ended[PD_ROLLOUT_NEW];
+
+	if (now_us - rollout->phase_since_us < full_length_us(rollout))
+		return false;
+	return rollout->passed || samples >= FULL_SAMPLES || is_late(input) ||
+	       now_us >= rollout->full_until_us - DRAIN_US - WRITE_US;
+}
+
+/* Whether the old version isn't needed any more, and no head needs it until the outcome is written.
+ */
+static bool is_old_unused(const struct pd_rollout *rollout, const struct pd_rollout_input *input,
+			  int64_t now_us)
 {
-	int64_t length_us = now_us - rollout->phase_since_us;
+	int64_t left_us = rollout->full_until_us - now_us;
 
-	if (length_us >= full_length_us(rollout) &&
-	    (rollout->passed || samples >= FULL_SAMPLES ||
-	     input->age_us >= input->duration_us - GIVE_UP_US - WRITE_US))
-		return true;
-	/* The requests that the phase may take are few at a high rate, but so is the time in which
-	 * they are many.
-	 */
-	return length_us >= FULL_AGAIN_US &&
-	       exposure_left(input) < requests_per_s(input) * WRITE_US / PD_USEC_PER_SEC;
+	if (input->others_full_us < left_us)
+		left_us = input->others_full_us;
+	if (!input->connected || left_us < WRITE_LEFT_US)
+		return false;
+	return input->drained ||
+	       now_us - rollout->phase_since_us >= full_length_us(rollout) + DRAIN_US;
 }
 
-/* Whether the full phase may begin. After the deadline it may, too, because the old version has to
- * be without requests when the outcome is written; a version that has passed needs no more
- * evidence.
+/* Whether the full phase may begin. After the deadline, the bound on the requests is over, but the
+ * old version has to be without requests when the outcome is written.
  */
 static bool may_advance(const struct pd_rollout *rollout, const struct pd_rollout_input *input)
 {
-	double needed = requests_per_s(input) * (FULL_AGAIN_US + WRITE_US) / PD_USEC_PER_SEC;
+	int64_t needed_us = full_length_us(rollout) + WRITE_US;
 
 	if (!input->connected || !input->target_ready || rollout->must_read || rollout->writing)
 		return false;
-	return (rollout->passed && is_late(input)) ||
-	       (input->age_us >= canary_end_us(input) && exposure_left(input) >= needed);
+	if (is_late(input))
+		return input->evidence->ended[PD_ROLLOUT_NEW] > 0;
+	/* The heads begin together: one that begins alone can't complete the order. */
+	if (input->another_full && input->age_us >= canary_end_us(rollout, input) - FOLLOW_US)
+		return exposure_time_us(rollout, input) >= WRITE_US;
+	return input->age_us >= canary_end_us(rollout, input) &&
+	       exposure_time_us(rollout, input) >= needed_us;
 }
 
 static enum pd_rollout_action give_up(const char *reason, struct pd_rollout_verdict *verdict)
@@ -587,8 +686,7 @@
 }
 
 /* Decides on an order that isn't bad by its evidence, towards its deadline and later. */
-static enum pd_rollout_action decide_at_end(const struct pd_rollout *rollout,
-					    const struct pd_rollout_input *input,
+static enum pd_rollout_action decide_at_end(const struct pd_rollout_input *input,
 					    struct pd_rollout_verdict *verdict)
 {
 	if (input->age_us >= input->duration_us + ABANDON_US)
@@ -598,20 +696,14 @@
 		return PD_ROLLOUT_WAIT;
 	if (!input->target_ready)
 		return give_up("no_target", verdict);
-	if (!verdict->samples)
-		return give_up("no_evidence", verdict);
-	/* A full phase or a write is under way, or follows. */
-	return rollout->passed || rollout->phase == PD_ROLLOUT_FULL || !is_late(input)
-		       ? PD_ROLLOUT_WAIT
-		       : give_up("deadline", verdict);
+	/* Otherwise, the full phase or a write is under way, or follows. */
+	return verdict->samples ? PD_ROLLOUT_WAIT : give_up("no_evidence", verdict);
 }
 
 enum pd_rollout_action pd_rollout_decide(struct pd_rollout *rollout,
 					 const struct pd_rollout_input *input, int64_t now_us,
 					 struct pd_rollout_verdict *verdict)
 {
-	int64_t length_us = now_us - rollout->phase_since_us;
-
 	memset(verdict, 0, sizeof(*verdict));
 	if (input->same_version) {
 		verdict->reason = "same_version";
@@ -624,17 +716,13 @@
 		return give_up("another_head", verdict);
 	verdict->reason = "no_objection";
 	if (rollout->phase == PD_ROLLOUT_FULL) {
-		uint32_t samples = input->evidence->ended[PD_ROLLOUT_NEW] -
-				   rollout->full_base.ended[PD_ROLLOUT_NEW];
-
-		if (input->connected && input->all_full && verdict->samples &&
-		    is_full_enough(rollout, input, samples, now_us) &&
-		    (input->drained || length_us >= full_length_us(rollout) + DRAIN_US))
+		if (verdict->samples && is_full_enough(rollout, input, now_us) &&
+		    is_old_unused(rollout, input, now_us))
 			return PD_ROLLOUT_COMPLETE;
 	} else if (may_advance(rollout, input)) {
 		return PD_ROLLOUT_ADVANCE;
 	}
-	return decide_at_end(rollout, input, verdict);
+	return decide_at_end(input, verdict);
 }
 
 static void set_phase(struct pd_rollout *rollout, enum pd_rollout_phase phase, int64_t now_us)
@@ -646,9 +734,19 @@
 static void begin_full(struct pd_rollout *rollout, const struct pd_rollout_input *input,
 		       int64_t now_us)
 {
+	int64_t length_us = full_length_us(rollout) + DRAIN_US + WRITE_US;
+	double age_s = (double)input->age_us / PD_USEC_PER_SEC;
+
 	copy_evidence(&rollout->full_base, input->evidence);
 	rollout->full_requests = input->evidence->requests;
-	rollout->canary_per_s = requests_per_s(input);
+	rollout->canary_per_s = input->evidence->requests / (age_s > 1 ? age_s : 1);
+	/* A service with few requests needs more time for as many results. */
+	if (length_us < input->duration_us - GIVE_UP_US - input->age_us)
+		length_us = input->duration_us - GIVE_UP_US - input->age_us;
+	if (!is_late(input) && length_us > exposure_time_us(rollout, input))
+		length_us = exposure_time_us(rollout, input);
+	rollout->full_until_us = now_us + length_us;
+	rollout->full_since_us = now_us;
 	set_phase(rollout, PD_ROLLOUT_FULL, now_us);
 }
 
@@ -666,18 +764,15 @@
 	copy_evidence(&rollout->recent_base, input->evidence);
 }
 
-/* Ends a full phase that can't go on: its outcome wasn't written in time, or it can't be decided.
+/* Ends a full phase whose outcome wasn't written in time, or that can't be decided. It isn't ended
+ * earlier, because another head may be writing that the order is completed.
  */
 static void end_full_when_due(struct pd_rollout *rollout, const struct pd_rollout_input *input,
 			      int64_t now_us)
 {
-	int64_t length_us = now_us - rollout->phase_since_us;
-	if (rollout->phase != PD_ROLLOUT_FULL)
-		return;
-	if (is_late(input) ? length_us < full_length_us(rollout) + DRAIN_US + WRITE_US
-			   : exposure_left(input) > 0 && input->connected)
+	if (rollout->phase != PD_ROLLOUT_FULL || now_us < rollout->full_until_us)
 		return;
-	rollout->passed = rollout->passed || length_us >= FULL_US;
+	rollout->passed = rollout->passed || is_full_enough(rollout, input, now_us);
 	rollout->decided = PD_ROLLOUT_RUNNING;
 	set_phase(rollout, is_late(input) ? PD_ROLLOUT_HALTED : PD_ROLLOUT_CANARY, now_us);
 }
@@ -705,6 +800,7 @@
 		return;
 	}
 	move_window(rollout, input, now_us);
+	update_rate(rollout, input, now_us);
 	switch (pd_rollout_decide(rollout, input, now_us, &verdict)) {
 	case PD_ROLLOUT_WAIT:
 		break;
@@ -724,10 +820,12 @@
 	}
 	if (!input->same_version)
 		end_full_when_due(rollout, input, now_us);
-	if (rollout->phase == PD_ROLLOUT_CANARY && (is_late(input) || exposure_left(input) <= 0))
+	if (rollout->phase == PD_ROLLOUT_CANARY &&
+	    (is_late(input) || exposure_left(rollout, input) <= 0))
 		set_phase(rollout, PD_ROLLOUT_HALTED, now_us);
 	else if (rollout->phase == PD_ROLLOUT_HALTED && !is_late(input) &&
-		 rollout->decided == PD_ROLLOUT_RUNNING && exposure_left(input) > EXPOSURE_RESERVE)
+		 rollout->decided == PD_ROLLOUT_RUNNING &&
+		 exposure_left(rollout, input) > EXPOSURE_RESERVE)
 		set_phase(rollout, PD_ROLLOUT_CANARY, now_us);
 	/* A head that writes after others waits for them. */
 	if (rollout->wanted != rollout->decided && pd_rollout_is_final(rollout->decided)) {
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -92,7 +92,9 @@
  * @target_ready: an upstream of the new version can take requests and isn't cold
  * @same_version: the service's traffic goes to the ordered version already
  * @connected: the heads of all other zones are heard, and the store is reachable
- * @all_full: all heads are in the full phase
+ * @another_full: another head is in the full phase
+ * @others_full_us: time for which all other heads stay in the full phase at least; 0 if one isn't
+ *in it
  * @drained: no instance sends requests to the old version, and none is in flight there
  * @halted: another head has decided to roll back
  * @completed: another head has written that the order is completed
@@ -107,7 +109,8 @@
 	bool target_ready;
 	bool same_version;
 	bool connected;
-	bool all_full;
+	bool another_full;
+	int64_t others_full_us;
 	bool drained;
 	bool halted;
 	bool completed;
@@ -139,9 +142,10 @@
 };
 
 /* Compares the versions. Merges the zones of @evidence if most results of the new version have no
- * counterpart in their zone. @latency_too: compares latencies and rejections, too.
+ * counterpart in their zone. @latency_too: compares latencies and rejections, too. @same_time: the
+ * results of both are from the same time, so that faults of a zone affect both.
  */
-void pd_rollout_compare(struct pd_rollout_evidence *evidence, bool latency_too,
+void pd_rollout_compare(struct pd_rollout_evidence *evidence, bool latency_too, bool same_time,
 			struct pd_rollout_verdict *verdict);
 
 /**
@@ -158,6 +162,11 @@
  * @wanted: state that is to be written next
  * @written: state that was last handed out
  * @next_call_us: earliest time of the next write or read
+ * @full_since_us: time at which the last full phase began; 0 if there was none
+ * @full_until_us: time at which it ends if no outcome is known; other heads rely on it
+ * @per_s: requests per second to the service now
+ * @rate_us: time of the last update of @per_s
+ * @rate_requests: number of requests at that time
  * @canary_per_s: requests per second to the service in the canary phase
  * @full_requests: number of requests when the full phase began
  * @full_base: evidence when the full phase began
@@ -179,6 +188,11 @@
 	enum pd_rollout_state wanted;
 	enum pd_rollout_state written;
 	int64_t next_call_us;
+	int64_t full_since_us;
+	int64_t full_until_us;
+	double per_s;
+	int64_t rate_us;
+	uint32_t rate_requests;
 	double canary_per_s;
 	uint32_t full_requests;
 	struct pd_rollout_evidence full_base;
--- a/ingress/rollout_exchange.c
+++ b/ingress/rollout_exchange.c
@@ -206,6 +206,14 @@
 	return true;
 }
 
+/* Returns the time for which this head stays in the full phase at least. */
+static uint64_t full_left_us(const struct pd_rollout *rollout, int64_t now_us)
+{
+	return rollout->phase == PD_ROLLOUT_FULL && rollout->full_until_us > now_us
+		       ? (uint64_t)(rollout->full_until_us - now_us)
+		       : 0;
+}
+
 /* Begins a payload of evidence. */
 static void begin_evidence(const struct pd_rollout_tracked *tracked, bool is_head, int64_t now_us,
 			   struct pd_buf *payload)
@@ -221,6 +229,7 @@
 	pd_datagram_put_uint(payload, (uint64_t)rollout->phase);
 	pd_datagram_put_uint(payload, (uint64_t)rollout->decided);
 	pd_datagram_put_uint(payload, (uint64_t)rollout->state);
+	pd_datagram_put_uint(payload, full_left_us(rollout, now_us));
 	pd_datagram_put_uint(payload, tracked->drained);
 }
 
@@ -371,7 +380,9 @@
 			input->halted = true;
 		if (!is_heard(head, now_us))
 			continue;
-		input->all_full = input->all_full && head->phase == PD_ROLLOUT_FULL;
+		if (head->full_until_us - now_us < input->others_full_us)
+			input->others_full_us = head->full_until_us - now_us;
+		input->another_full |= head->phase == PD_ROLLOUT_FULL;
 		input->drained = input->drained && head->drained;
 		input->rank +=
 			pd_str_compare(pd_name_str(&head->name), pd_name_str(&cluster->name)) < 0;
@@ -403,7 +414,7 @@
 		.connected = settled && instances.zones_heard == other_zones &&
 			     count_zones(tracked, &cluster->zone, now_us) == other_zones &&
 			     pd_directory_is_store_reachable(exchange->directory),
-		.all_full = true,
+		.others_full_us = INT64_MAX,
 		.drained = tracked->drained,
 	};
 	add_heads(tracked, cluster, now_us, input);
@@ -419,12 +430,12 @@
 		pd_log(PD_LOG_INFO, "rollout_phase",
 		       "service=%s version=%s phase=%s share=%g age_ms=%" PRId64
 		       " requests=%" PRIu32 " new_sent=%" PRIu32
-		       " target_ready=%d connected=%d all_full=%d drained=%d",
+		       " target_ready=%d connected=%d drained=%d",
 		       tracked->order.service.text, tracked->order.target.text,
 		       pd_rollout_phase_name(rollout->phase), exchange->share / 2,
 		       input->age_us / PD_USEC_PER_MSEC, tracked->sum.requests,
 		       tracked->sum.sent[PD_ROLLOUT_NEW], input->target_ready, input->connected,
-		       input->all_full, input->drained);
+		       input->drained);
 	}
 	if (pd_rollout_is_final(rollout->decided) && rollout->decided != tracked->decision_logged)
 		pd_log(PD_LOG_INFO, "rollout_decision",
@@ -552,8 +563,9 @@
 	return &tracked->heads[i];
 }
 
+/* Reads what another head states @lag_us after it was sent. */
 static bool receive_statement(struct pd_rollout_tracked *tracked, struct pd_datagram_reader *reader,
-			      const struct pd_datagram *datagram, int64_t now_us)
+			      const struct pd_datagram *datagram, int64_t lag_us, int64_t now_us)
 {
 	struct pd_rollout_head stated = {.name = datagram->sender,
 					 .zone = datagram->zone,
@@ -561,16 +573,17 @@
 					 .stamp = pd_datagram_get_uint(reader),
 					 .heard_us = now_us};
 	uint64_t phase = pd_datagram_get_uint(reader), decided = pd_datagram_get_uint(reader);
-	uint64_t state = pd_datagram_get_uint(reader);
+	uint64_t state = pd_datagram_get_uint(reader), full_us = pd_datagram_get_uint(reader);
 	struct pd_rollout_head *head;
 
 	stated.drained = pd_datagram_get_uint(reader) != 0;
 	if (reader->failed || phase > PD_ROLLOUT_FULL || decided > PD_ROLLOUT_ROLLED_BACK ||
-	    state > PD_ROLLOUT_ROLLED_BACK)
+	    state > PD_ROLLOUT_ROLLED_BACK || full_us > INT64_MAX / 2)
 		return false;
 	stated.phase = (enum pd_rollout_phase)phase;
 	stated.decided = (enum pd_rollout_state)decided;
 	stated.state = (enum pd_rollout_state)state;
+	stated.full_until_us = full_us ? now_us + (int64_t)full_us - lag_us : 0;
 	head = get_head(tracked, datagram);
 	if (head && (head->incarnation != stated.incarnation || stated.stamp > head->stamp))
 		*head = stated;
@@ -596,7 +609,9 @@
 			pd_cluster_forward_to_source(cluster, datagram);
 		return;
 	}
-	if (!tracked || (from_head && !receive_statement(tracked, &reader, datagram, now_us)))
+	if (!tracked ||
+	    (from_head && !receive_statement(tracked, &reader, datagram,
+					     order.started_us - tracked->order.started_us, now_us)))
 		return;
 	pd_rollout_ledger_read(&tracked->ledger, &reader, !from_head, cluster->incarnation, now_us);
 }
--- a/ingress/rollout_exchange.h
+++ b/ingress/rollout_exchange.h
@@ -26,6 +26,7 @@
  * @phase: phase that the head is in
  * @decided: outcome that it wants to write
  * @state: state that it knows from the store or from a write that succeeded
+ * @full_until_us: time until which it stays in the full phase at least; 0 if it isn't in it
  * @drained: its zone sends nothing to the old version any more
  */
 struct pd_rollout_head {
@@ -37,6 +38,7 @@
 	enum pd_rollout_phase phase;
 	enum pd_rollout_state decided;
 	enum pd_rollout_state state;
+	int64_t full_until_us;
 	bool drained;
 };
 
--- /dev/null
+++ b/tests/test_rollout.c
@@ -0,0 +1,605 @@
+/**
+ * DOC: Tests of the decision on roll-outs, with simulated instances and messages
+ *
+ * Three heads with two followers each decide on one order of 12 s at 40 requests per second, as on
+ * the page of the users. Datagrams are late, lost, doubled and reordered, the store executes writes
+ * late and loses responses, and heads restart, by a random number for each seed.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "os.h"
+#include "rollout.h"
+#include "suite.h"
+
+#ifdef __SANITIZE_ADDRESS__
+#define SEEDS 20
+#else
+#define SEEDS 20
+#endif
+#define HEADS	       3
+#define ORIGINS	       9 /* origin i belongs to zone i % HEADS; the first HEADS are the heads */
+#define ROUTES	       3
+#define TICK_US	       (50 * PD_USEC_PER_MSEC)
+#define START_US       (1000 * PD_USEC_PER_SEC)
+#define DURATION_US    (12 * PD_USEC_PER_SEC)
+#define SETTLE_US      (50 * PD_USEC_PER_SEC) /* time by which an outcome must be written at all */
+#define SHARE	       0.1
+#define SLACK	       50.0
+#define REQUESTS_PER_S 40
+#define REQUESTS_MAX   8000
+#define MESSAGES_MAX   4096
+#define TIMEOUT_US     (2 * PD_USEC_PER_SEC)
+#define HEARD_US       (700 * PD_USEC_PER_MSEC)
+#define NEVER	       INT64_MAX
+
+/** enum fault - what is wrong with the new version, or with both */
+enum fault {
+	GOOD,
+	GOOD_SLOW_ZONE, /* one zone is three times slower for 4 s */
+	GOOD_FAILING_ZONE, /* requests to one zone fail for 2 s */
+	GOOD_BURST, /* 2.5 times as many requests for 3 s, and all are slower */
+	GOOD_FAILING, /* a tenth of all responses are failures */
+	GOOD_FEW, /* 6 requests per second */
+	BAD_AT_ONCE,
+	BAD_PART,
+	BAD_LATER,
+	BAD_LOAD,
+	BAD_ROUTE,
+	SLOW_AT_ONCE,
+	SLOW_LATER,
+	SLOW_LOAD,
+	SLOW_ROUTE,
+	HANGS_IN_LOAD,
+	FAULTS,
+};
+
+static const char *const fault_names[FAULTS] = {
+	"good",		 "good, slow zone", "good, failing zone", "good, burst",
+	"good, failing", "good, few",	    "bad at once",	  "bad in part",
+	"bad later",	 "bad under load",  "bad route",	  "slow at once",
+	"slow later",	 "slow load",	    "slow route",	  "hangs under load"};
+
+/** enum trouble - what the messages, the store and the heads do */
+enum trouble {
+	CALM,
+	LOSSY, /* datagrams are lost, doubled, late and reordered */
+	STORE_LOSES, /* responses of the store are lost, and writes executed late */
+	RESTARTS, /* heads restart, and LOSSY and STORE_LOSES */
+	STORE_DOWN, /* the store is unreachable from 8 s to 20 s */
+};
+
+/** struct request - a request to an upstream */
+struct request {
+	int64_t end_us;
+	int origin, zone, route;
+	bool new, failed;
+	int64_t latency_us;
+};
+
+/** struct message - a datagram; a statement of a head, if it is from one */
+struct message {
+	int64_t due_us, full_until_us;
+	int to, from;
+	bool statement, drained;
+	enum pd_rollout_phase phase;
+	enum pd_rollout_state decided, state;
+	struct pd_buf records;
+};
+
+/** struct call - a call to the store; @executed_us and @answered_us are NEVER if it is lost */
+struct call {
+	enum pd_rollout_call kind;
+	enum pd_rollout_state state;
+	uint64_t revision;
+	int64_t executed_us, answered_us;
+	enum pd_code code;
+	enum pd_rollout_state read_state;
+	uint64_t read_revision;
+	int head; /* -1 once the head was told, or has restarted */
+};
+
+/** struct head - a head, with the last statements of the others */
+struct head {
+	struct pd_rollout rollout;
+	struct pd_rollout_ledger ledger;
+	struct pd_rollout_evidence sum;
+	int64_t since_us, repeat_us, heard_us[HEADS];
+	struct message stated[HEADS];
+};
+
+static struct {
+	unsigned int random;
+	enum fault fault;
+	enum trouble trouble;
+	int64_t now_us, fault_us;
+	struct head heads[HEADS];
+	struct pd_rollout_origin origins[ORIGINS];
+	double credit[ORIGINS];
+	enum pd_rollout_phase phases[ORIGINS];
+	struct request requests[REQUESTS_MAX];
+	size_t request_count, in_flight;
+	struct message messages[MESSAGES_MAX];
+	size_t message_count;
+	struct call calls[512];
+	size_t call_count;
+	enum pd_rollout_state state; /* of the store */
+	uint64_t revision;
+	int64_t outcome_us;
+	int outcomes,
+		cut; /* number of outcomes, and of requests to the old version at "completed" */
+	uint32_t requests_by_deadline, new_by_deadline;
+} sim;
+
+static double draw(void)
+{
+	return rand_r(&sim.random) / (RAND_MAX + 1.0);
+}
+
+static bool is_bad(enum fault fault)
+{
+	return fault >= BAD_AT_ONCE;
+}
+
+static bool during(double from_s, double seconds)
+{
+	double at_s = (double)(sim.now_us - START_US - sim.fault_us) / PD_USEC_PER_SEC;
+
+	return at_s >= from_s && at_s < from_s + seconds;
+}
+
+/* Sets the result of a request by the fault. */
+static void run_request(struct request *request)
+{
+	double latency_us = 20000 * exp(0.4 * (draw() + draw() + draw() + draw() - 2));
+	bool later = sim.now_us - START_US > 6 * PD_USEC_PER_SEC;
+	bool loaded = sim.phases[request->origin] == PD_ROLLOUT_FULL;
+	double failing = 0, slow = 1;
+
+	if (sim.fault == GOOD_SLOW_ZONE && request->zone == 1 && during(0, 4))
+		slow = 3;
+	if (sim.fault == GOOD_FAILING_ZONE && request->zone == 1 && during(0, 2))
+		failing = 1;
+	if (sim.fault == GOOD_BURST && during(0, 3))
+		slow = 2.5;
+	if (sim.fault == GOOD_FAILING)
+		failing = 0.1;
+	if (request->new && (sim.fault == BAD_AT_ONCE || (sim.fault == BAD_LATER && later) ||
+			     (sim.fault == BAD_LOAD && loaded)))
+		failing = 0.5;
+	if (request->new &&sim.fault == BAD_PART)
+		failing = 0.25;
+	if (request->new &&sim.fault == BAD_ROUTE && request->route == 1)
+		failing = 1;
+	if (request->new && (sim.fault == SLOW_AT_ONCE || (sim.fault == SLOW_LATER && later) ||
+			     (sim.fault == SLOW_LOAD && loaded)))
+		slow = 4;
+	if (request->new &&sim.fault == SLOW_ROUTE && request->route == 1)
+		slow = 4;
+	if (request->new &&sim.fault == HANGS_IN_LOAD && loaded)
+		slow = 1000;
+	latency_us *= slow;
+	request->latency_us = latency_us < TIMEOUT_US ? (int64_t)latency_us : TIMEOUT_US;
+	request->failed = draw() < failing;
+	request->end_us = sim.now_us + request->latency_us;
+}
+
+static void send_request(void)
+{
+	struct request *request = &sim.requests[sim.in_flight];
+	int origin = (int)(draw() * ORIGINS);
+	enum pd_rollout_phase phase = sim.phases[origin];
+	struct pd_rollout_evidence *evidence = &sim.origins[origin].evidence;
+
+	if (pd_rollout_is_final(sim.state) || sim.in_flight == REQUESTS_MAX)
+		return;
+	*request = (struct request){
+		.origin = origin, .zone = origin % HEADS, .route = (int)(draw() * ROUTES)};
+	sim.credit[origin] += phase == PD_ROLLOUT_CANARY ? SHARE / 2 : 0;
+	request->new =
+		phase == PD_ROLLOUT_FULL || (phase == PD_ROLLOUT_CANARY && sim.credit[origin] >= 1);
+	if (phase == PD_ROLLOUT_CANARY && request->new)
+		sim.credit[origin] -= 1;
+	run_request(request);
+	sim.in_flight++;
+	evidence->requests++;
+	evidence->sent[request->new]++;
+	sim.origins[origin].gauges.old_in_flight += !request->new;
+	if (sim.now_us < START_US + DURATION_US) {
+		sim.requests_by_deadline++;
+		sim.new_by_deadline += request->new;
+	}
+}
+
+static void end_requests(void)
+{
+	for (size_t i = sim.in_flight; i > 0; i--) {
+		struct request *request = &sim.requests[i - 1];
+		struct pd_rollout_origin *origin = &sim.origins[request->origin];
+		struct pd_rollout_counts *counts;
+		struct pd_name route;
+		char name[8];
+
+		if (request->end_us > sim.now_us)
+			continue;
+		snprintf(name, sizeof(name), "r%d", request->route);
+		ck_assert(pd_name_set(&route, pd_str_from(name)));
+		counts = &pd_rollout_evidence_stratum(&origin->evidence, &route,
+						      (uint64_t)request->zone + 1)
+				  ->sides[request->new];
+		origin->evidence.ended[request->new]++;
+		origin->gauges.old_in_flight -= !request->new;
+		if (request->failed) {
+			counts->failed++;
+		} else {
+			counts->ok++;
+			counts->latency[pd_rollout_latency_bin(request->latency_us)]++;
+		}
+		*request = sim.requests[--sim.in_flight];
+	}
+}
+
+/* Sends a message, of which copies may be lost, doubled or late. */
+static void send_message(const struct message *message)
+{
+	bool lossy = sim.trouble == LOSSY || sim.trouble == RESTARTS;
+	int copies = lossy && draw() < 0.1 ? 2 : 1;
+
+	for (int i = 0; i < copies; i++) {
+		struct message *copy = &sim.messages[sim.message_count];
+
+		if ((lossy && draw() < 0.15) || sim.message_count == MESSAGES_MAX)
+			continue;
+		*copy = *message;
+		copy->records = (struct pd_buf){0};
+		pd_buf_append_str(&copy->records, pd_buf_str(&message->records));
+		copy->due_us = sim.now_us + (int64_t)(draw() * (lossy ? 300000 : 20000));
+		sim.message_count++;
+	}
+}
+
+static void write_origin(struct pd_rollout_origin *origin, struct pd_buf *records)
+{
+	size_t next = 0;
+
+	ck_assert(pd_rollout_origin_write(origin, &next, 100000, records));
+}
+
+static void receive_message(const struct message *message)
+{
+	struct head *head = &sim.heads[message->to];
+	struct pd_datagram_reader reader;
+
+	pd_datagram_reader_init(&reader, pd_buf_str(&message->records));
+	ck_assert(pd_rollout_ledger_read(&head->ledger, &reader, !message->statement,
+					 (uint64_t)message->to + 1, sim.now_us));
+	if (!message->statement)
+		return;
+	head->heard_us[message->from] = sim.now_us;
+	head->stated[message->from] = *message;
+}
+
+static void deliver_messages(void)
+{
+	for (size_t i = sim.message_count; i > 0; i--) {
+		struct message message = sim.messages[i - 1];
+
+		if (message.due_us > sim.now_us)
+			continue;
+		sim.messages[i - 1] = sim.messages[--sim.message_count];
+		receive_message(&message);
+		pd_buf_finish(&message.records);
+	}
+}
+
+static bool store_is_down(void)
+{
+	int64_t at_us = sim.now_us - START_US;
+
+	return sim.trouble == STORE_DOWN && at_us > 8 * PD_USEC_PER_SEC &&
+	       at_us < 20 * PD_USEC_PER_SEC;
+}
+
+static void start_call(int index, enum pd_rollout_call kind)
+{
+	const struct pd_rollout *rollout = &sim.heads[index].rollout;
+	bool loses = sim.trouble == STORE_LOSES || sim.trouble == RESTARTS;
+	struct call *call = &sim.calls[sim.call_count++];
+
+	ck_assert_uint_lt(sim.call_count, sizeof(sim.calls) / sizeof(sim.calls[0]));
+	*call = (struct call){.kind = kind,
+			      .state = rollout->written,
+			      .revision = rollout->revision,
+			      .executed_us = sim.now_us + 5000,
+			      .answered_us = sim.now_us + 10000,
+			      .head = index};
+	if (store_is_down() || (loses && draw() < 0.15))
+		call->executed_us = NEVER;
+	else if (loses && draw() < 0.3)
+		call->executed_us += (int64_t)(draw() * 4e6);
+	if (call->executed_us > call->answered_us || (loses && draw() < 0.3)) {
+		call->answered_us = sim.now_us + 400000;
+		call->code = PD_UNKNOWN_OUTCOME;
+	}
+}
+
+static void execute_call(struct call *call)
+{
+	call->executed_us = NEVER;
+	call->read_state = sim.state;
+	call->read_revision = sim.revision;
+	if (call->kind == PD_ROLLOUT_CALL_READ)
+		return;
+	if (call->revision != sim.revision) {
+		call->code = call->code ? call->code : PD_CONFLICT;
+		return;
+	}
+	/* "running" comes first, and nothing follows an outcome. */
+	ck_assert_int_eq(sim.state,
+			 call->state == PD_ROLLOUT_RUNNING ? PD_ROLLOUT_NONE : PD_ROLLOUT_RUNNING);
+	sim.state = call->state;
+	sim.revision++;
+	if (!pd_rollout_is_final(sim.state))
+		return;
+	sim.outcomes++;
+	sim.outcome_us = sim.now_us;
+	for (size_t i = 0; i < sim.in_flight && sim.state == PD_ROLLOUT_COMPLETED; i++)
+		sim.cut += !sim.requests[i].new;
+}
+
+static void run_store(void)
+{
+	for (size_t i = 0; i < sim.call_count; i++) {
+		struct call *call = &sim.calls[i];
+		struct pd_rollout *rollout =
+			call->head >= 0 ? &sim.heads[call->head].rollout : NULL;
+
+		if (sim.now_us >= call->executed_us)
+			execute_call(call);
+		if (!rollout || sim.now_us < call->answered_us)
+			continue;
+		call->head = -1;
+		if (call->kind == PD_ROLLOUT_CALL_WRITE)
+			pd_rollout_end_write(rollout, call->code, sim.now_us);
+		else
+			pd_rollout_end_read(rollout, call->code == PD_OK, true, call->read_state,
+					    call->read_revision, sim.now_us);
+	}
+}
+
+static void fill_input(struct head *head, int index, struct pd_rollout_input *input)
+{
+	bool settled = head->since_us <= START_US || sim.now_us - head->since_us > 3500000;
+
+	*input = (struct pd_rollout_input){.age_us = sim.now_us - START_US,
+					   .duration_us = DURATION_US,
+					   .share = SHARE,
+					   .slack = SLACK,
+					   .evidence = &head->sum,
+					   .target_ready = true,
+					   .connected = settled && !store_is_down(),
+					   .others_full_us = INT64_MAX};
+	input->drained = pd_rollout_ledger_drained(&head->ledger, HEARD_US, sim.now_us) >=
+				 ORIGINS / HEADS - 1 &&
+			 sim.phases[index] == PD_ROLLOUT_FULL &&
+			 !sim.origins[index].gauges.old_in_flight;
+	for (int i = 0; i < HEADS; i++) {
+		const struct message *stated = &head->stated[i];
+
+		if (i == index)
+			continue;
+		input->completed |= stated->state == PD_ROLLOUT_COMPLETED;
+		input->halted |= stated->decided == PD_ROLLOUT_ROLLED_BACK;
+		input->connected &= sim.now_us - head->heard_us[i] <= HEARD_US;
+		if (stated->full_until_us - sim.now_us < input->others_full_us)
+			input->others_full_us = stated->full_until_us - sim.now_us;
+		input->another_full |= stated->phase == PD_ROLLOUT_FULL &&
+				       sim.now_us - head->heard_us[i] <= HEARD_US;
+		input->drained &= stated->drained;
+		input->rank += i < index;
+	}
+}
+
+static void send_statement(const struct head *head, int index, bool drained)
+{
+	struct message message = {.from = index,
+				  .statement = true,
+				  .drained = drained,
+				  .phase = head->rollout.phase,
+				  .full_until_us = head->rollout.phase == PD_ROLLOUT_FULL
+							   ? head->rollout.full_until_us
+							   : 0,
+				  .decided = head->rollout.decided,
+				  .state = head->rollout.state};
+
+	for (size_t i = 0; i < head->ledger.count; i++)
+		write_origin(&head->ledger.origins[i], &message.records);
+	for (message.to = 0; message.to < HEADS; message.to++) {
+		if (message.to != index)
+			send_message(&message);
+	}
+	pd_buf_finish(&message.records);
+}
+
+static void tick_head(int index)
+{
+	struct head *head = &sim.heads[index];
+	struct pd_rollout_origin *own =
+		pd_rollout_ledger_origin(&head->ledger, (uint64_t)index + 1);
+	struct pd_rollout_input input;
+	enum pd_rollout_call call;
+
+	pd_rollout_evidence_finish(&own->evidence);
+	pd_rollout_evidence_add(&own->evidence, &sim.origins[index].evidence);
+	own->gauges = sim.origins[index].gauges;
+	pd_rollout_ledger_sum(&head->ledger, &head->sum);
+	fill_input(head, index, &input);
+	if (!store_is_down() && draw() < 0.3)
+		pd_rollout_observe(&head->rollout, sim.state, sim.revision);
+	pd_rollout_update(&head->rollout, &input, sim.now_us);
+	call = pd_rollout_next_call(&head->rollout, sim.now_us);
+	if (call != PD_ROLLOUT_NO_CALL)
+		start_call(index, call);
+	if (sim.now_us % (2 * TICK_US) == 0)
+		send_statement(head, index, input.drained);
+	/* The followers have the permission at the next tick. */
+	for (int i = index; i < ORIGINS; i += HEADS)
+		sim.phases[i] = head->rollout.phase;
+}
+
+static void restart_head(int index)
+{
+	struct head *head = &sim.heads[index];
+
+	pd_rollout_finish(&head->rollout);
+	pd_rollout_ledger_finish(&head->ledger);
+	pd_rollout_evidence_finish(&head->sum);
+	memset(head, 0, sizeof(*head));
+	pd_rollout_init(&head->rollout);
+	pd_rollout_observe(&head->rollout, sim.state, sim.revision);
+	head->since_us = sim.now_us;
+	for (size_t i = 0; i < sim.call_count; i++) {
+		if (sim.calls[i].head == index)
+			sim.calls[i].head = -1;
+	}
+}
+
+/* Sends the evidence of the instances that aren't heads. */
+static void send_evidence(void)
+{
+	for (int i = HEADS; i < ORIGINS; i++) {
+		struct message message = {.to = i % HEADS, .from = i};
+
+		sim.origins[i].id = (uint64_t)i + 1;
+		sim.origins[i].gauges.sequence = (uint64_t)sim.now_us;
+		sim.origins[i].gauges.full = sim.phases[i] == PD_ROLLOUT_FULL;
+		write_origin(&sim.origins[i], &message.records);
+		send_message(&message);
+		pd_buf_finish(&message.records);
+	}
+}
+
+static void finish(void)
+{
+	for (int i = 0; i < HEADS; i++)
+		restart_head(i);
+	for (int i = 0; i < ORIGINS; i++)
+		pd_rollout_evidence_finish(&sim.origins[i].evidence);
+	for (size_t i = 0; i < sim.message_count; i++)
+		pd_buf_finish(&sim.messages[i].records);
+	memset(&sim, 0, sizeof(sim));
+}
+
+static double requests_per_tick(void)
+{
+	double per_s = sim.fault == GOOD_FEW ? 6 : REQUESTS_PER_S;
+
+	if (sim.fault == GOOD_BURST && during(0, 3))
+		per_s *= 2.5;
+	return per_s * TICK_US / PD_USEC_PER_SEC;
+}
+
+static void play(enum fault fault, enum trouble trouble, unsigned int seed)
+{
+	finish();
+	sim.random = seed * 7919 + 17;
+	sim.fault = fault;
+	sim.trouble = trouble;
+	sim.revision = 7;
+	sim.now_us = START_US;
+	sim.fault_us = (int64_t)(draw() * 10e6);
+	for (int i = 0; i < HEADS; i++)
+		restart_head(i);
+	for (int i = 0; i < ORIGINS; i++)
+		sim.credit[i] = draw();
+	for (; sim.now_us < START_US + SETTLE_US; sim.now_us += TICK_US) {
+		double requests = requests_per_tick();
+
+		for (; requests > 0; requests--) {
+			if (draw() < requests)
+				send_request();
+		}
+		end_requests();
+		if (sim.now_us % (2 * TICK_US) == 0)
+			send_evidence();
+		deliver_messages();
+		run_store();
+		for (int i = 0; i < HEADS; i++) {
+			if (trouble == RESTARTS && draw() < 0.002)
+				restart_head(i);
+			tick_head(i);
+		}
+		if (sim.outcomes && sim.now_us > START_US + DURATION_US &&
+		    sim.now_us > sim.outcome_us + 6 * PD_USEC_PER_SEC)
+			break;
+	}
+}
+
+/* Plays all seeds; returns the number of those with another outcome than the right one by the
+ * deadline. What no seed may violate is checked here.
+ */
+static int play_seeds(enum fault fault, enum trouble trouble)
+{
+	enum pd_rollout_state right = is_bad(fault) ? PD_ROLLOUT_ROLLED_BACK : PD_ROLLOUT_COMPLETED;
+	int wrong = 0, late = 0, exceeded = 0, cut = 0;
+	double most = 0;
+
+	for (unsigned int seed = 1; seed <= SEEDS; seed++) {
+		double limit;
+
+		play(fault, trouble, seed);
+		limit = SHARE * sim.requests_by_deadline + SLACK;
+		ck_assert_msg(sim.outcomes == 1, "%s, trouble %d, seed %u: %d outcomes",
+			      fault_names[fault], trouble, seed, sim.outcomes);
+		if (is_bad(fault))
+			exceeded += sim.new_by_deadline > limit;
+		if (is_bad(fault) && sim.new_by_deadline > most)
+			most = sim.new_by_deadline;
+		wrong += sim.state != right;
+		late += sim.outcome_us > START_US + DURATION_US;
+		cut += sim.cut > 0;
+		for (int i = 0; i < HEADS && getenv("ROLLOUT_TRACE"); i++) {
+			const struct pd_rollout *rollout = &sim.heads[i].rollout;
+
+			if (sim.state != right || sim.outcome_us > START_US + DURATION_US)
+				printf("  seed %u head %d: %s %s\n", seed, i,
+				       rollout->verdict.reason, rollout->verdict.figures);
+		}
+	}
+	printf("%-20s trouble=%d wrong=%d late=%d exceeded=%d cut=%d most=%.0f\n",
+	       fault_names[fault], trouble, wrong, late, exceeded, cut, most);
+	ck_assert_int_eq(exceeded, 0);
+	return wrong + late;
+}
+
+START_TEST(good_versions_complete_and_bad_ones_are_rolled_back)
+{
+	/* Guards against a wrong outcome or too many requests for each kind of version, beside
+	 * faults that hit both versions.
+	 */
+	for (int fault = 0; fault < FAULTS; fault++)
+		play_seeds((enum fault)fault, CALM);
+}
+END_TEST
+
+START_TEST(interleavings_have_one_outcome)
+{
+	/* Guards against two outcomes, and against too many requests, when messages and responses
+	 * are lost and heads restart between decision and write.
+	 */
+	for (int trouble = getenv("T") ? atoi(getenv("T")) : LOSSY; trouble <= STORE_DOWN; trouble++) {
+		for (int fault = 0; fault < FAULTS; fault++)
+			play_seeds((enum fault)fault, (enum trouble)trouble);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *tests[] = {good_versions_complete_and_bad_ones_are_rolled_back,
+				interleavings_have_one_outcome};
+
+	return suite_run("rollout", tests, sizeof(tests) / sizeof(tests[0]));
+}
