Configuration: client accounts and their API keys are read

Nothing filled the accounts of the catalog, so that no request could be tied to one.

platform/accounts reads the list of accounts. Keys are kept as keyed BLAKE2b hashes (libsodium) with a key that the process draws, in a hash table, so that neither the time of a look-up nor the memory tells the bytes of a key. An invalid value never gives an account more rights: a key that is listed twice belongs to no account, an invalid quota counts as 1 per second. With accounts, an unreadable service or route is left out and logged instead of making the whole configuration invalid, because a withdrawn key must not wait for another entry; the requests of such a route will be refused rather than go to a route with a shorter prefix. Without accounts, a configuration is read as before.

--- a/Makefile
+++ b/Makefile
@@ -4,14 +4,14 @@
 SAN ?=
 B := $(if $(SAN),build/$(SAN),build/release)
 
-PKGS := ck msgpack libmicrohttpd libcurl jansson libxxhash gsl
+PKGS := ck msgpack libmicrohttpd libcurl jansson libxxhash gsl libsodium
 CC := gcc
 CXX := g++
 CPPFLAGS := -D_GNU_SOURCE -Isrc -Iingress -Iplatform -Istandins $(shell pkg-config --cflags $(PKGS))
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wvla
 CFLAGS := -std=gnu11 -O2 -g -pthread $(WARN)
 CXXFLAGS := -std=c++17 -O2 -g -pthread -Wall -Wextra -Werror
-LDLIBS := -Wl,--as-needed -lhttp_parser -lmicrohttpd -lcurl -ljansson -lmsgpackc -lxxhash -lz -lgsl -lgslcblas -lck -lstdc++ -lm -pthread
+LDLIBS := -Wl,--as-needed -lhttp_parser -lmicrohttpd -lcurl -ljansson -lsodium -lmsgpackc -lxxhash -lz -lgsl -lgslcblas -lck -lstdc++ -lm -pthread
 ifneq ($(SAN),)
 CFLAGS += -fsanitize=$(SAN) -fno-omit-frame-pointer
 CXXFLAGS += -fsanitize=$(SAN) -fno-omit-frame-pointer
--- a/deploy/ingress.mk
+++ b/deploy/ingress.mk
@@ -4,7 +4,7 @@
 CPPFLAGS := -D_GNU_SOURCE -Isrc -Iingress -Iplatform
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wvla
 CFLAGS := -std=gnu11 -O2 -g -pthread $(WARN)
-LDLIBS := -Wl,--as-needed -lhttp_parser -ljansson -lxxhash -lz -lmsgpackc -lm -pthread
+LDLIBS := -Wl,--as-needed -lhttp_parser -ljansson -lsodium -lxxhash -lz -lmsgpackc -lm -pthread
 
 BASE := str error log counters os msgpack_check
 SOURCES := $(wildcard ingress/*.c platform/*.c) $(BASE:%=src/%.c) bin/peridot-ingress.c
--- a/ingress/catalog.c
+++ b/ingress/catalog.c
@@ -26,6 +26,12 @@
 	return catalog;
 }
 
+bool pd_catalog_reserve_accounts(struct pd_catalog *catalog, size_t accounts, size_t keys)
+{
+	catalog->accounts = calloc(accounts + 1, sizeof(*catalog->accounts));
+	return catalog->accounts && pd_key_table_init(&catalog->keys, keys);
+}
+
 struct pd_str pd_catalog_copy(struct pd_catalog *catalog, struct pd_str s)
 {
 	char *at = catalog->text + catalog->text_len;
@@ -61,6 +67,7 @@
 		free(catalog->routes[i].targets);
 	free(catalog->routes);
 	free(catalog->accounts);
+	pd_key_table_finish(&catalog->keys);
 	free(catalog->services);
 	free(catalog->text);
 	free(catalog);
@@ -86,7 +93,9 @@
 
 	if (order)
 		return order;
-	return (left->prefix.len < right->prefix.len) - (left->prefix.len > right->prefix.len);
+	if (left->prefix.len != right->prefix.len)
+		return left->prefix.len < right->prefix.len ? 1 : -1;
+	return left->unusable - right->unusable;
 }
 
 void pd_catalog_sort_routes(struct pd_catalog *catalog)
@@ -127,3 +136,11 @@
 	}
 	return NULL;
 }
+
+const struct pd_account *pd_catalog_find_account(const struct pd_catalog *catalog,
+						 struct pd_str key)
+{
+	uint32_t owner = pd_key_table_find(&catalog->keys, key);
+
+	return owner == PD_KEY_TABLE_NONE ? NULL : &catalog->accounts[owner];
+}
--- a/ingress/catalog.h
+++ b/ingress/catalog.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "error.h"
+#include "key_table.h"
 #include "str.h"
 
 struct pd_service;
@@ -85,6 +86,8 @@
  * @max_attempts: maximum number of attempts of one request for each target, the first one included
  * @priority: priority of the requests; 0 is the highest
  * @allow_anonymous: requests need no API key
+ * @unusable: the route is configured but not readable, so that its requests are refused; without
+ *	it, they would go to the route with a shorter prefix
  * @targets: services to which requests are sent
  * @target_count: number of entries in @targets
  * @top_k: maximum number of records in a merged response
@@ -102,6 +105,7 @@
 	uint32_t max_attempts;
 	uint32_t priority;
 	bool allow_anonymous;
+	bool unusable;
 	struct pd_route_target *targets;
 	size_t target_count;
 	uint32_t top_k;
@@ -136,8 +140,11 @@
  * @service_count: number of entries in @services
  * @routes: configured routes, sorted by host and then from the longest prefix to the shortest
  * @route_count: number of entries in @routes
- * @accounts: client accounts; without any, requests need no API key
+ * @has_accounts: client accounts are configured, so that requests need an API key, even if none of
+ *	the accounts is readable
+ * @accounts: client accounts
  * @account_count: number of entries in @accounts
+ * @keys: API keys; the owner of a key is an index of @accounts
  * @limits: limits for clients
  * @references: reference count; the catalog is freed when it drops to 0
  * @text: storage of all strings; never reallocated, so that views into it stay valid
@@ -151,8 +158,10 @@
 	size_t service_count;
 	struct pd_route *routes;
 	size_t route_count;
+	bool has_accounts;
 	struct pd_account *accounts;
 	size_t account_count;
+	struct pd_key_table keys;
 	struct pd_limits limits;
 	int references;
 	char *text;
@@ -164,6 +173,8 @@
  * routes and for @text bytes of strings; NULL if out of memory.
  */
 struct pd_catalog *pd_catalog_new(size_t services, size_t routes, size_t text);
+/* Allocates space for client accounts and their keys; false if out of memory. */
+bool pd_catalog_reserve_accounts(struct pd_catalog *catalog, size_t accounts, size_t keys);
 /* Copies @s into the catalog's string storage; returns an empty view if it doesn't fit. */
 struct pd_str pd_catalog_copy(struct pd_catalog *catalog, struct pd_str s);
 /* Returns the time since the zone received the version, in milliseconds by the wall clocks of the
@@ -193,5 +204,8 @@
  */
 struct pd_route *pd_catalog_find_route(const struct pd_catalog *catalog, struct pd_str host,
 				       struct pd_str path);
+/* Returns the account of an API key; NULL if it belongs to none. */
+const struct pd_account *pd_catalog_find_account(const struct pd_catalog *catalog,
+						 struct pd_str key);
 
 #endif
