Serving: requests need the API key of an account

Any client could use every route, and upstreams weren't told whose request they run.

With accounts in the configuration, a request without a known key gets 401 unless its route is anonymous. Upstreams get the account's name; what the client sent in the fields of the key and the account is removed, in any case and number. A relayed request carries the key, because a client can forge the field of relayed requests; the larger instance checks it again. Where revocation is strict, keyed requests are refused with 503 once the proof that the configuration is the newest one is too old, on arrival and before each attempt; an attempt whose time has passed, for instance because the process was suspended, isn't sent.

--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -329,6 +329,8 @@
 	exchange->started_us = now_us;
 	/* @now_us is that of the whole fan-out, which may take longer to start. */
 	exchange->permit_until_us = pd_os_boot_us() + PD_PERMIT_VALID_US;
+	if (request->send_until_us && request->send_until_us < exchange->permit_until_us)
+		exchange->permit_until_us = request->send_until_us;
 	exchange->reusable = max_idle_us > 0;
 	exchange->settle = max_idle_us == 0;
 	exchange->tail_len = pd_platform_write_tail(exchange->tail, sizeof(exchange->tail),
--- a/ingress/exchange.h
+++ b/ingress/exchange.h
@@ -36,12 +36,15 @@
  * @body: body of the request
  * @request_id: id of the request, which the upstream echoes in its response
  * @head_only: the method is HEAD, so that responses have no body
+ * @send_until_us: time until which an attempt may begin to be sent, in microseconds of
+ *	pd_os_boot_us(); 0 for no limit
  */
 struct pd_exchange_request {
 	struct pd_str head;
 	struct pd_str body;
 	struct pd_str request_id;
 	bool head_only;
+	int64_t send_until_us;
 };
 
 #define PD_EXCHANGE_TAIL_MAX_BYTES 160
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -104,14 +104,28 @@
 				  leg->tried_count, now_us);
 }
 
-/* Sends an attempt to an upstream that wasn't tried yet; false if there is none. */
+/* Renews the time until which an attempt may be sent by the client's API key; false if none may. */
+static bool renew_key(struct pd_fanout *fanout)
+{
+	if (!fanout->key_check)
+		return true;
+	fanout->request.send_until_us = pd_key_check_until_us(fanout->key_check);
+	if (pd_os_boot_us() < fanout->request.send_until_us)
+		return true;
+	fanout->key_refused = true;
+	return false;
+}
+
+/* Sends an attempt to an upstream that wasn't tried yet; false if there is none, or if the client's
+ * API key doesn't allow it.
+ */
 static bool send_attempt(struct pd_fanout *fanout, struct pd_leg *leg, int64_t now_us)
 {
 	struct pd_registry *registry = fanout->pool->registry;
 	struct pd_exchange *exchange = find_unused_exchange(leg);
 	struct pd_upstream *upstream;
 
-	if (!exchange || leg->tried_count == PD_LEG_ATTEMPTS_MAX)
+	if (!exchange || leg->tried_count == PD_LEG_ATTEMPTS_MAX || !renew_key(fanout))
 		return false;
 	upstream = pd_registry_pick(registry, leg->service, leg->tried, leg->tried_count, now_us);
 	if (!upstream)
@@ -638,7 +652,10 @@
 		struct pd_leg *leg = &fanout->legs[i];
 
 		if (!send_attempt(fanout, leg, now))
-			fail_leg(fanout, leg, pd_block_name(leg_permit(fanout, leg, now).block));
+			fail_leg(fanout, leg,
+				 fanout->key_refused
+					 ? "key_unconfirmed"
+					 : pd_block_name(leg_permit(fanout, leg, now).block));
 	}
 	for (size_t i = 0; i < fanout->leg_count; i++)
 		handle_ended_exchanges(fanout, &fanout->legs[i], now);
--- a/ingress/fanout.h
+++ b/ingress/fanout.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "exchange.h"
+#include "key_check.h"
 #include "policy.h"
 #include "reporter.h"
 
@@ -71,6 +72,8 @@
  * @p92_us: 92nd percentile of the route's latency when the request arrived, in microseconds; 0 if
  *	    unknown
  * @request: common part of the sub-requests
+ * @key_check: what each attempt depends on by the client's API key; NULL if it needs none
+ * @key_refused: an attempt wasn't sent because of @key_check
  * @reporter: reporter that records crashes of upstreams
  * @fingerprint: fingerprint of the request, for @reporter
  * @client_fd: socket that is watched for the client's disconnection; -1 for none
@@ -98,6 +101,8 @@
 	struct pd_route_stats *stats;
 	double p92_us;
 	struct pd_exchange_request request;
+	const struct pd_key_check *key_check;
+	bool key_refused;
 	struct pd_reporter *reporter;
 	uint64_t fingerprint;
 	int client_fd;
--- a/ingress/policy.c
+++ b/ingress/policy.c
@@ -140,6 +140,7 @@
 	case PD_REFUSAL_CRASHES:
 		return CRASHES_RETRY_MS;
 	case PD_REFUSAL_NOT_CONFIGURED:
+	case PD_REFUSAL_KEY_UNCONFIRMED:
 	case PD_REFUSAL_NO_UPSTREAM:
 		return 300;
 	}
--- a/ingress/policy.h
+++ b/ingress/policy.h
@@ -94,6 +94,8 @@
 	PD_REFUSAL_PAUSED, /* upstreams have asked for a pause */
 	PD_REFUSAL_OVERLOADED, /* this instance has too many requests or too little memory */
 	PD_REFUSAL_STOPPING, /* this instance is about to end; others can serve the request */
+	PD_REFUSAL_KEY_UNCONFIRMED, /* the key may have been withdrawn: the store wasn't heard
+				       lately */
 	PD_REFUSAL_CRASHES, /* several upstreams crashed while they executed the same request */
 };
 
--- a/ingress/relay.c
+++ b/ingress/relay.c
@@ -18,18 +18,24 @@
 
 void pd_relay_write_request(const struct pd_relay_fields *fields, struct pd_buf *out)
 {
-	pd_buf_printf(out, FIELD_REQUEST ": %" PRIu64 ",%" PRIu64 "\r\n", fields->wait_ms,
-		      fields->config_version);
+	pd_buf_printf(out, FIELD_REQUEST ": %" PRIu64 ",%" PRIu64 "%s\r\n", fields->wait_ms,
+		      fields->config_version, fields->has_accounts ? ",1" : "");
 }
 
 bool pd_relay_read_request(const struct pd_http_message *msg, struct pd_relay_fields *fields)
 {
+	unsigned int has_accounts = 0;
 	struct pd_str text;
 	char copy[48];
+	int count;
 
-	return pd_http_message_field(msg, FIELD_REQUEST, &text) &&
-	       pd_str_copy(text, copy, sizeof(copy)) &&
-	       sscanf(copy, "%" SCNu64 ",%" SCNu64, &fields->wait_ms, &fields->config_version) == 2;
+	if (!pd_http_message_field(msg, FIELD_REQUEST, &text) ||
+	    !pd_str_copy(text, copy, sizeof(copy)))
+		return false;
+	count = sscanf(copy, "%" SCNu64 ",%" SCNu64 ",%u", &fields->wait_ms,
+		       &fields->config_version, &has_accounts);
+	fields->has_accounts = has_accounts == 1;
+	return count >= 2;
 }
 
 void pd_relay_write_response(enum pd_relay_result result, struct pd_buf *out)
--- a/ingress/relay.h
+++ b/ingress/relay.h
@@ -21,10 +21,13 @@
  * struct pd_relay_fields - contents of the header field of a relayed request
  * @wait_ms: time to wait for parts, in milliseconds, before those that have arrived are merged
  * @config_version: minimum version of the configuration by which the request may be served
+ * @has_accounts: that configuration has client accounts. One without accounts would pass the API
+ *	key on to upstreams.
  */
 struct pd_relay_fields {
 	uint64_t wait_ms;
 	uint64_t config_version;
+	bool has_accounts;
 };
 
 /* Appends the header field of a relayed request. */
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -10,6 +10,7 @@
 #include "fanout.h"
 #include "headers.h"
 #include "ingress_private.h"
+#include "key_check.h"
 #include "log.h"
 #include "merge.h"
 #include "os.h"
@@ -27,9 +28,13 @@
  * @ingress: ingress; NULL for a request that couldn't be read
  * @client: connection that the request was received on
  * @fields: header fields of the request
+ * @confirmed_us: time at which @catalog or an earlier configuration was proven to be the newest
+ *one, in microseconds of pd_os_boot_us()
  * @catalog: configuration by which the request is served; NULL if there is none
  * @route: route of the request
  * @account: account whose API key the client sent; NULL for an anonymous request
+ * @key_check: what the request depends on by its API key, if it needs one
+ * @needs_key: each attempt is checked by @key_check
  * @priority: priority of the request: that of the account, or else of the route; 0 is the highest
  * @relayed: another instance relayed the request, with the parameters in @relay_fields
  * @relay_fields: parameters of a relayed request
@@ -42,9 +47,12 @@
 	struct pd_ingress *ingress;
 	struct pd_client *client;
 	struct pd_request_fields fields;
+	int64_t confirmed_us;
 	struct pd_catalog *catalog;
 	struct pd_route *route;
 	const struct pd_account *account;
+	struct pd_key_check key_check;
+	bool needs_key;
 	uint32_t priority;
 	bool relayed;
 	struct pd_relay_fields relay_fields;
@@ -106,6 +114,7 @@
 	case PD_REFUSAL_OVERLOADED:
 	case PD_REFUSAL_RATE_LIMITED:
 	case PD_REFUSAL_PAUSED:
+	case PD_REFUSAL_KEY_UNCONFIRMED:
 		return PD_RELAY_NOT_SERVED;
 	case PD_REFUSAL_NO_UPSTREAM:
 	case PD_REFUSAL_UPSTREAMS_OVERLOADED:
@@ -127,7 +136,8 @@
 	request->reason = reason;
 	/* Another instance may be able to serve the request: closing the connection makes the
 	 * client open a new one for its next request. */
-	request->close = request->close || refusal == PD_REFUSAL_ISOLATED;
+	request->close = request->close || refusal == PD_REFUSAL_ISOLATED ||
+			 (refusal == PD_REFUSAL_KEY_UNCONFIRMED && !request->relayed);
 	request->relay_result = refusal_to_relay_result(refusal);
 	begin_response(&head, request->status);
 	pd_buf_printf(&head, "Retry-After: %u.%03u\r\n", retry_ms / 1000, retry_ms % 1000);
@@ -276,9 +286,18 @@
 			  permit->wait_us);
 }
 
+/* Refuses a request whose API key may have been withdrawn. */
+static bool refuse_unconfirmed(struct request *request)
+{
+	pd_count(PD_COUNT_keys_unconfirmed);
+	return refuse(request, PD_REFUSAL_KEY_UNCONFIRMED, "the API key isn't confirmed");
+}
+
 /* Responds to a request for which too few upstreams have responded. */
 static bool respond_failure(struct request *request, const struct pd_fanout *fanout)
 {
+	if (pd_fanout_not_executed(fanout) && fanout->key_refused)
+		return refuse_unconfirmed(request);
 	if (pd_fanout_not_executed(fanout)) {
 		struct pd_permit permit = needed_permit(request, fanout);
 
@@ -353,6 +372,7 @@
 		.request_id = request->fields.request_id,
 		.head_only = is_head(request),
 	};
+	fanout->key_check = request->needs_key ? &request->key_check : NULL;
 	fanout->reporter = &request->ingress->reporter;
 	fanout->fingerprint = pd_crash_fingerprint(
 		pd_str_from(http_method_str((enum http_method)client->msg.parser.method)),
@@ -445,9 +465,16 @@
 	struct pd_relay_fields fields = {
 		.wait_ms = wait_us > 0 ? (uint64_t)(wait_us / PD_USEC_PER_MSEC) : 0,
 		.config_version = request->catalog->version,
+		.has_accounts = request->catalog->has_accounts,
 	};
-
-	pd_platform_write_head(&request->client->msg, head);
+	/* The larger instance checks the key itself: it can't tell a relayed request from one of a
+	 * client that claims to be relayed.
+	 */
+	const struct pd_identity_fields identity = {
+		.api_key = request->account ? request->fields.api_key : (struct pd_str){NULL, 0}};
+
+	pd_platform_write_head(&request->client->msg,
+			       request->catalog->has_accounts ? &identity : NULL, head);
 	pd_relay_write_request(&fields, head);
 }
 
@@ -526,6 +553,15 @@
 	return served;
 }
 
+static void write_upstream_head(const struct request *request, struct pd_buf *head)
+{
+	const struct pd_identity_fields identity = {
+		.account = request->account ? request->account->name : (struct pd_str){NULL, 0}};
+
+	pd_platform_write_head(&request->client->msg,
+			       request->catalog->has_accounts ? &identity : NULL, head);
+}
+
 static bool serve_locally(struct request *request)
 {
 	struct pd_route *route = request->route;
@@ -537,7 +573,7 @@
 
 	if (!pd_fanout_init(&fanout, legs))
 		return refuse(request, PD_REFUSAL_OVERLOADED, "memory");
-	pd_platform_write_head(&request->client->msg, &head);
+	write_upstream_head(request, &head);
 	set_services(request, &fanout);
 	fill_fanout(request, &fanout, &head);
 	permit = needed_permit(request, &fanout);
@@ -581,6 +617,72 @@
 	return respond_text(request, HTTP_STATUS_NOT_FOUND, "no route");
 }
 
+/* Whether the key of the client, if it has one, is valid by a configuration that is recent enough
+ * to know of its withdrawal.
+ */
+static bool is_confirmed(const struct request *request)
+{
+	return pd_os_boot_us() <
+	       pd_key_confirmed_until_us(request->confirmed_us,
+					 request->ingress->settings.revocation_ms);
+}
+
+static void set_account(struct request *request, const struct pd_account *account)
+{
+	request->account = account;
+	if (account->has_priority)
+		request->priority = account->priority;
+	request->key_check = (struct pd_key_check){
+		.directory = &request->ingress->directory,
+		.key = request->fields.api_key,
+		.account = account->name,
+		.version = request->catalog->version,
+		.revocation_ms = request->ingress->settings.revocation_ms,
+	};
+	request->needs_key = !request->route->allow_anonymous;
+}
+
+static bool respond_unknown_key(struct request *request)
+{
+	pd_count(PD_COUNT_keys_unknown);
+	return respond_text(request, HTTP_STATUS_UNAUTHORIZED, "a known API key is needed");
+}
+
+/* Determines the account of a request by its API key. False if the request was refused; then
+ * @written tells whether the response was written.
+ */
+static bool check_key(struct request *request, bool *written)
+{
+	const struct pd_catalog *catalog = request->catalog;
+	const struct pd_account *account;
+
+	request->priority = request->route->priority;
+	if (!catalog->has_accounts) {
+		/* The key that came with the relayed request would reach upstreams. */
+		if (!request->relayed || !request->relay_fields.has_accounts)
+			return true;
+		*written = refuse(request, PD_REFUSAL_NOT_CONFIGURED, "accounts aren't configured");
+		return false;
+	}
+	if (request->relayed && catalog->version < request->relay_fields.config_version) {
+		*written = refuse(request, PD_REFUSAL_NOT_CONFIGURED, "configuration is older");
+		return false;
+	}
+	account = pd_catalog_find_account(catalog, request->fields.api_key);
+	if (account && is_confirmed(request)) {
+		set_account(request, account);
+		return true;
+	}
+	if (request->route->allow_anonymous)
+		return true;
+	/* A configuration that isn't the newest one may lack a new key. */
+	if (!request->fields.api_key.len || is_confirmed(request))
+		*written = respond_unknown_key(request);
+	else
+		*written = refuse_unconfirmed(request);
+	return false;
+}
+
 /* Checks whether the request can be served, and relays, serves or refuses it. */
 static bool serve_or_refuse(struct request *request)
 {
@@ -597,6 +699,10 @@
 	else if (!(request->route = pd_catalog_find_route(request->catalog, request->fields.host,
 							  strip_query(target))))
 		written = respond_no_route(request);
+	else if (!check_key(request, &written))
+		; /* refused */
+	else if (request->route->unusable)
+		written = refuse(request, PD_REFUSAL_NOT_CONFIGURED, "the route isn't readable");
 	else if (!pd_ingress_takes(request->ingress, request->route))
 		written = refuse(request, PD_REFUSAL_STOPPING, "stopping");
 	else if (request->relayed &&
@@ -617,6 +723,8 @@
 
 	pd_platform_read_request(&client->msg, &request.fields);
 	request.relayed = pd_relay_read_request(&client->msg, &request.relay_fields);
+	/* Read before the configuration: the one that is in force then is at least as recent. */
+	request.confirmed_us = pd_directory_config_confirmed_us(&ingress->directory);
 	request.catalog = pd_registry_catalog(&ingress->registry);
 	request.close = !client->msg.keep_alive;
 	written = serve_or_refuse(&request);
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -13,6 +13,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -81,6 +82,9 @@
  * @upstreams: upstreams
  * @upstream_count: number of entries used in @upstreams
  * @routes: routes for the next published configuration
+ * @accounts: client accounts for the next published configuration; without any, the configuration
+ * has no list of accounts
+ * @revocation_ms: bound of revocation in the settings of instances; 0 for none
  * @extra_services: number of services without upstreams in the next published configuration
  * @instances: ingress processes
  * @instance_count: number of entries used in @instances
@@ -100,6 +104,8 @@
 	struct platform_upstream upstreams[UPSTREAMS_MAX];
 	size_t upstream_count;
 	json_t *routes;
+	json_t *accounts;
+	int revocation_ms;
 	int extra_services;
 	struct instance instances[INSTANCES_MAX];
 	size_t instance_count;
@@ -126,6 +132,50 @@
 	va_end(args);
 }
 
+/* Identities in the requests that the upstreams received last, by their index. */
+static char identities[UPSTREAMS_MAX][512];
+static pthread_mutex_t identities_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* Records which fields of an executed request state a key or an account, whatever their case. */
+static void record_identity(struct platform_upstream *upstream,
+			    const struct platform_upstream_request *request)
+{
+	struct pd_buf text = {0};
+	size_t index = (size_t)(upstream - deployment.upstreams);
+
+	if (!request->executed)
+		return;
+	pd_buf_append_str(&text, PD_STR("fields:"));
+	for (uint32_t i = 0; i < request->msg->field_count; i++) {
+		struct pd_str name = pd_http_message_name(request->msg, i);
+
+		if (!strncasecmp(name.data, "x-key", 5) || !strncasecmp(name.data, "x-tenant", 8) ||
+		    !strncasecmp(name.data, "x-peridot", 9))
+			pd_buf_printf(&text, " %.*s=%.*s", PD_STR_ARG(name),
+				      PD_STR_ARG(pd_http_message_value(request->msg, i)));
+	}
+	pthread_mutex_lock(&identities_lock);
+	snprintf(identities[index], sizeof(identities[index]), "%s", text.data);
+	pthread_mutex_unlock(&identities_lock);
+	pd_buf_finish(&text);
+}
+
+/* identity ID: prints the fields that state a key or an account in the last request that an
+ * upstream executed
+ */
+static void do_identity(char **words, int count)
+{
+	size_t index = 0;
+
+	(void)count;
+	while (index < deployment.upstream_count &&
+	       strcmp(deployment.upstreams[index].id, words[1]) != 0)
+		index++;
+	pthread_mutex_lock(&identities_lock);
+	append_output("%s", index < deployment.upstream_count ? identities[index] : "no upstream");
+	pthread_mutex_unlock(&identities_lock);
+}
+
 /* Returns the upstream with the id @id; exits if there is none. */
 static struct platform_upstream *find_upstream(const char *id)
 {
@@ -162,6 +212,7 @@
 {
 	struct platform_upstream *upstream = &deployment.upstreams[deployment.upstream_count++];
 
+	upstream->on_request = record_identity;
 	platform_upstream_start(upstream, words[1], words[2]);
 	platform_store_put(&deployment.store, "servers", words[1],
 			   create_entry(upstream, count > 3 ? words[3] : "here", "ready"));
@@ -307,6 +358,44 @@
 	json_array_clear(deployment.routes);
 }
 
+/* account JSON: adds an entry to the list of accounts
+ * accounts: removes all of them; both take effect when the configuration is published
+ */
+static void do_account(char **words, int count)
+{
+	json_t *account = count > 1 ? json_loads(words[1], JSON_DECODE_ANY, NULL) : NULL;
+
+	if (!strcmp(words[0], "accounts"))
+		json_array_clear(deployment.accounts);
+	else if (account)
+		json_array_append_new(deployment.accounts, account);
+	else
+		append_output("no JSON");
+}
+
+/* many_accounts COUNT: adds accounts with two keys each, "first-N" and "second-N" */
+static void do_many_accounts(char **words, int count)
+{
+	(void)count;
+	for (int i = 0; i < atoi(words[1]); i++) {
+		char name[32], first[32], second[32];
+
+		snprintf(name, sizeof(name), "account-%d", i);
+		snprintf(first, sizeof(first), "first-%d", i);
+		snprintf(second, sizeof(second), "second-%d", i);
+		json_array_append_new(deployment.accounts, json_pack("{s:s,s:[s,s]}", "name", name,
+								     "api_keys", first, second));
+	}
+}
+
+/* strict [MS]: sets the bound of revocation of instances that are started from now on; none without
+ * MS
+ */
+static void do_strict(char **words, int count)
+{
+	deployment.revocation_ms = count > 1 ? atoi(words[1]) : 0;
+}
+
 static void append_service(json_t *services, const char *name)
 {
 	json_array_append_new(services, json_pack("{s:s,s:s,s:i,s:f,s:f}", "name", name,
@@ -319,6 +408,7 @@
 {
 	json_t *services = json_array();
 	json_t *seen = json_object();
+	json_t *config;
 
 	for (size_t i = 0; i < deployment.upstream_count; i++) {
 		const char *name = deployment.upstreams[i].service;
@@ -336,11 +426,13 @@
 		snprintf(name, sizeof(name), "service-%08x", (unsigned int)i * 2654435761U);
 		append_service(services, name);
 	}
-	platform_store_put(&deployment.store, "config", "main",
-			   json_pack("{s:i,s:O,s:o,s:{s:i,s:i,s:i,s:i}}", "version", version,
-				     "routes", json_deep_copy(deployment.routes), "services",
-				     services, "limits", "max_header_bytes", 2048, "max_body_bytes",
-				     4096, "header_timeout_ms", 500, "idle_timeout_ms", 3000));
+	config = json_pack("{s:i,s:O,s:o,s:{s:i,s:i,s:i,s:i}}", "version", version, "routes",
+			   json_deep_copy(deployment.routes), "services", services, "limits",
+			   "max_header_bytes", 2048, "max_body_bytes", 4096, "header_timeout_ms",
+			   500, "idle_timeout_ms", 3000);
+	if (json_array_size(deployment.accounts))
+		json_object_set_new(config, "tenants", json_deep_copy(deployment.accounts));
+	platform_store_put(&deployment.store, "config", "main", config);
 }
 
 /* publish VERSION: publishes a configuration */
@@ -464,9 +556,13 @@
 static void write_settings(const struct instance *instance, uint16_t store_port)
 {
 	FILE *file = fopen(instance->settings, "w");
+	char bounds[96] = "";
 
 	if (!file)
 		abort();
+	if (deployment.revocation_ms)
+		snprintf(bounds, sizeof(bounds), ",\"strict_revocation\":true,\"revocation_ms\":%d",
+			 deployment.revocation_ms);
 	fprintf(file,
 		"{\"platform\":{\"node_name\":\"%s\",\"zone\":\"%s\",\"ip\":\"127.0.0.1\","
 		"\"internal_port_range\":[%u,%u],\"listen_addresses\":"
@@ -474,11 +570,11 @@
 		"\"127.0.0.1:%u\"},\"limits\":{\"max_file_descriptors\":%d,\"memory_mb\":112,"
 		"\"cpu_share\":%g},"
 		"\"bounds\":"
-		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6}},"
+		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6%s}},"
 		"\"ingress\":{\"metrics_address\":\"127.0.0.1:%u\",\"log_lines_per_s\":500}}\n",
 		instance->name, instance->zone, instance->peer.port, instance->peer.port,
 		instance->front.port, instance->ready.port, store_port, deployment.descriptors,
-		instance->cpu_share, instance->metrics.port);
+		instance->cpu_share, bounds, instance->metrics.port);
 	fclose(file);
 }
 
@@ -757,6 +853,7 @@
 	const char *deadline = named_argument(words, count, "deadline");
 	const char *body = named_argument(words, count, "body");
 	const char *chunked = named_argument(words, count, "chunked");
+	const char *key = named_argument(words, count, "key");
 
 	pd_buf_printf(out, "%s %s HTTP/1.1\r\nHost: shop.example\r\n", words[1], words[2]);
 	if (id)
@@ -764,6 +861,8 @@
 	else
 		pd_buf_printf(out, "X-Request-Id: auto-%u\r\n", ++deployment.next_id);
 	pd_buf_printf(out, "X-Deadline-Ms: %s\r\n", deadline ? deadline : "2000");
+	if (key)
+		pd_buf_printf(out, "X-Key: %s\r\n", key);
 	if (body)
 		pd_buf_printf(out, "Content-Length: %zu\r\n\r\n%s", strlen(body), body);
 	else if (chunked)
@@ -774,8 +873,8 @@
 }
 
 /*
- * request METHOD TARGET [id=ID] [deadline=MS] [body=TEXT] [chunked=TEXT]: sends a request on a new
- * connection and prints the response
+ * request METHOD TARGET [id=ID] [deadline=MS] [body=TEXT] [chunked=TEXT] [key=KEY]: sends a request
+ * on a new connection and prints the response
  * kept ...: sends it on one connection that stays open
  */
 static void do_request(char **words, int count)
@@ -1142,6 +1241,10 @@
 	{"return", 2, do_evacuate},
 	{"route", 2, do_route},
 	{"forget", 1, do_forget},
+	{"account", 2, do_account},
+	{"accounts", 1, do_account},
+	{"many_accounts", 2, do_many_accounts},
+	{"strict", 1, do_strict},
 	{"publish", 2, do_publish},
 	{"storm", 4, do_storm},
 	{"services", 2, do_services},
@@ -1178,6 +1281,7 @@
 	{"runs", 2, do_upstream_info},
 	{"arrivals", 2, do_upstream_info},
 	{"last", 2, do_upstream_info},
+	{"identity", 2, do_identity},
 	{"runs_total", 1, do_runs_total},
 	{"arrivals_reset", 2, do_arrivals_reset},
 	{"logged", 2, do_logged},
@@ -1279,6 +1383,7 @@
 	deployment.ingress_program = argv[1];
 	deployment.settings_prefix = argv[2];
 	deployment.routes = json_array();
+	deployment.accounts = json_array();
 	deployment.store.on_write = redirect_to_link;
 	platform_store_start(&deployment.store);
 	while (fgets(line, sizeof(line), stdin)) {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -224,7 +224,7 @@
 
 	pd_http_message_init(&msg, PD_HTTP_REQUEST, 1000, 1000);
 	ck_assert_int_eq(pd_http_message_parse(&msg, text, strlen(text), &used), PD_HTTP_COMPLETE);
-	pd_platform_write_head(&msg, &out);
+	pd_platform_write_head(&msg, NULL, &out);
 	ck_assert_str_eq(out.data,
 			 "POST /a?b=%20 HTTP/1.1\r\nHost: h\r\nX-Request-Id: 7\r\nX-Own: v\r\n"
 			 "Content-Length: 2\r\n");
