Sync: the configuration is proven to be the newest one

A watch of the configuration waited up to 25 s, so that an instance that was cut off, or suspended, went on accepting keys that had been withdrawn.

Where revocation is strict and clients have accounts, the head's watch waits 1.5 s at most, and its response proves the configuration up to the time at which it was sent. The response must arrive 0.7 s after the wait instead of 1.5 s: otherwise one lost response would let the proof become too old. A list that isn't stale proves it, too. Nothing is proven while the store's newest configuration isn't in force: it can't be read, was removed, or has other contents with a version that isn't newer, which happens after a restore from a copy. Followers compare the hash of the contents in a PONG for the same reason. An instance is ready only after the first proof.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -366,8 +366,8 @@
 	}
 }
 
-/* Answers a PING with its time stamp, the version of the configuration, and the age of the proof
- * that it is complete, increased by 1; 0 if there is none.
+/* Answers a PING with its time stamp, the age of the proof that the configuration is the newest
+ * one, increased by 1, or 0 if there is none, and the version and the hash of the configuration.
  */
 static void receive_ping(struct pd_cluster *cluster, const struct pd_datagram *ping, int64_t now_us)
 {
@@ -388,8 +388,9 @@
 	pthread_mutex_unlock(&cluster->lock);
 	pd_datagram_put_uint(&pong, stamp);
 	pd_datagram_put_uint(&pong, confirmed_us ? (uint64_t)(now_us - confirmed_us) + 1 : 0);
-	/* Read after the proof: the version may only be too high for it, which is safe. */
+	/* Read after the proof: the configuration may only be too new for it, which is safe. */
 	pd_datagram_put_uint(&pong, pd_directory_config_version(cluster->parts.directory));
+	pd_datagram_put_uint(&pong, pd_directory_config_hash(cluster->parts.directory));
 	pd_cluster_send(cluster, PD_DATAGRAM_PONG, pd_buf_str(&pong), &ping->from);
 	pd_buf_finish(&pong);
 }
@@ -398,13 +399,14 @@
 {
 	struct pd_directory *directory = cluster->parts.directory;
 	struct pd_datagram_reader reader;
-	uint64_t stamp, age, version;
+	uint64_t stamp, age, version, hash;
 	bool is_source;
 
 	pd_datagram_reader_init(&reader, pong->payload);
 	stamp = pd_datagram_get_uint(&reader);
 	age = pd_datagram_get_uint(&reader);
 	version = pd_datagram_get_uint(&reader);
+	hash = pd_datagram_get_uint(&reader);
 	if (reader.failed || stamp > (uint64_t)now_us || age > (uint64_t)now_us)
 		return;
 	pthread_mutex_lock(&cluster->lock);
@@ -412,7 +414,10 @@
 	if (is_source)
 		cluster->source_heard_us = now_us;
 	pthread_mutex_unlock(&cluster->lock);
-	if (is_source && age && pd_directory_config_version(directory) >= version)
+	/* After a restore of the store, another configuration may have the same or a lower version.
+	 */
+	if (is_source && age && pd_directory_config_version(directory) == version &&
+	    pd_directory_config_hash(directory) == hash)
 		pd_directory_confirm_config(directory, (int64_t)stamp - (int64_t)(age - 1));
 }
 
--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -213,6 +213,8 @@
 	directory->config_version = version;
 	pd_buf_finish(&directory->config);
 	pd_buf_append_str(&directory->config, text);
+	directory->config_hashes[directory->config_count++ % PD_DIRECTORY_CONFIGS_MAX] =
+		pd_str_hash(text, 0);
 	directory->config_received_unix_ms = received_unix_ms;
 	set_config_message_locked(directory, &msg);
 	log_locked(directory, &msg);
@@ -289,6 +291,38 @@
 	msg->evacuations.at = directory->evacuated_at;
 }
 
+static uint64_t current_config_hash_locked(const struct pd_directory *directory)
+{
+	if (!directory->config_count)
+		return 0;
+	return directory->config_hashes[(directory->config_count - 1) % PD_DIRECTORY_CONFIGS_MAX];
+}
+
+static bool is_past_config_locked(const struct pd_directory *directory, uint64_t hash)
+{
+	size_t count = directory->config_count;
+
+	for (size_t i = 0; i < count && i < PD_DIRECTORY_CONFIGS_MAX; i++) {
+		if (directory->config_hashes[i] == hash)
+			return true;
+	}
+	return false;
+}
+
+bool pd_directory_covers_config(struct pd_directory *directory, const json_t *spec, bool restored)
+{
+	char *text = json_dumps(spec, JSON_COMPACT);
+	uint64_t hash = pd_str_hash(pd_str_from(text), 0);
+	bool covers;
+
+	pthread_mutex_lock(&directory->lock);
+	covers = hash == current_config_hash_locked(directory) ||
+		 (restored && is_past_config_locked(directory, hash));
+	pthread_mutex_unlock(&directory->lock);
+	free(text);
+	return covers;
+}
+
 void pd_directory_confirm_config(struct pd_directory *directory, int64_t confirmed_us)
 {
 	pthread_mutex_lock(&directory->lock);
@@ -317,6 +351,16 @@
 	return version > 0 ? (uint64_t)version : 0;
 }
 
+uint64_t pd_directory_config_hash(struct pd_directory *directory)
+{
+	uint64_t hash;
+
+	pthread_mutex_lock(&directory->lock);
+	hash = current_config_hash_locked(directory);
+	pthread_mutex_unlock(&directory->lock);
+	return hash;
+}
+
 void pd_directory_set_evacuated(struct pd_directory *directory, const struct pd_name *zones,
 				size_t count, struct pd_revision at)
 {
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -21,6 +21,8 @@
 
 /* Number of changes kept for followers. A follower that lags further behind gets a snapshot. */
 #define PD_DIRECTORY_LOG_SIZE 512
+/* Number of past configurations that are recognised in a store that was restored from a copy. */
+#define PD_DIRECTORY_CONFIGS_MAX 64
 
 /**
  * struct pd_change - one change in the log
@@ -74,6 +76,9 @@
  *	of the kind; 0 if there is none
  * @config: current configuration as JSON; empty until the first one is received
  * @config_version: version of @config
+ * @config_hashes: hashes of @config and of the configurations before it
+ * @config_count: number of configurations so far; the hash of number n is stored in
+ *	config_hashes[n % PD_DIRECTORY_CONFIGS_MAX]
  * @config_received_unix_ms: Unix time in milliseconds at which the zone received @config from the
  *	store; 0 if unknown
  * @evacuated: names of the evacuated zones
@@ -105,6 +110,8 @@
 	uint64_t latest_end[PD_FEED_KIND_MAX + 1];
 	struct pd_buf config;
 	int64_t config_version;
+	uint64_t config_hashes[PD_DIRECTORY_CONFIGS_MAX];
+	size_t config_count;
 	int64_t config_received_unix_ms;
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
 	size_t evacuated_count;
@@ -155,6 +162,12 @@
 /* The same for a configuration as JSON text. */
 enum pd_code pd_directory_put_config_text(struct pd_directory *directory, struct pd_str text,
 					  int64_t received_unix_ms, struct pd_error *err);
+/* Whether the store's newest configuration @spec is the current one or, if @restored states that
+ * the store was restored from a copy, one that the current one has replaced here. False for any
+ * other contents, even with a lower version: nothing shows that the current configuration is the
+ * later one.
+ */
+bool pd_directory_covers_config(struct pd_directory *directory, const json_t *spec, bool restored);
 /* Records a proof that the current configuration was the store's newest one at @confirmed_us: the
  * time at which a question was sent whose answer was received and applied. An earlier proof than
  * the known one changes nothing.
@@ -164,6 +177,8 @@
 int64_t pd_directory_config_confirmed_us(struct pd_directory *directory);
 /* Returns the version of the current configuration; 0 if there is none. */
 uint64_t pd_directory_config_version(struct pd_directory *directory);
+/* Returns the hash of the contents of the current configuration; 0 if there is none. */
+uint64_t pd_directory_config_hash(struct pd_directory *directory);
 /* Replaces the set of evacuated zones by the one that the store had at revision @at. A set that is
  * older than the current one is ignored: a stale read, or an instance that has just started, may
  * return it.
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -87,6 +87,7 @@
 			     : RESPONSES_MEMORY_DEFAULT_BYTES);
 	pd_directory_init(&ingress->directory, &ingress->registry);
 	pd_sync_init(&ingress->sync, &ingress->directory, &settings->store);
+	pd_sync_prove_config(&ingress->sync, settings->revocation_ms);
 	pd_membership_init(&ingress->membership, &ingress->directory, &ingress->sync, &self);
 	pd_reporter_init(&ingress->reporter, &ingress->directory, &ingress->sync);
 	pd_feed_init(&ingress->feed, &ingress->directory, &settings->peer);
@@ -290,15 +291,20 @@
 	return stopping;
 }
 
-/* Whether a configuration, a complete list of upstreams and the evacuated zones were received. */
+/* Whether a configuration, a complete list of upstreams and the evacuated zones were received. With
+ * strict revocation, the configuration must also have been proven to be the newest one.
+ */
 static bool is_initialised(struct pd_ingress *ingress)
 {
-	bool initialised;
+	bool initialised, needs_proof;
 
 	pthread_mutex_lock(&ingress->registry.lock);
 	initialised = ingress->registry.list_complete && ingress->registry.catalog;
+	needs_proof = initialised && ingress->registry.catalog->has_accounts &&
+		      ingress->settings.revocation_ms;
 	pthread_mutex_unlock(&ingress->registry.lock);
-	return initialised && pd_directory_knows_evacuated(&ingress->directory);
+	return initialised && pd_directory_knows_evacuated(&ingress->directory) &&
+	       (!needs_proof || pd_directory_config_confirmed_us(&ingress->directory));
 }
 
 bool pd_ingress_is_ready(struct pd_ingress *ingress)
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -7,11 +7,22 @@
 #include <unistd.h>
 
 #include "counters.h"
+#include "key_check.h"
 #include "log.h"
 #include "os.h"
 
 /* A long wait saves calls; TCP keep-alive detects a broken connection meanwhile. */
 #define WATCH_WAIT_MS 25000
+/* Longest wait of a watch that proves that the configuration is the newest one, and the part of the
+ * time until the proof is too old for which it waits. A proof is up to twice the wait old when the
+ * next one arrives, and another wait is left for a call that fails.
+ */
+#define PROOF_WAIT_MAX_MS  1500
+#define PROOF_WAIT_DIVISOR 3
+/* Time after the wait in which the response to such a watch must arrive. With the usual 1.5 s, a
+ * lost response would let the proof become too old.
+ */
+#define PROOF_GRACE_US (700 * PD_USEC_PER_MSEC)
 /* Wait of a watch from before a revision that is known: it returns the changes in between at once,
  * and without a response, which may have been lost, it fails early.
  */
@@ -49,6 +60,16 @@
 	}
 }
 
+void pd_sync_prove_config(struct pd_sync *sync, uint32_t revocation_ms)
+{
+	uint32_t wait_ms;
+
+	if (revocation_ms <= PD_KEY_CHECK_MARGIN_MS)
+		return;
+	wait_ms = (revocation_ms - PD_KEY_CHECK_MARGIN_MS) / PROOF_WAIT_DIVISOR;
+	sync->proof_wait_ms = wait_ms < PROOF_WAIT_MAX_MS ? wait_ms : PROOF_WAIT_MAX_MS;
+}
+
 void pd_sync_set_address(struct pd_sync *sync, const struct sockaddr_in *address)
 {
 	pthread_mutex_lock(&sync->lock);
@@ -89,6 +110,30 @@
 	return listed;
 }
 
+/* Whether the task has to prove that the configuration is the newest one. */
+static bool needs_proof(const struct pd_sync_task *task)
+{
+	struct pd_catalog *catalog;
+	bool needed;
+
+	if (task->kind != PD_OBJECT_CONFIG || !task->sync->proof_wait_ms)
+		return false;
+	catalog = pd_registry_catalog(task->sync->directory->registry);
+	needed = catalog && catalog->has_accounts;
+	pd_catalog_release(catalog);
+	return needed;
+}
+
+/* Records a proof by a call that was sent at @sent_us and whose response was applied. A response
+ * from after a restore of the store proves nothing: the kind isn't listed any more then.
+ */
+static void confirm_config(struct pd_sync_task *task, int64_t sent_us)
+{
+	if (task->kind == PD_OBJECT_CONFIG && task->sync->proof_wait_ms && task->config_covered &&
+	    is_listed(task))
+		pd_directory_confirm_config(task->sync->directory, sent_us);
+}
+
 static void wake(struct pd_sync_task *task)
 {
 	/* A full pipe wakes the task, too, so a failed write needs no retry. */
@@ -117,6 +162,7 @@
 	before = sync->era;
 	changed = era && (stale_ok ? era > before : era != before);
 	if (changed) {
+		sync->restored = sync->restored || before;
 		sync->era = era;
 		sync->revision = 0;
 	}
@@ -260,6 +306,40 @@
 	}
 }
 
+static bool was_restored(struct pd_sync *sync)
+{
+	bool restored;
+
+	pthread_mutex_lock(&sync->lock);
+	restored = sync->restored;
+	pthread_mutex_unlock(&sync->lock);
+	return restored;
+}
+
+/* Records whether the configuration that the store has after the changes of a page is in force. It
+ * isn't if it can't be read, was removed, or has a version that isn't newer.
+ */
+static void check_coverage(struct pd_sync_task *task, const struct pd_object_page *page)
+{
+	bool restored = !page->events && was_restored(task->sync);
+	struct pd_object object;
+	bool covered;
+
+	for (size_t i = pd_object_page_count(page); i > 0; i--) {
+		if (!pd_object_page_get(page, i - 1, &object) || !pd_object_is_config(object.name))
+			continue;
+		covered = !object.removed && object.spec &&
+			  pd_directory_covers_config(task->sync->directory, object.spec, restored);
+		if (!covered)
+			pd_log(PD_LOG_WARNING, "config_not_covered",
+			       "version=%" PRIu64 " in_force=%" PRIu64 " removed=%d",
+			       pd_object_config_version(object.spec),
+			       pd_directory_config_version(task->sync->directory), object.removed);
+		task->config_covered = covered;
+		return;
+	}
+}
+
 /* Adds a hash to those of the unreadable objects; false if it is one of them. */
 static bool add_unreadable(struct pd_sync *sync, uint64_t hash)
 {
@@ -363,6 +443,8 @@
 
 	if (task->kind == PD_OBJECT_CONFIG) {
 		apply_newest_config(task->sync, page, received_unix_ms);
+		if (needs_proof(task))
+			check_coverage(task, page);
 		return;
 	}
 	for (size_t i = 0; i < pd_object_page_count(page); i++) {
@@ -457,6 +539,7 @@
 {
 	handle_success(task);
 	listing->at = first;
+	task->config_covered = false;
 	if (task->kind == PD_OBJECT_UPSTREAMS)
 		listing->upstream_list = pd_directory_list_begin(task->sync->directory, first);
 }
@@ -520,6 +603,7 @@
 	 * of the price. Watching from its revision returns the changes since then.
 	 */
 	struct listing listing = {.stale_ok = !task->listed_before};
+	int64_t start = pd_os_boot_us();
 	struct pd_buf after = {0};
 	enum pd_code code = PD_OK;
 	bool more = true;
@@ -533,6 +617,8 @@
 		end_listing(task, &listing);
 	else if (listing.upstream_list)
 		pd_directory_list_fail(task->sync->directory);
+	if (code == PD_OK && !listing.stale_ok)
+		confirm_config(task, start);
 	return code;
 }
 
@@ -552,12 +638,15 @@
 static uint32_t begin_watch(struct pd_sync_task *task)
 {
 	struct pd_sync *sync = task->sync;
-	bool behind;
+	bool prove = needs_proof(task), behind;
 
 	pthread_mutex_lock(&sync->lock);
 	behind = pd_watch_cover_begin(&task->cover, sync->revision, pd_os_boot_us());
 	pthread_mutex_unlock(&sync->lock);
-	return behind ? CATCH_UP_WAIT_MS : WATCH_WAIT_MS;
+	pd_store_set_watch_grace(&task->store, prove ? PROOF_GRACE_US : 0);
+	if (behind)
+		return CATCH_UP_WAIT_MS;
+	return prove ? sync->proof_wait_ms : WATCH_WAIT_MS;
 }
 
 /* Records the revision of the response to a watch, or 0 if there was none. */
@@ -577,6 +666,9 @@
 	uint32_t wait_ms = begin_watch(task);
 	size_t count;
 
+	if (!task->quiet_since_us)
+		task->quiet_since_us = start;
+
 	code = pd_store_watch(&task->store, task->kind, task->revision, wait_ms, &page, err);
 	end_watch(task, code == PD_OK ? page.revision : 0);
 	if (code == PD_CANCELLED) {
@@ -604,10 +696,14 @@
 	if (page.revision > task->revision)
 		task->revision = page.revision;
 	pd_object_page_finish(&page);
+	confirm_config(task, start);
 	if (count)
-		pause_for_batch(task, pd_os_boot_us() - start);
+		pause_for_batch(task, pd_os_boot_us() - task->quiet_since_us);
 	else
 		task->early_returns = 0;
+	/* Short watches that return no changes count as one long watch. */
+	if (count || wait_ms == WATCH_WAIT_MS)
+		task->quiet_since_us = 0;
 	return PD_OK;
 }
 
@@ -622,12 +718,23 @@
 	return task->kind == PD_OBJECT_CONFIG && (was_inactive || frequent_changes);
 }
 
+/* Whether to list the configuration because the next watch would prove it too late: the first
+ * accounts were configured while a long watch was waiting.
+ */
+static bool should_prove_now(const struct pd_sync_task *task)
+{
+	int64_t confirmed_us = pd_directory_config_confirmed_us(task->sync->directory);
+
+	return !task->events_skipped && task->config_covered && needs_proof(task) &&
+	       pd_os_boot_us() - confirmed_us > 2 * task->sync->proof_wait_ms * PD_USEC_PER_MSEC;
+}
+
 /* Lists or watches the kind once; @was_inactive states that it wasn't watched since the last call.
  */
 static enum pd_code fetch_changes(struct pd_sync_task *task, bool was_inactive,
 				  struct pd_error *err)
 {
-	if (is_listed(task) && !should_skip_events(task, was_inactive)) {
+	if (is_listed(task) && !should_skip_events(task, was_inactive) && !should_prove_now(task)) {
 		task->events_skipped = false;
 		return watch_once(task, err);
 	}
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -47,6 +47,10 @@
  * @failures: number of consecutive failed calls
  * @early_returns: number of consecutive watches that returned changes early, see sync.c
  * @events_skipped: the last call was a list
+ * @quiet_since_us: time at which the first watch was sent since changes were returned last, in
+ *	microseconds of pd_os_boot_us(); used only for configurations that are to be proven
+ * @config_covered: the store's newest configuration that was read is in force, see
+ *	pd_directory_covers_config()
  * @wake_pipe: pipe that ends a waiting watch or a pause of the task when a byte is written to it
  */
 struct pd_sync_task {
@@ -62,6 +66,8 @@
 	uint32_t failures;
 	uint32_t early_returns;
 	bool events_skipped;
+	int64_t quiet_since_us;
+	bool config_covered;
 	int wake_pipe[2];
 };
 
@@ -72,13 +78,16 @@
 /**
  * struct pd_sync - synchronisation with the store
  * @directory: directory to which changes are applied
- * @lock: guards @address, @mode, @era, @revision, @unreadable and the members of the tasks that
- *	refer to it
+ * @lock: guards @address, @mode, @era, @revision, @restored, @unreadable and the members of the
+ *tasks that refer to it
  * @changed: signalled when @mode is set
  * @address: address of the store
  * @mode: how changes are received
  * @era: number of the store's history, see &pd_store.era; 0 if unknown
  * @revision: highest revision of @era that a response stated
+ * @restored: the store was restored from a copy since the start
+ * @proof_wait_ms: time for which a watch of the configuration waits while clients have accounts, in
+ *	milliseconds; 0 if no proof that the configuration is the newest one is needed
  * @renewal_postponed: the renewal of watches was postponed, because another response is due
  * @tasks: one task for each kind of object
  * @upstream_list: number of the last complete list of upstreams
@@ -95,6 +104,8 @@
 	enum pd_sync_mode mode;
 	uint64_t era;
 	uint64_t revision;
+	bool restored;
+	uint32_t proof_wait_ms;
 	bool renewal_postponed;
 	struct pd_sync_task tasks[PD_SYNC_TASK_COUNT];
 	uint64_t upstream_list;
@@ -106,6 +117,10 @@
 
 void pd_sync_init(struct pd_sync *sync, struct pd_directory *directory,
 		  const struct sockaddr_in *address);
+/* Makes the task for the configuration prove often enough that it is the newest one, so that keys
+ * that were withdrawn can be refused after @revocation_ms. To be called before the start.
+ */
+void pd_sync_prove_config(struct pd_sync *sync, uint32_t revocation_ms);
 enum pd_code pd_sync_start(struct pd_sync *sync, struct pd_error *err);
 void pd_sync_set_address(struct pd_sync *sync, const struct sockaddr_in *address);
 void pd_sync_get_address(struct pd_sync *sync, struct sockaddr_in *address);
