Configuration: parts that JSON can't represent are left out by themselves

A number that is too large, a doubled member or a null byte in one account made the whole configuration unreadable, so that withdrawn keys stayed valid until the proof was too old, and then all keys were refused. The error message quoted the text near the fault, which may be a key.

With accounts, the readable parts of such a configuration are kept; an unreadable one counts as false, which has the wrong type for everything but a switch, and never as missing. A list of accounts that isn't readable still makes the configuration invalid.

--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -299,6 +299,9 @@
 		if (pd_directory_put_config(sync->directory, object.spec, received_unix_ms, &err) ==
 		    PD_OK) {
 			pd_count_add(PD_COUNT_config_superseded, lower_count);
+			if (object.unreadable)
+				pd_sync_report_unreadable(sync, PD_OBJECT_CONFIG, object.name,
+							  object.unreadable);
 			return;
 		}
 		pd_log_failure(PD_LOG_ERROR, "config_unreadable", &err);
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -84,6 +84,7 @@
  * @routes: routes for the next published configuration
  * @accounts: client accounts for the next published configuration; without any, the configuration
  * has no list of accounts
+ * @key: API key of all requests that don't name another one; empty for none
  * @revocation_ms: bound of revocation in the settings of instances; 0 for none
  * @extra_services: number of services without upstreams in the next published configuration
  * @instances: ingress processes
@@ -105,6 +106,7 @@
 	size_t upstream_count;
 	json_t *routes;
 	json_t *accounts;
+	char key[64];
 	int revocation_ms;
 	int extra_services;
 	struct instance instances[INSTANCES_MAX];
@@ -388,6 +390,12 @@
 	}
 }
 
+/* key [KEY]: sets the API key of all requests that don't name another one; none without KEY */
+static void do_key(char **words, int count)
+{
+	snprintf(deployment.key, sizeof(deployment.key), "%s", count > 1 ? words[1] : "");
+}
+
 /* strict [MS]: sets the bound of revocation of instances that are started from now on; none without
  * MS
  */
@@ -861,8 +869,8 @@
 	else
 		pd_buf_printf(out, "X-Request-Id: auto-%u\r\n", ++deployment.next_id);
 	pd_buf_printf(out, "X-Deadline-Ms: %s\r\n", deadline ? deadline : "2000");
-	if (key)
-		pd_buf_printf(out, "X-Key: %s\r\n", key);
+	if (key || deployment.key[0])
+		pd_buf_printf(out, "X-Key: %s\r\n", key ? key : deployment.key);
 	if (body)
 		pd_buf_printf(out, "Content-Length: %zu\r\n\r\n%s", strlen(body), body);
 	else if (chunked)
@@ -1244,6 +1252,7 @@
 	{"account", 2, do_account},
 	{"accounts", 1, do_account},
 	{"many_accounts", 2, do_many_accounts},
+	{"key", 1, do_key},
 	{"strict", 1, do_strict},
 	{"publish", 2, do_publish},
 	{"storm", 4, do_storm},
