--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -292,6 +292,31 @@
 }
 END_TEST
 
+START_TEST(withdrawn_key_sends_nothing)
+{
+	/* Guards against a request that is sent although the proof of its client's key has become
+	 * too old since the attempt began.
+	 */
+	struct pd_exchange_request keyed = request;
+	int64_t now = pd_os_boot_us();
+	struct pd_exchange exchange;
+
+	keyed.send_until_us = now - 1;
+	ck_assert_ptr_eq(pd_registry_pick(&registry, service, NULL, 0, now), upstream);
+	pd_exchange_start(&exchange, &pool, upstream, &keyed, now + PD_USEC_PER_SEC, 0, now);
+	step_until(&exchange, PD_EXCHANGE_WAITING);
+	ck_assert_int_eq(exchange.state, PD_EXCHANGE_EXPIRED);
+	ck_assert(!pd_exchange_was_sent(&exchange));
+	end(&exchange);
+	/* A limit that is later than the permit's doesn't extend it. */
+	keyed.send_until_us = INT64_MAX;
+	ck_assert_ptr_eq(pd_registry_pick(&registry, service, NULL, 0, now), upstream);
+	pd_exchange_start(&exchange, &pool, upstream, &keyed, now + PD_USEC_PER_SEC, 0, now);
+	ck_assert_int_le(exchange.permit_until_us, pd_os_boot_us() + PD_PERMIT_VALID_US);
+	end(&exchange);
+}
+END_TEST
+
 START_TEST(reset_before_the_request_is_proof_that_it_did_not_run)
 {
 	/* Guards against a request that may run only once and is sent on a connection that the
@@ -323,6 +348,7 @@
 		response_that_breaks_off_is_never_complete,
 		late_copy_of_a_response_is_not_that_of_the_next_request,
 		expired_permit_sends_nothing,
+		withdrawn_key_sends_nothing,
 		reset_before_the_request_is_proof_that_it_did_not_run,
 	};
 
