Sync: only short watches count as one for the pause after changes

A watch that was cancelled or failed left its start behind, so that a change soon after the next one wasn't taken for an early one, also without accounts.

--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -669,7 +669,8 @@
 	uint32_t wait_ms = begin_watch(task);
 	size_t count;
 
-	if (!task->quiet_since_us)
+	/* Short watches that return no changes count as one long watch. */
+	if (!task->quiet_since_us || !needs_proof(task))
 		task->quiet_since_us = start;
 
 	code = pd_store_watch(&task->store, task->kind, task->revision, wait_ms, &page, err);
@@ -704,8 +705,7 @@
 		pause_for_batch(task, pd_os_boot_us() - task->quiet_since_us);
 	else
 		task->early_returns = 0;
-	/* Short watches that return no changes count as one long watch. */
-	if (count || wait_ms == WATCH_WAIT_MS)
+	if (count)
 		task->quiet_since_us = 0;
 	return PD_OK;
 }
