--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -47,8 +47,8 @@
  * @failures: number of consecutive failed calls
  * @early_returns: number of consecutive watches that returned changes early, see sync.c
  * @events_skipped: the last call was a list
- * @quiet_since_us: time at which the watch was sent, in microseconds of pd_os_boot_us(); that of the
- *	first watch since changes were returned if the watches are short because they prove something
+ * @quiet_since_us: time at which the watch was sent, in microseconds of pd_os_boot_us(); that of
+ *the first watch since changes were returned if the watches are short because they prove something
  * @config_covered: the store's newest configuration that was read is in force, see
  *	pd_directory_covers_config()
  * @wake_pipe: pipe that ends a waiting watch or a pause of the task when a byte is written to it
