Soak: requests with API keys that configurations withdraw

Nothing checked withdrawn keys under random faults.

Rule KEY: no upstream executes a request with a key that was withdrawn 5 s before it was sent, and each gets the right account and no key. Such a request may be denied with 401, and with keys SERVING requires the instance to be synced with the store, because an instance that is cut off must refuse. Datagrams between instances are forwarded beside their TCP proxies. Without the option, all runs are as before.

--- a/tests/run_soak.sh
+++ b/tests/run_soak.sh
@@ -8,6 +8,7 @@
 bin=${BIN:-build/release}
 ingress=${INGRESS:-$bin/peridot-ingress} # may be another build, for instance with a sanitizer
 seconds=${3:-10}
+SOAK_OPTIONS=${SOAK_OPTIONS:-} # "--keys" for requests with API keys that are withdrawn meanwhile
 jobs=${JOBS:-3} # parallel runs; each has eight ingress processes and several hundred threads
 if [ $# -ge 2 ]; then
 	seeds=$(seq "$1" "$2")
@@ -18,7 +19,8 @@
 	local folder=build/soak/$1
 	rm -rf "$folder"
 	mkdir -p "$folder"
-	if "$bin/soak" --seed "$1" --seconds "$seconds" --ingress "$ingress" --folder "$folder" >"$folder/output" 2>&1; then
+	# shellcheck disable=SC2086
+	if "$bin/soak" $SOAK_OPTIONS --seed "$1" --seconds "$seconds" --ingress "$ingress" --folder "$folder" >"$folder/output" 2>&1; then
 		tail -n 1 "$folder/output"
 		rm -rf "$folder"
 		return 0
@@ -28,6 +30,6 @@
 	return 1
 }
 export -f run_seed
-export bin ingress seconds
+export bin ingress seconds SOAK_OPTIONS
 # xargs exits with status 123 if a run fails.
 tr " " "\n" <<<"$seeds" | xargs -P "$jobs" -I{} bash -c 'run_seed {}'
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -69,8 +69,18 @@
 	return *conn_fd;
 }
 
+/* Appends a key, and an account that the caller states itself; FLEET_KEYS stands for an unknown
+ * key. */
+static void write_key(struct pd_buf *out, uint32_t key)
+{
+	if (key < FLEET_KEYS)
+		pd_buf_printf(out, "X-Key: soak-key-%u\r\nX-Tenant: forged\r\n", key);
+	else
+		pd_buf_append_str(out, PD_STR("X-Key: unknown\r\n"));
+}
+
 static void write_request(struct pd_buf *out, long request, enum request_kind kind,
-			  int64_t deadline_ms)
+			  int64_t deadline_ms, uint32_t key)
 {
 	static const char *const names[REQUEST_KINDS] = {"gather", "read", "write"};
 	char body[1024];
@@ -80,6 +90,8 @@
 		      kind == REQUEST_WRITE ? "POST" : "GET", names[kind], request, request);
 	pd_buf_printf(out, "X-Request-Id: " REQUEST_ID_PREFIX "%ld\r\nX-Deadline-Ms: %d\r\n",
 		      request, (int)deadline_ms);
+	if (fleet.use_keys)
+		write_key(out, key);
 	if (kind != REQUEST_WRITE) {
 		pd_buf_append_str(out, PD_STR("\r\n"));
 		return;
@@ -332,6 +344,7 @@
 	int64_t deadline_ms = DEADLINE_MIN_MS +
 			      (int64_t)(callers_random(&caller->random_state) % DEADLINE_RANGE_MS);
 	size_t instance = choose_instance(caller);
+	uint32_t key = 0;
 	struct pd_buf buf = {0};
 	long request;
 	int *fd;
@@ -341,12 +354,14 @@
 		return;
 	}
 	fd = &caller->connections[instance];
-	request = ledger_add_request(kind, &fleet.instances[instance]);
+	if (fleet.use_keys)
+		key = (uint32_t)(callers_random(&caller->random_state) % (FLEET_KEYS + 1));
+	request = ledger_add_request(kind, &fleet.instances[instance], key);
 	if (request < 0) {
 		atomic_store(&stopping, true);
 		return;
 	}
-	write_request(&buf, request, kind, deadline_ms);
+	write_request(&buf, request, kind, deadline_ms, key);
 	if (pd_os_write_full(*fd, buf.data, buf.len, NULL) == PD_OK) {
 		await_answer(caller, fd, request, kind, deadline_ms);
 	} else {
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -130,7 +130,7 @@
 	int64_t next_start_us; /* earliest time of the next start of a fault */
 	struct fleet_version config; /* newest configuration; the times aren't used */
 	bool store_fault; /* a fault of the store is active */
-} faults = {.config = {.writer = 2}};
+} faults = {.config = {.writer = 2, .keys = (1U << FLEET_KEYS) - 1}};
 
 static uint32_t random_below(uint32_t below)
 {
@@ -491,6 +491,16 @@
 	return !first;
 }
 
+/* Publishes a configuration; with keys, one more is withdrawn or valid again. */
+static void publish(struct fleet_version *version)
+{
+	if (fleet.use_keys)
+		version->keys ^= 1U << random_below(FLEET_KEYS);
+	if (!version->keys)
+		version->keys = 1;
+	fleet_publish_config(version->reader, version->writer, version->index, version->keys);
+}
+
 static bool step_config(struct fault *fault)
 {
 	struct fleet_version *version = &faults.config;
@@ -502,11 +512,11 @@
 			version->reader = 1 - version->reader;
 		else
 			version->writer = 5 - version->writer;
-		fleet_publish_config(version->reader, version->writer, version->index);
+		publish(version);
 		return true;
 	case FAULT_RESHARD:
 		version->index = 1 - version->index;
-		fleet_publish_config(version->reader, version->writer, version->index);
+		publish(version);
 		return true;
 	default:
 		break;
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -11,6 +11,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "datagram_proxy.h"
 #include "ledger.h"
 
 #define FRONT_PORT	       8104
@@ -161,7 +162,24 @@
 	return services;
 }
 
-void fleet_publish_config(uint32_t reader, uint32_t writer, uint32_t index)
+/* Returns one account for each key of the bit set. */
+static json_t *accounts_of(uint32_t keys)
+{
+	json_t *accounts = json_array();
+	char name[32], key[32];
+
+	for (uint32_t i = 0; i < FLEET_KEYS; i++) {
+		if (!(keys & 1U << i))
+			continue;
+		snprintf(name, sizeof(name), "account-%u", i);
+		snprintf(key, sizeof(key), "soak-key-%u", i);
+		json_array_append_new(accounts,
+				      json_pack("{s:s,s:[s]}", "name", name, "api_keys", key));
+	}
+	return accounts;
+}
+
+void fleet_publish_config(uint32_t reader, uint32_t writer, uint32_t index, uint32_t keys)
 {
 	uint32_t number = fleet.version_count;
 	json_t *spec;
@@ -173,9 +191,11 @@
 			 plain_route("write", "non_idempotent", writer), "services", all_services(),
 			 "limits", "max_header_bytes", 2048, "max_body_bytes", 4096,
 			 "header_timeout_ms", 2000, "idle_timeout_ms", 10000);
+	if (fleet.use_keys)
+		json_object_set_new(spec, "tenants", accounts_of(keys));
 	pthread_mutex_lock(&fleet.lock);
 	fleet.versions[number] =
-		(struct fleet_version){pd_os_now_us(), INT64_MAX, reader, writer, index};
+		(struct fleet_version){pd_os_now_us(), INT64_MAX, reader, writer, index, keys};
 	fleet.version_count++;
 	pthread_mutex_unlock(&fleet.lock);
 	platform_store_put(&fleet.store, "config", "main", spec);
@@ -303,22 +323,27 @@
 void fleet_write_settings(const struct fleet_instance *instance)
 {
 	FILE *file = fopen(instance->settings_path, "w");
+	char strict[64] = "";
 
 	if (!file)
 		abort();
+	if (fleet.use_keys)
+		snprintf(strict, sizeof(strict), ",\"strict_revocation\":true,\"revocation_ms\":%d",
+			 FLEET_REVOCATION_MS);
 	fprintf(file,
 		"{\"platform\":{\"node_name\":\"%s\",\"zone\":\"%s\",\"ip\":\"%s\","
 		"\"internal_port_range\":[%u,%u],\"listen_addresses\":"
 		"{\"front\":\"%s:%u\",\"ready\":\"%s:%u\"},\"platform\":{\"address\":"
 		"\"%s:%u\"},\"limits\":{\"max_file_descriptors\":1024,\"cpu_share\":%g},"
 		"\"bounds\":{\"retry_budget_ratio\":%g,\"retry_budget_slack\":%d,"
-		"\"grace_period_s\":%d}},\"ingress\":{\"metrics_address\":\"%s:%u\","
+		"\"grace_period_s\":%d%s}},\"ingress\":{\"metrics_address\":\"%s:%u\","
 		"\"log_lines_per_s\":500}}\n",
 		instance->name, zones[instance->zone], instance->front.ip, PEER_PORT, PEER_PORT,
 		instance->front.ip, FRONT_PORT, instance->front.ip, READY_PORT,
 		instance->store_proxy.address.ip, instance->store_proxy.address.port,
 		instance->cpu_share, FLEET_RETRY_BUDGET_RATIO, FLEET_RETRY_BUDGET_SLACK,
-		(int)(FLEET_GRACE_PERIOD_US / PD_USEC_PER_SEC), instance->front.ip, METRICS_PORT);
+		(int)(FLEET_GRACE_PERIOD_US / PD_USEC_PER_SEC), strict, instance->front.ip,
+		METRICS_PORT);
 	fclose(file);
 }
 
@@ -372,6 +397,8 @@
 	address.port = PEER_PROXY_PORT;
 	instance->peer_proxy.address = address;
 	proxy_start(&instance->peer_proxy, &instance->peer);
+	if (fleet.use_keys)
+		datagram_proxy_start(&instance->peer_proxy);
 	memcpy(instance->store_proxy.address.ip, "127.0.0.1", sizeof("127.0.0.1"));
 	proxy_start(&instance->store_proxy, &fleet.store.address);
 	snprintf(instance->settings_path, sizeof(instance->settings_path), "%s/%s.json", folder,
@@ -387,7 +414,7 @@
 	platform_store_start(&fleet.store);
 	for (uint32_t i = 0; i < FLEET_UPSTREAMS; i++)
 		start_upstream(i);
-	fleet_publish_config(0, 2, 0);
+	fleet_publish_config(0, 2, 0, (1U << FLEET_KEYS) - 1);
 	for (size_t i = 0; i < fleet.instance_count; i++) {
 		struct fleet_instance *instance = &fleet.instances[i];
 
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -38,6 +38,8 @@
 #define FLEET_EVACUATION_TIMEOUT_US (5 * PD_USEC_PER_SEC) /* evacuation_ms */
 /* Time in which every instance must use a zone again whose evacuation has ended. */
 #define FLEET_ZONE_RETURN_US	  (1 * PD_USEC_PER_SEC)
+#define FLEET_KEYS		  8 /* API keys, of which each configuration has some */
+#define FLEET_REVOCATION_MS	  5000 /* revocation_ms */
 #define FLEET_GRACE_PERIOD_US	  (6 * PD_USEC_PER_SEC) /* grace_period_s */
 #define FLEET_ADDRESS_REUSE_US	  (2 * PD_USEC_PER_SEC) /* address_reuse_s */
 #define FLEET_RECOVERY_TIMEOUT_US (12 * PD_USEC_PER_SEC) /* recovery_s */
@@ -126,6 +128,7 @@
  * @reader: index of the service of the read route
  * @writer: index of the service of the write route
  * @index: number of the index, 0 or 1, whose shards the gather route uses
+ * @keys: bit set of the API keys that are valid; 0 if there are no accounts
  */
 struct fleet_version {
 	int64_t published_us;
@@ -133,6 +136,7 @@
 	uint32_t reader;
 	uint32_t writer;
 	uint32_t index;
+	uint32_t keys;
 };
 
 /**
@@ -150,6 +154,7 @@
  * store; 0 if there was none
  * @store_fault_history: fault history of the store
  * @ingress_path: path of the ingress program
+ * @use_keys: requests need an API key, and revocation is strict; set before fleet_start()
  */
 struct fleet {
 	pthread_mutex_t lock;
@@ -163,6 +168,7 @@
 	int64_t evacuation_ended_us[FLEET_ZONES];
 	struct fleet_fault_history store_fault_history;
 	const char *ingress_path;
+	bool use_keys;
 };
 
 extern struct fleet fleet;
@@ -210,7 +216,7 @@
 uint32_t fleet_allowed_services(const struct fleet_version *version, int kind);
 
 /* Writes a new version of the configuration to the store; the arguments are as in fleet_version. */
-void fleet_publish_config(uint32_t reader, uint32_t writer, uint32_t index);
+void fleet_publish_config(uint32_t reader, uint32_t writer, uint32_t index, uint32_t keys);
 /* Writes the evacuation of @zone to the store, or removes it. */
 void fleet_set_evacuated(uint32_t zone, bool evacuated);
 /* Writes the store entry of @upstream with @state, "ready" or "draining"; NULL removes it. */
--- a/tests/soak/ledger.c
+++ b/tests/soak/ledger.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #define REQUESTS_MAX	       200000
 #define LOAD_EVENTS_MAX	       400000
@@ -18,6 +19,7 @@
  * @ended_us: time at which the outcome was recorded; 0 while the request is in flight
  * @instance: instance that the caller sent the request to
  * @kind: enum request_kind
+ * @key: number of the API key; FLEET_KEYS for an unknown one
  * @outcome: enum outcome; only valid when @ended_us isn't 0
  * @synced_when_sent: the instance was synced with the store when the request was sent
  * @hit_unstable_upstream: the request reached an upstream that wasn't stable, see
@@ -31,6 +33,7 @@
 	int64_t ended_us;
 	const struct fleet_instance *instance;
 	uint8_t kind;
+	uint8_t key;
 	uint8_t outcome;
 	bool synced_when_sent;
 	bool hit_unstable_upstream;
@@ -56,14 +59,15 @@
 	const char *name;
 	uint32_t allowed_violations; /* number that the platform's rules allow per run */
 } rules[RULE_COUNT] = {
-	[RULE_MIXED] = {"MIXED", 0},   [RULE_UNASKED] = {"UNASKED", 0},
-	[RULE_TWICE] = {"TWICE", 0},   [RULE_REFUSED] = {"REFUSED", 0},
-	[RULE_DENIED] = {"DENIED", 5}, [RULE_BUDGET] = {"BUDGET", 3},
-	[RULE_GONE] = {"GONE", 3},     [RULE_LOST] = {"LOST", 3},
-	[RULE_ROUTE] = {"ROUTE", 0},   [RULE_DRAIN] = {"DRAIN", 0},
-	[RULE_CONFIG] = {"CONFIG", 0}, [RULE_EVACUATION] = {"EVACUATION", 0},
-	[RULE_LATE] = {"LATE", 7},     [RULE_SERVING] = {"SERVING", 5},
-	[RULE_ENDED] = {"ENDED", 0},   [RULE_RECOVERY] = {"RECOVERY", 0},
+	[RULE_MIXED] = {"MIXED", 0},	   [RULE_UNASKED] = {"UNASKED", 0},
+	[RULE_TWICE] = {"TWICE", 0},	   [RULE_REFUSED] = {"REFUSED", 0},
+	[RULE_DENIED] = {"DENIED", 5},	   [RULE_BUDGET] = {"BUDGET", 3},
+	[RULE_GONE] = {"GONE", 3},	   [RULE_LOST] = {"LOST", 3},
+	[RULE_ROUTE] = {"ROUTE", 0},	   [RULE_DRAIN] = {"DRAIN", 0},
+	[RULE_CONFIG] = {"CONFIG", 0},	   [RULE_EVACUATION] = {"EVACUATION", 0},
+	[RULE_LATE] = {"LATE", 7},	   [RULE_SERVING] = {"SERVING", 5},
+	[RULE_KEY] = {"KEY", 0},	   [RULE_ENDED] = {"ENDED", 0},
+	[RULE_RECOVERY] = {"RECOVERY", 0},
 };
 
 static struct {
@@ -115,7 +119,7 @@
 		ledger.events[ledger.event_count++] = (struct load_event){now_us, service, extra};
 }
 
-long ledger_add_request(enum request_kind kind, const struct fleet_instance *instance)
+long ledger_add_request(enum request_kind kind, const struct fleet_instance *instance, uint32_t key)
 {
 	int64_t now_us = pd_os_now_us();
 	long number = -1;
@@ -134,6 +138,7 @@
 			.sent_us = now_us,
 			.instance = instance,
 			.kind = (uint8_t)kind,
+			.key = (uint8_t)key,
 			.synced_when_sent = fleet_instance_is_synced_locked(instance, now_us),
 		};
 		ledger.synced_requests += ledger.requests[number].synced_when_sent;
@@ -148,6 +153,28 @@
 	return number;
 }
 
+/*
+ * Whether a configuration has the key of the request (or, unless @valid, lacks it) that wasn't
+ * replaced for longer than @timeout_us before the request was sent.
+ */
+static bool may_count(const struct request *request, bool valid, int64_t timeout_us)
+{
+	for (uint32_t i = 0; i < fleet.version_count; i++) {
+		bool replaced = i + 1 < fleet.version_count &&
+				fleet.versions[i + 1].stored_us < request->sent_us - timeout_us;
+
+		if (!replaced && !(fleet.versions[i].keys & 1U << request->key) == !valid)
+			return true;
+	}
+	return false;
+}
+
+/* Whether the request may be refused because of its key. */
+static bool may_be_denied(const struct request *request)
+{
+	return fleet.use_keys && may_count(request, false, FLEET_CONFIG_APPLY_US);
+}
+
 /* Whether the instance may close the connection without an answer. */
 static bool may_disconnect(const struct request *request, int64_t now_us)
 {
@@ -175,7 +202,8 @@
  * evacuated for FLEET_ZONE_RETURN_US. Store outages and
  * configuration changes don't matter, but the instance must have been synced with the store at
  * least once since its start: one that starts during a store outage knows no upstreams, and the
- * platform's rules allow its 503.
+ * platform's rules allow its 503. With keys, the instance must know that none was withdrawn, so
+ * that outages of the store matter.
  */
 static bool must_be_served(const struct request *request, int64_t now_us)
 {
@@ -183,6 +211,9 @@
 
 	if (!request->instance->was_synced)
 		return false;
+	if (fleet.use_keys && (may_be_denied(request) || !request->synced_when_sent ||
+			       !fleet_instance_is_synced_locked(request->instance, now_us)))
+		return false;
 	for (uint32_t i = 0; i < fleet.version_count; i++) {
 		if (i + 1 == fleet.version_count ||
 		    fleet.versions[i + 1].stored_us > now_us - FLEET_STABLE_US)
@@ -212,7 +243,8 @@
 	    must_be_served(request, now_us))
 		ledger_report_violation_locked(RULE_SERVING, "request %ld got status %u from %s",
 					       number, status, request->instance->name);
-	if (outcome == OUTCOME_FAILED && status >= 300 && status < 500 && synced)
+	if (outcome == OUTCOME_FAILED && status >= 300 && status < 500 && synced &&
+	    !(status == HTTP_STATUS_UNAUTHORIZED && may_be_denied(request)))
 		ledger_report_violation_locked(RULE_DENIED, "request %ld got status %u from %s",
 					       number, status, request->instance->name);
 	if (outcome == OUTCOME_DISCONNECTED && !may_disconnect(request, now_us))
@@ -238,7 +270,7 @@
 	request->outcome = (uint8_t)outcome;
 	check_outcome(number, outcome, status, now_us);
 	ledger.outcomes[outcome]++;
-	if (outcome != OUTCOME_CANCELLED) {
+	if (outcome != OUTCOME_CANCELLED && !may_be_denied(request)) {
 		ledger.window_ended++;
 		ledger.window_served += outcome == OUTCOME_SERVED;
 	}
@@ -334,6 +366,35 @@
 			number, upstream->standin.id, request->instance->name);
 }
 
+/* Checks the key of the request, and that the upstream gets its account and nothing else. */
+static void check_key(long number, const struct fleet_upstream *upstream,
+		      const struct pd_http_message *msg)
+{
+	const struct request *request = &ledger.requests[number];
+	struct pd_str value;
+	uint32_t accounts = 0;
+	char account[32];
+
+	snprintf(account, sizeof(account), "account-%u", request->key);
+	for (uint32_t i = 0; i < msg->field_count; i++) {
+		struct pd_str name = pd_http_message_name(msg, i);
+
+		if (name.len == strlen("X-Tenant") && !strncasecmp(name.data, "X-Tenant", name.len))
+			accounts += pd_str_is(pd_http_message_value(msg, i), account) ? 1 : 2;
+	}
+	if (accounts != 1 || pd_http_message_field(msg, "X-Key", &value))
+		ledger_report_violation_locked(RULE_KEY,
+					       "request %ld of %s arrived at %s with another "
+					       "account or with its key, sent by %s",
+					       number, account, upstream->standin.id,
+					       request->instance->name);
+	if (!may_count(request, true, FLEET_REVOCATION_MS * PD_USEC_PER_MSEC))
+		ledger_report_violation_locked(
+			RULE_KEY,
+			"request %ld was executed at %s with withdrawn key %u, sent by %s", number,
+			upstream->standin.id, request->key, request->instance->name);
+}
+
 /* Checks the content of the request and its number of executions. */
 static void check_execution(long number, const struct fleet_upstream *upstream,
 			    const struct platform_upstream_request *arrival)
@@ -387,6 +448,8 @@
 	if (arrival->executed) {
 		check_destination(number, upstream, now_us);
 		check_execution(number, upstream, arrival);
+		if (fleet.use_keys)
+			check_key(number, upstream, arrival->msg);
 	}
 	pthread_mutex_unlock(&fleet.lock);
 }
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -25,6 +25,8 @@
 	RULE_LATE, /* callers get an answer by ANSWER_SLACK_US after their deadline */
 	RULE_SERVING, /* store outages and configuration changes make no request fail */
 	RULE_ENDED, /* processes exit only on SIGTERM, in time, and stay in their memory limit */
+	RULE_KEY, /* withdrawn keys have no effect after a timeout, and upstreams get the account
+		     only */
 	RULE_RECOVERY, /* all requests are served again after the faults */
 	RULE_COUNT,
 };
@@ -50,8 +52,11 @@
 	OUTCOME_UNSENT, /* the request couldn't be written to the connection */
 };
 
-/* Records a request before it is sent. Returns its number, or -1 if the ledger is full. */
-long ledger_add_request(enum request_kind kind, const struct fleet_instance *instance);
+/* Records a request with API key @key before it is sent. Returns its number, or -1 if the ledger is
+ * full.
+ */
+long ledger_add_request(enum request_kind kind, const struct fleet_instance *instance,
+			uint32_t key);
 /* Records and checks how request @number ended; @status is 0 without an answer. */
 void ledger_record_outcome(long number, enum outcome outcome, unsigned int status);
 /* Records a request that reached an upstream, and checks whether it was allowed to. */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -43,6 +43,7 @@
 	     "  --instances N   processes, spread over four zones, 8 by default, 200 at most\n"
 	     "  --ingress PATH  ingress program\n"
 	     "  --folder PATH   existing folder for settings files and logs\n"
+	     "  --keys          requests need API keys, which configurations withdraw\n"
 	     "  --help          print this text");
 }
 
@@ -53,6 +54,7 @@
 						     {"instances", required_argument, NULL, 'n'},
 						     {"ingress", required_argument, NULL, 'i'},
 						     {"folder", required_argument, NULL, 'f'},
+						     {"keys", no_argument, NULL, 'k'},
 						     {"help", no_argument, NULL, 'h'},
 						     {NULL, 0, NULL, 0}};
 	int option;
@@ -75,6 +77,9 @@
 		case 'f':
 			options->folder = optarg;
 			break;
+		case 'k':
+			fleet.use_keys = true;
+			break;
 		case 'h':
 			print_help();
 			exit(EXIT_SUCCESS);
