Stand-in: the routes of a published configuration are freed

json_pack() took another reference to the copy, which leaked once a restore dropped the store's objects: script revocation_restore failed with the address sanitizer. Measured: passes with it.

--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -434,7 +434,7 @@
 		snprintf(name, sizeof(name), "service-%08x", (unsigned int)i * 2654435761U);
 		append_service(services, name);
 	}
-	config = json_pack("{s:i,s:O,s:o,s:{s:i,s:i,s:i,s:i}}", "version", version, "routes",
+	config = json_pack("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i}}", "version", version, "routes",
 			   json_deep_copy(deployment.routes), "services", services, "limits",
 			   "max_header_bytes", 2048, "max_body_bytes", 4096, "header_timeout_ms",
 			   500, "idle_timeout_ms", 3000);
