--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -282,8 +282,16 @@
 {
 	struct pd_candidate candidates[CANDIDATES_MAX];
 
-	for (size_t i = 0; i < count; i++)
+	bool any = false;
+
+	for (size_t i = 0; i < count; i++) {
 		candidates[i] = choices[i].candidate;
+		any = any || (candidates[i].usable && choices[i].permit.use == PD_VERSION_ANY);
+	}
+	/* Other versions get requests in place of these only in a roll-out, up to a share. */
+	for (size_t i = 0; i < count; i++)
+		candidates[i].usable =
+			candidates[i].usable && (!any || choices[i].permit.use == PD_VERSION_ANY);
 	for (size_t i = 0; i < count; i++) {
 		long best = pd_pick(candidates, count, i);
 
@@ -306,6 +314,7 @@
 		/* A permit may start or end the limit of a cold start. */
 		struct pd_upstream copy = *u;
 		struct pd_permit own = pd_permit_check_locked(registry, &copy, now_us);
+		enum pd_version_use use;
 
 		*permit = pd_permit_better(*permit, own);
 		if (mean_us > 0 && own.block == PD_BLOCK_NONE && !own.ejected) {
@@ -320,7 +329,7 @@
 			.zone = u->zone->name,
 			.permit = own,
 			.report_age_us = u->load_reported_us ? now_us - u->load_reported_us : -1};
-		fill_candidate(registry, &copy, NULL, 0, now_us, &choices[count].candidate);
+		fill_candidate(registry, &copy, NULL, 0, now_us, &choices[count].candidate, &use);
 		choices[count].cost = pd_candidate_cost(&choices[count].candidate);
 		count++;
 	}
