Quotas: decision, and exchange of use between instances

The parts of a divided fleet are computed from the instances that are heard. Not used by requests yet.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -194,7 +194,45 @@
 	return count;
 }
 
-static void fill_view(const struct pd_cluster *cluster, struct pd_cluster_view *view)
+/* Whether a head was heard so lately that its zone's quotas needn't be divided. */
+static bool shares_quota(const struct pd_cluster_peer *head, int64_t now_us)
+{
+	return now_us - head->heard_us <= PD_CLUSTER_QUOTA_TIMEOUT_US;
+}
+
+/* Fills in what quotas are divided by. */
+static void fill_quota_view(const struct pd_cluster *cluster, struct pd_cluster_view *view,
+			    int64_t now_us)
+{
+	bool heard[PD_CLUSTER_ZONES_MAX] = {true};
+
+	view->quota_zones = 1;
+	view->quota_instances = 1;
+	view->quota_covered = 1 + cluster->follower_count;
+	view->links = (uint64_t)cluster->source.sin_addr.s_addr << 16 | cluster->source.sin_port;
+	if (!cluster->has_source)
+		view->links = 0;
+	for (size_t i = 0; i < cluster->head_count; i++) {
+		const struct pd_cluster_peer *head = &cluster->heads[i];
+
+		if (!cluster->has_source)
+			view->links ^= head->incarnation;
+		if (!shares_quota(head, now_us))
+			continue;
+		view->quota_covered += 1 + head->followers;
+		for (size_t z = 1; z < cluster->zone_count; z++) {
+			if (heard[z] || !pd_name_equal(&head->zone, &cluster->zones[z]))
+				continue;
+			heard[z] = true;
+			view->quota_zones++;
+		}
+	}
+	for (size_t i = 0; i < cluster->instance_count; i++)
+		view->quota_instances += heard[cluster->instances[i].zone];
+}
+
+static void fill_view(const struct pd_cluster *cluster, struct pd_cluster_view *view,
+		      int64_t now_us)
 {
 	memset(view, 0, sizeof(*view));
 	view->is_head = !cluster->has_source;
@@ -210,13 +248,14 @@
 	}
 	for (size_t i = 1; i < cluster->zone_count; i++)
 		view->zones_heard += hears_zone(cluster, &cluster->zones[i]);
+	fill_quota_view(cluster, view, now_us);
 }
 
 void pd_cluster_view(struct pd_cluster *cluster, int64_t now_us, struct pd_cluster_view *view)
 {
 	pthread_mutex_lock(&cluster->lock);
 	expire_locked(cluster, now_us);
-	fill_view(cluster, view);
+	fill_view(cluster, view, now_us);
 	pthread_mutex_unlock(&cluster->lock);
 }
 
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -35,11 +35,14 @@
 #define PD_CLUSTER_TICK_US	 (50 * PD_USEC_PER_MSEC)
 #define PD_CLUSTER_ZONES_MAX	 64
 #define PD_CLUSTER_HEADS_MAX	 64
-#define PD_CLUSTER_FOLLOWERS_MAX 256
+#define PD_CLUSTER_FOLLOWERS_MAX 512 /* a zone of 1,000 instances in three has 333 */
 /* A head or follower that wasn't heard for this long is no longer counted: two to three of its
  * datagrams are lost, or it doesn't run. */
 #define PD_CLUSTER_HEAD_TIMEOUT_US     (1000 * PD_USEC_PER_MSEC)
 #define PD_CLUSTER_FOLLOWER_TIMEOUT_US (1500 * PD_USEC_PER_MSEC)
+/* Quotas are divided when a head wasn't heard for this long: while both sides of a partition use
+ * the whole quota, it may be exceeded, and a false alarm only reduces the quota for a moment. */
+#define PD_CLUSTER_QUOTA_TIMEOUT_US (600 * PD_USEC_PER_MSEC)
 
 /**
  * struct pd_cluster_instance - one other instance, from the list in the store
@@ -98,6 +101,12 @@
  * @zone_covered: number of instances of this zone that are this one, other heads of the zone that
  *were heard lately, and the followers of all these
  * @zones_heard: number of other zones of which a head was heard lately
+ * @quota_zones: number of zones of which a head was heard within PD_CLUSTER_QUOTA_TIMEOUT_US, this
+ *	instance's own included
+ * @quota_instances: number of listed instances of these zones
+ * @quota_covered: number of instances that are this one, the heads that were heard within that
+ *	time, and the followers of all these
+ * @links: differs when the source, or one of the other heads, is another one or a new process
  */
 struct pd_cluster_view {
 	bool is_head;
@@ -108,6 +117,10 @@
 	size_t followers;
 	size_t zone_covered;
 	size_t zones_heard;
+	size_t quota_zones;
+	size_t quota_instances;
+	size_t quota_covered;
+	uint64_t links;
 };
 
 /**
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -40,7 +40,7 @@
 					       .load = &ingress->load,
 					       .rollout = &ingress->rollout};
 
-	pd_quota_exchange_init(&ingress->quota);
+	pd_quota_exchange_init(&ingress->quota, &ingress->registry, &ingress->settings);
 	pd_load_report_init(&ingress->load);
 	pd_rollout_exchange_init(&ingress->rollout);
 	pd_cluster_init(&ingress->cluster, &parts, &ingress->settings.node, &ingress->settings.zone,
