Quotas and fair admission in the serving path

A request over its account's quota gets 429 with the time to return; the instance that serves a request counts it when its first attempt is sent, and returns the token of one that certainly hasn't run. With accounts in the configuration, admission compares the expected latency with the time left by priority and the account's share of the recent work.

--- /dev/null
+++ b/ingress/fair_share.h
@@ -0,0 +1,108 @@
+/**
+ * DOC: Fair admission: which requests are refused when the upstreams' capacity becomes scarce
+ *
+ * Compares how long a request is expected to take with the time that is left for it. While there is
+ * time to spare, every request is admitted. As it becomes scarce, less urgent requests are refused
+ * first, and of the same urgency those of accounts that have had more than their share of this
+ * instance's recent work. An account or route that is served much less often than others is
+ * admitted nevertheless, as long as it can be in time. Uses no state of other instances.
+ *
+ * Points in time are in microseconds of pd_os_boot_us(). All functions may be called by several
+ * threads at once.
+ */
+#ifndef PD_FAIR_SHARE_H
+#define PD_FAIR_SHARE_H
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Number of entries for accounts and for routes; those with the same one are treated as one. */
+#define PD_FAIR_ENTRIES 2048
+
+/**
+ * struct pd_fair_request - a request to be decided on
+ * @account: hash of the account's name; 0 for an anonymous request
+ * @route: hash of the route's name
+ * @weight: weight of the account: its rate, or 1
+ * @priority: priority; 0 is the highest
+ * @legs: number of sub-requests
+ * @expected_us: expected latency of the last part that the request needs; 0 if unknown
+ * @left_us: time that is left for it
+ */
+struct pd_fair_request {
+	uint64_t account;
+	uint64_t route;
+	double weight;
+	uint32_t priority;
+	size_t legs;
+	int64_t expected_us;
+	int64_t left_us;
+};
+
+/**
+ * struct pd_fair_verdict - whether a request is admitted
+ * @admitted: it is
+ * @over_share: its account has had more than its share of the recent work
+ * @wait_us: if it isn't admitted, time after which the client may send it again
+ */
+struct pd_fair_verdict {
+	bool admitted;
+	bool over_share;
+	int64_t wait_us;
+};
+
+/**
+ * struct pd_fair_entry - recent requests of an account or of a route, or of all
+ * @weight: weight of the account
+ * @work: number of sub-requests that were admitted
+ * @offered: number of requests
+ * @admitted: number of these that were admitted
+ * @updated_us: time of these numbers, which fall exponentially
+ */
+struct pd_fair_entry {
+	double weight;
+	double work;
+	double offered;
+	double admitted;
+	int64_t updated_us;
+};
+
+/**
+ * struct pd_fair_share - recent work of this instance
+ * @lock: guards all fields below
+ * @random_state: state of the random number generator
+ * @accounts: entries of accounts, by their hash
+ * @routes: entries of routes, by their hash
+ * @all: all requests
+ */
+struct pd_fair_share {
+	pthread_mutex_t lock;
+	uint64_t random_state;
+	struct pd_fair_entry accounts[PD_FAIR_ENTRIES];
+	struct pd_fair_entry routes[PD_FAIR_ENTRIES];
+	struct pd_fair_entry all;
+};
+
+/**
+ * pd_fair_share_limit() - part of the time left that a request may be expected to take
+ * @priority: priority of the request; 0 is the highest
+ * @over_share: its account has had more than its share
+ * @neglected: its account or route is served much less often than all requests are
+ *
+ * For bursts beyond the capacity of the upstreams, in which queues grow until they take up the time
+ * that is left.
+ *
+ * Return: the part, at most 1.
+ */
+double pd_fair_share_limit(uint32_t priority, bool over_share, bool neglected);
+
+/* @seed is a random number other than 0. */
+void pd_fair_share_init(struct pd_fair_share *fair_share, uint64_t seed);
+void pd_fair_share_finish(struct pd_fair_share *fair_share);
+/* Decides on a request and records it. */
+struct pd_fair_verdict pd_fair_share_admit(struct pd_fair_share *fair_share,
+					   const struct pd_fair_request *request, int64_t now_us);
+
+#endif
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -118,6 +118,9 @@
 		return false;
 	if (!leg->attempts)
 		pd_registry_count_request(registry, leg->service);
+	if (fanout->quota && !fanout->counted)
+		pd_quota_count(fanout->quota, fanout->account, now_us);
+	fanout->counted = fanout->quota != NULL;
 	leg->tried[leg->tried_count++] = upstream;
 	leg->attempts++;
 	leg->hedge_us = now_us + pd_policy_hedge_delay(fanout->route, fanout->p92_us);
--- a/ingress/fanout.h
+++ b/ingress/fanout.h
@@ -14,6 +14,7 @@
 
 #include "exchange.h"
 #include "policy.h"
+#include "quota.h"
 #include "reporter.h"
 
 #define PD_LEG_EXCHANGES    2 /* maximum number of concurrent attempts of one leg */
@@ -73,6 +74,9 @@
  * @request: common part of the sub-requests
  * @reporter: reporter that records crashes of upstreams
  * @fingerprint: fingerprint of the request, for @reporter
+ * @quota: quotas that the request is counted for when its first attempt is sent, or NULL
+ * @account: account of the request, if @quota isn't NULL
+ * @counted: the request was counted
  * @client_fd: socket that is watched for the client's disconnection; -1 for none
  * @arrived_us: time at which the request arrived
  * @deadline_us: time by which the final response must be sent
@@ -100,6 +104,9 @@
 	struct pd_exchange_request request;
 	struct pd_reporter *reporter;
 	uint64_t fingerprint;
+	struct pd_quota *quota;
+	const struct pd_account *account;
+	bool counted;
 	int client_fd;
 	int64_t arrived_us;
 	int64_t deadline_us;
--- a/ingress/ingress_private.h
+++ b/ingress/ingress_private.h
@@ -7,6 +7,7 @@
 #include "client.h"
 #include "cluster.h"
 #include "directory.h"
+#include "fair_share.h"
 #include "feed.h"
 #include "histogram.h"
 #include "ingress.h"
@@ -57,6 +58,7 @@
  * @quota: use of the accounts' quotas, exchanged with the other instances
  * @load: load reports of upstreams, exchanged with the instances of the zone
  * @rollout: roll-outs, with evidence exchanged with the other instances
+ * @fair_share: recent work of accounts and routes, for fair admission
  * @cluster: exchange of datagrams between instances, for @quota, @load and @rollout
  * @listeners: listening sockets, indexed by enum pd_listener_kind
  * @lock: guards all fields below
@@ -85,6 +87,7 @@
 	struct pd_quota_exchange quota;
 	struct pd_load_report load;
 	struct pd_rollout_exchange rollout;
+	struct pd_fair_share fair_share;
 	struct pd_cluster cluster;
 	struct pd_listener listeners[PD_LISTENER_COUNT];
 	pthread_mutex_t lock;
--- a/ingress/policy.c
+++ b/ingress/policy.c
@@ -77,12 +77,19 @@
 	return arrived_us + (timeout_us > 0 ? timeout_us : 0);
 }
 
-bool pd_policy_admit(const struct pd_route *route, const int64_t *expected_us, size_t legs,
-		     int64_t now_us, int64_t cutoff_us, int64_t deadline_us)
+int64_t pd_policy_due(const struct pd_route *route, int64_t now_us, int64_t cutoff_us,
+		      int64_t deadline_us)
 {
 	/* After the cut-off, a response is still useful until the deadline. */
 	bool in_objective = route->kind == PD_ROUTE_GATHER && now_us < cutoff_us;
-	int64_t due_us = in_objective ? cutoff_us : deadline_us;
+
+	return in_objective ? cutoff_us : deadline_us;
+}
+
+bool pd_policy_admit(const struct pd_route *route, const int64_t *expected_us, size_t legs,
+		     int64_t now_us, int64_t cutoff_us, int64_t deadline_us)
+{
+	int64_t due_us = pd_policy_due(route, now_us, cutoff_us, deadline_us);
 	size_t timely_parts = 0;
 
 	for (size_t i = 0; i < legs; i++)
--- a/ingress/policy.h
+++ b/ingress/policy.h
@@ -84,6 +84,11 @@
 bool pd_policy_admit(const struct pd_route *route, const int64_t *expected_us, size_t legs,
 		     int64_t now_us, int64_t cutoff_us, int64_t deadline_us);
 
+/* Returns the time by which the parts are needed for pd_policy_admit(): the cut-off, or else the
+ * deadline. */
+int64_t pd_policy_due(const struct pd_route *route, int64_t now_us, int64_t cutoff_us,
+		      int64_t deadline_us);
+
 /** enum pd_refusal - reason for which a request is refused. */
 enum pd_refusal {
 	PD_REFUSAL_NOT_CONFIGURED, /* this instance has no configuration, or too old a one */
--- a/ingress/quota.c
+++ b/ingress/quota.c
@@ -518,11 +518,11 @@
 	bucket = get_bucket(quota, account->hash, now_us);
 	if (bucket && bucket->rate_per_s > 0) {
 		double tokens = tokens_now(quota, bucket, now_us);
+		bool in_share = next_uniform(quota) < share_now(quota, bucket, now_us);
 
-		verdict.admitted =
-			tokens >= 1 && next_uniform(quota) < share_now(quota, bucket, now_us);
+		verdict.admitted = tokens >= 1 && in_share;
 		if (!verdict.admitted)
-			verdict.wait_us = refuse(quota, bucket, tokens, now_us);
+			verdict.wait_us = refuse(quota, bucket, fmin(tokens, 0), now_us);
 	}
 	pthread_mutex_unlock(&quota->lock);
 	return verdict;
@@ -850,20 +850,31 @@
 
 	quota->fleet = *before;
 	update(quota, bucket, now_us);
-	rate_before = begins ? 0 : rate_of(quota, bucket);
+	rate_before = rate_of(quota, bucket);
 	quota->fleet = after;
+	/* The others of a partition divide the tokens, too. */
+	if (!begins && after.is_head && bucket->tokens > 0 && rate_of(quota, bucket) < rate_before)
+		bucket->tokens *= rate_of(quota, bucket) / rate_before;
+	if (begins)
+		rate_before = 0;
 	if (begins) {
 		if (bucket->low)
 			bucket->tokens = fmin(bucket->tokens, news_tokens(bucket, now_us));
+		if (bucket->solo_us && bucket->silence_us == quota->heard_us)
+			bucket->tokens = fmin(bucket->tokens, bucket->solo_tokens);
 		bucket->tokens = fmin(bucket->tokens, FIRST_TOKENS);
 		bucket->credit = 0;
 		bucket->low = false;
 	}
 	bucket->tokens = fmin(bucket->tokens, capacity_of(quota, bucket));
+	/* When a partition heals, a half is enough: the use of the other side in that time is
+	 * below its rate, except that of an account that is over its quota.
+	 */
 	if (after.is_head && rate_of(quota, bucket) > rate_before) {
 		double recent_s = (double)RECENT_US / PD_USEC_PER_SEC;
 
-		bucket->credit += (rate_of(quota, bucket) - rate_before) * recent_s;
+		bucket->credit +=
+			(rate_of(quota, bucket) - rate_before) * recent_s / (begins ? 1 : 2);
 		bucket->credit = fmin(bucket->credit, rate_of(quota, bucket) * recent_s);
 	}
 	if (after.links == before->links)
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "counters.h"
+#include "fair_share.h"
 #include "fanout.h"
 #include "headers.h"
 #include "ingress_private.h"
@@ -115,23 +116,30 @@
 	return PD_RELAY_NOT_SERVED;
 }
 
+static bool write_refusal(struct request *request, int status, const char *reason,
+			  uint32_t retry_ms)
+{
+	struct pd_buf head = {0};
+
+	request->status = status;
+	request->reason = reason;
+	begin_response(&head, request->status);
+	pd_buf_printf(&head, "Retry-After: %u.%03u\r\n", retry_ms / 1000, retry_ms % 1000);
+	return write_response(request, &head, pd_str_from(reason));
+}
+
 /* Sends a refusal of a request that no upstream has executed or is executing. @permit_wait_us is
  * the time until the upstreams permit the request, if that is the reason. */
 static bool refuse_for(struct request *request, enum pd_refusal refusal, const char *reason,
 		       int64_t permit_wait_us)
 {
 	uint32_t retry_ms = pd_policy_retry_after_ms(refusal, permit_wait_us, pd_os_random_seed());
-	struct pd_buf head = {0};
 
-	request->status = HTTP_STATUS_SERVICE_UNAVAILABLE;
-	request->reason = reason;
 	/* Another instance may be able to serve the request: closing the connection makes the
 	 * client open a new one for its next request. */
 	request->close = request->close || refusal == PD_REFUSAL_ISOLATED;
 	request->relay_result = refusal_to_relay_result(refusal);
-	begin_response(&head, request->status);
-	pd_buf_printf(&head, "Retry-After: %u.%03u\r\n", retry_ms / 1000, retry_ms % 1000);
-	return write_response(request, &head, pd_str_from(reason));
+	return write_refusal(request, HTTP_STATUS_SERVICE_UNAVAILABLE, reason, retry_ms);
 }
 
 static bool refuse(struct request *request, enum pd_refusal refusal, const char *reason)
@@ -139,6 +147,47 @@
 	return refuse_for(request, refusal, reason, 0);
 }
 
+static struct pd_quota *quota_of(const struct request *request)
+{
+	return request->account && request->ingress->quota.enabled ? &request->ingress->quota.quota
+								   : NULL;
+}
+
+/* Whether the request is within its account's quota. An instance that relays it only checks this;
+ * the one that serves it checks again and counts. Otherwise refuses it, with a status that promises
+ * that it hasn't run. */
+static bool is_within_quota(struct request *request, bool *written)
+{
+	struct pd_quota *quota = quota_of(request);
+	struct pd_quota_verdict verdict;
+
+	if (!quota)
+		return true;
+	verdict = pd_quota_admit(quota, request->account, pd_os_boot_us());
+	if (verdict.admitted)
+		return true;
+	pd_count(PD_COUNT_quota_refused);
+	pd_log(PD_LOG_INFO, "quota_refused", "id=%.*s account=%.*s wait_ms=%" PRId64,
+	       PD_STR_ARG(request->fields.request_id), PD_STR_ARG(request->account->name),
+	       verdict.wait_us / PD_USEC_PER_MSEC);
+	/* All instances share the quota, so that another one would refuse the request, too. */
+	request->relay_result = PD_RELAY_FINAL;
+	*written = write_refusal(request, HTTP_STATUS_TOO_MANY_REQUESTS, "over the quota",
+				 (uint32_t)(verdict.wait_us / PD_USEC_PER_MSEC) + 1);
+	return false;
+}
+
+/* Returns the token of a request that was counted and certainly hasn't run. */
+static void return_token(const struct request *request, const struct pd_fanout *fanout)
+{
+	if (!fanout->counted || !pd_fanout_not_executed(fanout))
+		return;
+	pd_quota_return(fanout->quota, fanout->account, pd_os_boot_us());
+	pd_count(PD_COUNT_quota_returned);
+	pd_log(PD_LOG_INFO, "quota_returned", "id=%.*s account=%.*s",
+	       PD_STR_ARG(request->fields.request_id), PD_STR_ARG(fanout->account->name));
+}
+
 void pd_serve_read_error(struct pd_client *client, enum pd_client_result result)
 {
 	struct request request = {.client = client, .close = true};
@@ -406,8 +455,50 @@
 	       (fanout->cutoff_us - fanout->arrived_us) / 1000, fanout->leg_count, fanout->needed);
 }
 
+static int compare_times(const void *a, const void *b)
+{
+	int64_t left = *(const int64_t *)a, right = *(const int64_t *)b;
+
+	return (left > right) - (left < right);
+}
+
+/* Whether the request is admitted with regard to those of other accounts and routes. Sorts
+ * @expected. */
+static bool is_fair(struct request *request, const struct pd_fanout *fanout, int64_t *expected,
+		    int64_t now_us, int64_t *wait_us)
+{
+	const struct pd_account *account = request->account;
+	struct pd_fair_request fair = {
+		.account = account ? account->hash : 0,
+		.route = pd_str_hash(request->route->name, 0),
+		.weight = account && account->rate_per_s > 0 ? account->rate_per_s : 1,
+		.priority = account ? request->priority : request->route->priority,
+		.legs = fanout->leg_count,
+		.left_us = pd_policy_due(request->route, now_us, fanout->cutoff_us,
+					 fanout->deadline_us) -
+			   now_us,
+	};
+	struct pd_fair_verdict verdict;
+
+	qsort(expected, fanout->leg_count, sizeof(*expected), compare_times);
+	fair.expected_us = expected[fanout->needed <= fanout->leg_count ? fanout->needed - 1 : 0];
+	verdict = pd_fair_share_admit(&request->ingress->fair_share, &fair, now_us);
+	if (verdict.admitted)
+		return true;
+	*wait_us = verdict.wait_us;
+	pd_count(PD_COUNT_fair_refused);
+	pd_log(PD_LOG_INFO, "fair_refused",
+	       "id=%.*s account=%.*s priority=%u expected_ms=%" PRId64 " left_ms=%" PRId64
+	       " over_share=%d wait_ms=%" PRId64,
+	       PD_STR_ARG(request->fields.request_id),
+	       PD_STR_ARG(account ? account->name : PD_STR("")), fair.priority,
+	       fair.expected_us / PD_USEC_PER_MSEC, fair.left_us / PD_USEC_PER_MSEC,
+	       verdict.over_share, verdict.wait_us / PD_USEC_PER_MSEC);
+	return false;
+}
+
 /* Whether the queues at the upstreams are short enough to respond in time. */
-static bool is_admitted(struct request *request, const struct pd_fanout *fanout)
+static bool is_admitted(struct request *request, const struct pd_fanout *fanout, int64_t *wait_us)
 {
 	int64_t now = pd_os_boot_us();
 	int64_t *expected = calloc(fanout->leg_count, sizeof(*expected));
@@ -418,14 +509,29 @@
 	for (size_t i = 0; i < fanout->leg_count; i++)
 		expected[i] = pd_registry_expected_latency_us(&request->ingress->registry,
 							      fanout->legs[i].service, now);
-	admitted = pd_policy_admit(request->route, expected, fanout->leg_count, now,
-				   fanout->cutoff_us, fanout->deadline_us);
-	if (!admitted)
-		log_expected(request, fanout, expected);
+	if (request->catalog->account_count) {
+		admitted = is_fair(request, fanout, expected, now, wait_us);
+	} else {
+		admitted = pd_policy_admit(request->route, expected, fanout->leg_count, now,
+					   fanout->cutoff_us, fanout->deadline_us);
+		if (!admitted)
+			log_expected(request, fanout, expected);
+	}
 	free(expected);
 	return admitted;
 }
 
+/* Refuses a request because of the queues at the upstreams, which are shorter after @wait_us; 0 if
+ * that isn't known. */
+static bool refuse_busy(struct request *request, int64_t wait_us)
+{
+	if (!wait_us)
+		return refuse(request, PD_REFUSAL_UPSTREAMS_OVERLOADED, "upstreams are busy");
+	request->relay_result = refusal_to_relay_result(PD_REFUSAL_UPSTREAMS_OVERLOADED);
+	return write_refusal(request, HTTP_STATUS_SERVICE_UNAVAILABLE, "upstreams are busy",
+			     (uint32_t)(wait_us / PD_USEC_PER_MSEC) + 1);
+}
+
 /* Returns the route by which a request is relayed: one target, one attempt. */
 static struct pd_route make_relay_route(const struct pd_route *route)
 {
@@ -533,6 +639,7 @@
 	struct pd_buf head = {0};
 	struct pd_permit permit;
 	struct pd_fanout fanout;
+	int64_t wait_us = 0;
 	bool written;
 
 	if (!pd_fanout_init(&fanout, legs))
@@ -548,10 +655,13 @@
 	} else if (pd_crashes_is_blocked(&request->ingress->directory.crashes, fanout.fingerprint,
 					 pd_os_boot_us())) {
 		written = refuse(request, PD_REFUSAL_CRASHES, "the request crashed its upstreams");
-	} else if (!is_admitted(request, &fanout)) {
-		written = refuse(request, PD_REFUSAL_UPSTREAMS_OVERLOADED, "upstreams are busy");
+	} else if (!is_admitted(request, &fanout, &wait_us)) {
+		written = refuse_busy(request, wait_us);
 	} else {
+		fanout.quota = quota_of(request);
+		fanout.account = request->account;
 		pd_fanout_run(&fanout);
+		return_token(request, &fanout);
 		written = respond_fanout(request, &fanout);
 	}
 	log_outcome(request, &fanout);
@@ -602,10 +712,8 @@
 	else if (request->relayed &&
 		 request->catalog->version < request->relay_fields.config_version)
 		written = refuse(request, PD_REFUSAL_NOT_CONFIGURED, "configuration is older");
-	else if (relay_request(request, &written))
-		return written;
-	else
-		return serve_locally(request);
+	else if (is_within_quota(request, &written))
+		return relay_request(request, &written) ? written : serve_locally(request);
 	log_refusal(request);
 	return written;
 }
