--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -208,7 +208,11 @@
 
 	view->quota_zones = 1;
 	view->quota_instances = 1;
-	view->quota_covered = 1 + cluster->follower_count;
+	view->quota_covered = 1;
+	for (size_t i = 0; i < cluster->follower_count; i++)
+		view->quota_covered += now_us - cluster->followers[i].heard_us <=
+				       PD_CLUSTER_QUOTA_FOLLOWER_TIMEOUT_US;
+	view->quota_followers = view->quota_covered - 1;
 	view->links = (uint64_t)cluster->source.sin_addr.s_addr << 16 | cluster->source.sin_port;
 	if (!cluster->has_source)
 		view->links = 0;
@@ -473,7 +477,7 @@
 	struct pd_buf payload = {0};
 
 	pd_cluster_view(cluster, pd_os_boot_us(), &view);
-	pd_datagram_put_uint(&payload, view.followers);
+	pd_datagram_put_uint(&payload, view.quota_followers);
 	pd_cluster_send(cluster, PD_DATAGRAM_HEAD, pd_buf_str(&payload), to);
 	pd_buf_finish(&payload);
 }
@@ -607,7 +611,7 @@
 	struct pd_cluster_view view;
 
 	pd_cluster_view(cluster, now_us, &view);
-	pd_datagram_put_uint(&payload, view.followers);
+	pd_datagram_put_uint(&payload, view.quota_followers);
 	if (encode(cluster, PD_DATAGRAM_HEAD, pd_buf_str(&payload), &out)) {
 		pthread_mutex_lock(&cluster->lock);
 		for (size_t i = 0; i < cluster->head_count; i++)
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -40,9 +40,11 @@
  * datagrams are lost, or it doesn't run. */
 #define PD_CLUSTER_HEAD_TIMEOUT_US     (1000 * PD_USEC_PER_MSEC)
 #define PD_CLUSTER_FOLLOWER_TIMEOUT_US (1500 * PD_USEC_PER_MSEC)
-/* Quotas are divided when a head wasn't heard for this long: while both sides of a partition use
- * the whole quota, it may be exceeded, and a false alarm only reduces the quota for a moment. */
-#define PD_CLUSTER_QUOTA_TIMEOUT_US (600 * PD_USEC_PER_MSEC)
+/* Quotas are divided when a head or followers weren't heard for this long: while both sides of a
+ * partition use the whole quota, it may be exceeded, and a false alarm only reduces the quota for a
+ * moment. */
+#define PD_CLUSTER_QUOTA_TIMEOUT_US	     (600 * PD_USEC_PER_MSEC)
+#define PD_CLUSTER_QUOTA_FOLLOWER_TIMEOUT_US (1100 * PD_USEC_PER_MSEC)
 
 /**
  * struct pd_cluster_instance - one other instance, from the list in the store
@@ -101,6 +103,7 @@
  * @zone_covered: number of instances of this zone that are this one, other heads of the zone that
  *were heard lately, and the followers of all these
  * @zones_heard: number of other zones of which a head was heard lately
+ * @quota_followers: number of followers that were heard within PD_CLUSTER_QUOTA_FOLLOWER_TIMEOUT_US
  * @quota_zones: number of zones of which a head was heard within PD_CLUSTER_QUOTA_TIMEOUT_US, this
  *	instance's own included
  * @quota_instances: number of listed instances of these zones
@@ -117,6 +120,7 @@
 	size_t followers;
 	size_t zone_covered;
 	size_t zones_heard;
+	size_t quota_followers;
 	size_t quota_zones;
 	size_t quota_instances;
 	size_t quota_covered;
--- a/ingress/quota.c
+++ b/ingress/quota.c
@@ -585,6 +585,15 @@
 		charge(quota, bucket, tokens);
 }
 
+/* Returns the number of requests that a report adds to the recent demand. */
+static double new_requests(const struct pd_quota_use *use, const struct pd_quota_report *report)
+{
+	if (!use->heard_us)
+		return (double)report->recent * DEMAND_S * PD_USEC_PER_SEC / RECENT_US;
+	return (double)(report->used - use->report.used) +
+	       (double)(report->refused - use->report.refused);
+}
+
 static uint64_t larger(uint64_t a, uint64_t b)
 {
 	return a > b ? a : b;
@@ -610,11 +619,7 @@
 	merged.used = larger(report->used, use->report.used);
 	merged.returned = larger(report->returned, use->report.returned);
 	merged.refused = larger(report->refused, use->report.refused);
-	if (use->heard_us)
-		add_demand(bucket,
-			   (double)(merged.used - use->report.used) +
-				   (double)(merged.refused - use->report.refused),
-			   now_us);
+	add_demand(bucket, new_requests(use, &merged), now_us);
 	if (use->heard_us && merged.refused > use->report.refused && bucket->rate_per_s > 0)
 		promise(bucket, bucket->tokens, fmax(rate_of(quota, bucket), 1e-6),
 			(double)(merged.refused - use->report.refused), now_us);
