--- a/ingress/quota.c
+++ b/ingress/quota.c
@@ -38,8 +38,10 @@
 /* An account that isn't in use for this long has a full bucket again at any usual limit. */
 #define IDLE_US	 (30 * PD_USEC_PER_SEC)
 #define PRUNE_US PD_USEC_PER_SEC
-/* Longest time to wait that a client is told: by then the causes have usually changed. */
-#define WAIT_MAX_US (60 * PD_USEC_PER_SEC)
+/* Longest time to wait that a client is told. */
+#define WAIT_MAX_US (3600 * PD_USEC_PER_SEC)
+/* The part of it that is due to other clients, of which some don't come back after so long. */
+#define QUEUE_MAX_US (60 * PD_USEC_PER_SEC)
 /* Time in which an instance whose source is silent usually finds another one. */
 #define SILENT_WAIT_US PD_USEC_PER_SEC
 
@@ -465,15 +467,15 @@
 static int64_t promise(struct pd_quota_bucket *bucket, double tokens, double rate_per_s,
 		       double clients, int64_t now_us)
 {
-	int64_t due_us = now_us + token_wait_us(fmax(0, clients - tokens), rate_per_s);
+	int64_t first_us = now_us + token_wait_us(fmax(0, clients - tokens), rate_per_s);
 	int64_t after_us = bucket->promised_us + token_wait_us(clients, rate_per_s);
 
-	if (bucket->promised_us > now_us && after_us > due_us)
-		due_us = after_us;
-	if (due_us > now_us + WAIT_MAX_US)
-		due_us = now_us + WAIT_MAX_US;
-	bucket->promised_us = due_us;
-	return due_us;
+	if (bucket->promised_us <= now_us || after_us < first_us)
+		after_us = first_us;
+	if (after_us > first_us + QUEUE_MAX_US)
+		after_us = first_us + QUEUE_MAX_US;
+	bucket->promised_us = after_us;
+	return after_us;
 }
 
 /* Returns the time to wait of a refused request. Other instances may promise the same tokens until
@@ -794,7 +796,8 @@
 
 			update(quota, bucket, now_us);
 			if (!is_idle(bucket, now_us) ||
-			    bucket->tokens < capacity_of(quota, bucket)) {
+			    (bucket->rate_per_s > 0 &&
+			     bucket->tokens < capacity_of(quota, bucket))) {
 				link = &bucket->next;
 				continue;
 			}
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -157,10 +157,13 @@
 	return refuse_for(request, refusal, reason, 0);
 }
 
+/* Returns the quotas that the request is subject to; NULL if its account has no limit. */
 static struct pd_quota *quota_of(const struct request *request)
 {
-	return request->account && request->ingress->quota.enabled ? &request->ingress->quota.quota
-								   : NULL;
+	bool limited = request->account && request->account->rate_per_s > 0 &&
+		       request->ingress->quota.enabled;
+
+	return limited ? &request->ingress->quota.quota : NULL;
 }
 
 /* Whether the request is within its account's quota. An instance that relays it only checks this;
@@ -529,7 +532,7 @@
 	for (size_t i = 0; i < fanout->leg_count; i++)
 		expected[i] = pd_registry_expected_latency_us(&request->ingress->registry,
 							      fanout->legs[i].service, now);
-	if (request->catalog->account_count) {
+	if (request->catalog->has_accounts) {
 		admitted = is_fair(request, fanout, expected, now, wait_us);
 	} else {
 		admitted = pd_policy_admit(request->route, expected, fanout->leg_count, now,
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -86,6 +86,7 @@
  * has no list of accounts
  * @key: API key of all requests that don't name another one; empty for none
  * @revocation_ms: bound of revocation in the settings of instances; 0 for none
+ * @has_quotas: the settings of instances have the bounds of quotas
  * @extra_services: number of services without upstreams in the next published configuration
  * @instances: ingress processes
  * @instance_count: number of entries used in @instances
@@ -108,6 +109,7 @@
 	json_t *accounts;
 	char key[64];
 	int revocation_ms;
+	bool has_quotas;
 	int extra_services;
 	struct instance instances[INSTANCES_MAX];
 	size_t instance_count;
@@ -404,6 +406,14 @@
 	deployment.revocation_ms = count > 1 ? atoi(words[1]) : 0;
 }
 
+/* quotas: gives instances that are started from now on the bounds of quotas */
+static void do_quotas(char **words, int count)
+{
+	(void)words;
+	(void)count;
+	deployment.has_quotas = true;
+}
+
 static void append_service(json_t *services, const char *name)
 {
 	json_array_append_new(services, json_pack("{s:s,s:s,s:i,s:f,s:f}", "name", name,
@@ -564,12 +574,16 @@
 static void write_settings(const struct instance *instance, uint16_t store_port)
 {
 	FILE *file = fopen(instance->settings, "w");
-	char bounds[96] = "";
+	const char *quotas = deployment.has_quotas ? ",\"quota_window_s\":5,\"quota_overage\":0.1,"
+						     "\"quota_slack\":20"
+						   : "";
+	char revocation[96] = "";
 
 	if (!file)
 		abort();
 	if (deployment.revocation_ms)
-		snprintf(bounds, sizeof(bounds), ",\"strict_revocation\":true,\"revocation_ms\":%d",
+		snprintf(revocation, sizeof(revocation),
+			 ",\"strict_revocation\":true,\"revocation_ms\":%d",
 			 deployment.revocation_ms);
 	fprintf(file,
 		"{\"platform\":{\"node_name\":\"%s\",\"zone\":\"%s\",\"ip\":\"127.0.0.1\","
@@ -578,11 +592,11 @@
 		"\"127.0.0.1:%u\"},\"limits\":{\"max_file_descriptors\":%d,\"memory_mb\":112,"
 		"\"cpu_share\":%g},"
 		"\"bounds\":"
-		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6%s}},"
+		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6%s%s}},"
 		"\"ingress\":{\"metrics_address\":\"127.0.0.1:%u\",\"log_lines_per_s\":500}}\n",
 		instance->name, instance->zone, instance->peer.port, instance->peer.port,
 		instance->front.port, instance->ready.port, store_port, deployment.descriptors,
-		instance->cpu_share, bounds, instance->metrics.port);
+		instance->cpu_share, revocation, quotas, instance->metrics.port);
 	fclose(file);
 }
 
@@ -1254,6 +1268,7 @@
 	{"many_accounts", 2, do_many_accounts},
 	{"key", 1, do_key},
 	{"strict", 1, do_strict},
+	{"quotas", 1, do_quotas},
 	{"publish", 2, do_publish},
 	{"storm", 4, do_storm},
 	{"services", 2, do_services},
--- a/tests/quota_fleet.c
+++ b/tests/quota_fleet.c
@@ -23,20 +23,20 @@
 	FLEET_NEWS,
 };
 
-struct fleet_message {
+struct quota_fleet_message {
 	enum fleet_kind kind;
 	int from;
 	int to;
 	size_t followers;
 	struct pd_quota_report report;
 	struct pd_quota_news news;
-	struct fleet_message *next;
+	struct quota_fleet_message *next;
 };
 
 static const struct pd_quota_bounds BOUNDS = {.window_s = 5, .overage = 0.1, .slack = 20};
 static uint64_t random_state;
 
-double fleet_uniform(void)
+double quota_fleet_uniform(void)
 {
 	random_state ^= random_state << 13;
 	random_state ^= random_state >> 7;
@@ -44,66 +44,66 @@
 	return (double)(random_state >> 11) * 0x1p-53;
 }
 
-static int64_t step_of(const struct fleet *fleet)
+static int64_t step_of(const struct quota_fleet *fleet)
 {
-	return fleet->now_us / FLEET_STEP_US;
+	return fleet->now_us / QUOTA_FLEET_STEP_US;
 }
 
-static bool reaches(const struct fleet *fleet, int a, int b)
+static bool reaches(const struct quota_fleet *fleet, int a, int b)
 {
 	return fleet->members[a].side == fleet->members[b].side;
 }
 
-static void put_on_line(struct fleet *fleet, const struct fleet_message *message)
+static void put_on_line(struct quota_fleet *fleet, const struct quota_fleet_message *message)
 {
-	struct fleet_message *copy = malloc(sizeof(*copy));
-	bool same_zone = message->from % FLEET_ZONES == message->to % FLEET_ZONES;
+	struct quota_fleet_message *copy = malloc(sizeof(*copy));
+	bool same_zone = message->from % QUOTA_FLEET_ZONES == message->to % QUOTA_FLEET_ZONES;
 	int64_t delay = same_zone ? ZONE_DELAY_US : OTHER_DELAY_US;
 	int64_t step;
 
-	delay += (int64_t)(fleet_uniform() * fleet_uniform() * (double)JITTER_US);
-	step = step_of(fleet) + 1 + delay / FLEET_STEP_US;
+	delay += (int64_t)(quota_fleet_uniform() * quota_fleet_uniform() * (double)JITTER_US);
+	step = step_of(fleet) + 1 + delay / QUOTA_FLEET_STEP_US;
 	*copy = *message;
-	copy->next = fleet->line[step % FLEET_LINE_STEPS];
-	fleet->line[step % FLEET_LINE_STEPS] = copy;
+	copy->next = fleet->line[step % QUOTA_FLEET_LINE_STEPS];
+	fleet->line[step % QUOTA_FLEET_LINE_STEPS] = copy;
 }
 
-static void send_message(struct fleet *fleet, const struct fleet_message *message)
+static void send_message(struct quota_fleet *fleet, const struct quota_fleet_message *message)
 {
 	fleet->messages++;
-	fleet->shares += message->from % FLEET_ZONES != message->to % FLEET_ZONES;
-	if (!reaches(fleet, message->from, message->to) || fleet_uniform() < fleet->loss)
+	fleet->shares += message->from % QUOTA_FLEET_ZONES != message->to % QUOTA_FLEET_ZONES;
+	if (!reaches(fleet, message->from, message->to) || quota_fleet_uniform() < fleet->loss)
 		return;
 	put_on_line(fleet, message);
-	if (fleet_uniform() < fleet->loss)
+	if (quota_fleet_uniform() < fleet->loss)
 		put_on_line(fleet, message);
 }
 
-struct fleet *fleet_new(int count, const double *rates, uint64_t seed)
+struct quota_fleet *quota_fleet_new(int count, const double *rates, uint64_t seed)
 {
-	struct fleet *fleet = calloc(1, sizeof(*fleet));
+	struct quota_fleet *fleet = calloc(1, sizeof(*fleet));
 
 	random_state = seed * 0x9e3779b97f4a7c15ULL | 1;
 	fleet->count = count;
 	fleet->now_us = PD_USEC_PER_SEC;
-	for (int a = 0; a < FLEET_ACCOUNTS; a++) {
+	for (int a = 0; a < QUOTA_FLEET_ACCOUNTS; a++) {
 		fleet->accounts[a] = (struct pd_account){
 			.hash = (uint64_t)(a + 1) << 32, .rate_per_s = rates[a], .burst = rates[a]};
 		fleet->sent[a] = calloc(RUN_STEPS_MAX, sizeof(*fleet->sent[a]));
 	}
 	for (int i = 0; i < count; i++) {
 		pd_quota_init(&fleet->members[i].quota, &BOUNDS, 1);
-		fleet_restart(fleet, i);
-		fleet->members[i].source = i % FLEET_ZONES;
+		quota_fleet_restart(fleet, i);
+		fleet->members[i].source = i % QUOTA_FLEET_ZONES;
 	}
 	return fleet;
 }
 
-void fleet_free(struct fleet *fleet)
+void quota_fleet_free(struct quota_fleet *fleet)
 {
-	for (int i = 0; i < FLEET_LINE_STEPS; i++) {
+	for (int i = 0; i < QUOTA_FLEET_LINE_STEPS; i++) {
 		while (fleet->line[i]) {
-			struct fleet_message *message = fleet->line[i];
+			struct quota_fleet_message *message = fleet->line[i];
 
 			fleet->line[i] = message->next;
 			free(message);
@@ -111,14 +111,14 @@
 	}
 	for (int i = 0; i < fleet->count; i++)
 		pd_quota_finish(&fleet->members[i].quota);
-	for (int a = 0; a < FLEET_ACCOUNTS; a++)
+	for (int a = 0; a < QUOTA_FLEET_ACCOUNTS; a++)
 		free(fleet->sent[a]);
 	free(fleet);
 }
 
-void fleet_restart(struct fleet *fleet, int member)
+void quota_fleet_restart(struct quota_fleet *fleet, int member)
 {
-	struct fleet_member *m = &fleet->members[member];
+	struct quota_fleet_member *m = &fleet->members[member];
 	uint64_t processes = m->processes + 1;
 	int side = m->side;
 
@@ -128,17 +128,17 @@
 	m->side = side;
 	m->source = member;
 	pd_quota_init(&m->quota, &BOUNDS, ((uint64_t)member << 20) + processes * 77 + 1);
-	pd_quota_set_limits(&m->quota, fleet->accounts, FLEET_ACCOUNTS, fleet->now_us);
+	pd_quota_set_limits(&m->quota, fleet->accounts, QUOTA_FLEET_ACCOUNTS, fleet->now_us);
 }
 
-static bool heard_within(const struct fleet *fleet, int member, int other, int64_t timeout_us)
+static bool heard_within(const struct quota_fleet *fleet, int member, int other, int64_t timeout_us)
 {
 	int64_t heard_us = fleet->members[member].heard_us[other];
 
 	return heard_us && fleet->now_us - heard_us <= timeout_us;
 }
 
-static size_t count_followers(const struct fleet *fleet, int member)
+static size_t count_followers(const struct quota_fleet *fleet, int member)
 {
 	size_t count = 0;
 
@@ -148,44 +148,45 @@
 	return count;
 }
 
-static void state_fleet(struct fleet *fleet, int member)
+static void state_fleet(struct quota_fleet *fleet, int member)
 {
-	struct fleet_member *m = &fleet->members[member];
-	bool zones[FLEET_ZONES] = {false};
+	struct quota_fleet_member *m = &fleet->members[member];
+	bool zones[QUOTA_FLEET_ZONES] = {false};
+	bool is_head = m->source == member;
 	struct pd_quota_fleet view = {
-		.is_head = m->source == member,
+		.is_head = is_head,
 		.source_heard_us = m->heard_us[m->source],
 		.instances = (size_t)fleet->count,
-		.zones = FLEET_ZONES,
+		.zones = QUOTA_FLEET_ZONES,
 		.heard_covered = 1 + count_followers(fleet, member),
-		.links = view.is_head ? 0 : (uint64_t)m->source + 1,
+		.links = is_head ? 0 : (uint64_t)m->source + 1,
 	};
 
-	zones[member % FLEET_ZONES] = true;
-	for (int i = 0; view.is_head && i < fleet->count; i++) {
+	zones[member % QUOTA_FLEET_ZONES] = true;
+	for (int i = 0; is_head && i < fleet->count; i++) {
 		if (i == member || fleet->members[i].source != i ||
 		    !heard_within(fleet, member, i, HEAD_TIMEOUT_US))
 			continue;
-		zones[i % FLEET_ZONES] = true;
+		zones[i % QUOTA_FLEET_ZONES] = true;
 		view.heard_covered += 1 + m->followers[i];
 		view.links ^= ((uint64_t)i << 32) + fleet->members[i].processes;
 	}
 	for (int i = 0; i < fleet->count; i++)
-		view.heard_instances += zones[i % FLEET_ZONES];
-	for (int z = 0; z < FLEET_ZONES; z++)
+		view.heard_instances += zones[i % QUOTA_FLEET_ZONES];
+	for (int z = 0; z < QUOTA_FLEET_ZONES; z++)
 		view.zones_heard += zones[z];
 	pd_quota_set_fleet(&m->quota, &view, fleet->now_us);
 }
 
 /* Follows the first member of the zone that is reached and runs, FIND_US after the source is lost.
  */
-static void find_source(struct fleet *fleet, int member)
+static void find_source(struct quota_fleet *fleet, int member)
 {
-	struct fleet_member *m = &fleet->members[member];
-	int first = member % FLEET_ZONES;
+	struct quota_fleet_member *m = &fleet->members[member];
+	int first = member % QUOTA_FLEET_ZONES;
 
 	while (first < member && (fleet->members[first].stopped || !reaches(fleet, member, first)))
-		first += FLEET_ZONES;
+		first += QUOTA_FLEET_ZONES;
 	if (m->source == first)
 		m->lost_us = 0;
 	else if (!m->lost_us)
@@ -194,7 +195,8 @@
 		m->source = first;
 }
 
-static void send_to_others(struct fleet *fleet, struct fleet_message *message, bool heads)
+static void send_to_others(struct quota_fleet *fleet, struct quota_fleet_message *message,
+			   bool heads)
 {
 	for (int i = 0; i < fleet->count; i++) {
 		int source = fleet->members[i].source;
@@ -205,35 +207,36 @@
 	}
 }
 
-static void send_news(struct fleet *fleet, int member, bool urgent)
+static void send_news(struct quota_fleet *fleet, int member, bool urgent)
 {
-	struct fleet_member *m = &fleet->members[member];
-	struct fleet_message message = {.kind = FLEET_NEWS, .from = member};
-	struct pd_quota_news news[FLEET_ACCOUNTS];
-	size_t count = pd_quota_take_news(&m->quota, news, FLEET_ACCOUNTS, urgent, fleet->now_us);
+	struct quota_fleet_member *m = &fleet->members[member];
+	struct quota_fleet_message message = {.kind = FLEET_NEWS, .from = member};
+	struct pd_quota_news news[QUOTA_FLEET_ACCOUNTS];
+	size_t count =
+		pd_quota_take_news(&m->quota, news, QUOTA_FLEET_ACCOUNTS, urgent, fleet->now_us);
 
 	m->sequence += count > 0;
 	for (size_t i = 0; i < count; i++) {
 		message.news = news[i];
-		message.news.head = (uint64_t)member + 1;
+		message.news.head = (m->processes << 32) + (uint64_t)member;
 		message.news.sequence = m->sequence;
 		send_to_others(fleet, &message, false);
 	}
 }
 
-static void send_reports(struct fleet *fleet, int member)
+static void send_reports(struct quota_fleet *fleet, int member)
 {
-	struct fleet_member *m = &fleet->members[member];
+	struct quota_fleet_member *m = &fleet->members[member];
 	struct pd_quota_report reports[16];
 	size_t count;
 
 	do {
 		count = pd_quota_take_reports(&m->quota, reports, 16, fleet->now_us);
 		for (size_t i = 0; i < count; i++) {
-			struct fleet_message message = {.kind = FLEET_REPORT,
-							.from = member,
-							.to = m->source,
-							.report = reports[i]};
+			struct quota_fleet_message message = {.kind = FLEET_REPORT,
+							      .from = member,
+							      .to = m->source,
+							      .report = reports[i]};
 
 			if (m->source == member)
 				send_to_others(fleet, &message, true);
@@ -243,10 +246,10 @@
 	} while (count == 16);
 }
 
-static void tick(struct fleet *fleet, int member)
+static void tick(struct quota_fleet *fleet, int member)
 {
-	struct fleet_member *m = &fleet->members[member];
-	struct fleet_message message = {.from = member, .to = m->source};
+	struct quota_fleet_member *m = &fleet->members[member];
+	struct quota_fleet_message message = {.from = member, .to = m->source};
 	int64_t step = step_of(fleet) + member;
 
 	find_source(fleet, member);
@@ -262,11 +265,12 @@
 	send_news(fleet, member, false);
 }
 
-static void receive(struct fleet *fleet, const struct fleet_message *message)
+static void receive(struct quota_fleet *fleet, const struct quota_fleet_message *message)
 {
-	struct fleet_member *m = &fleet->members[message->to];
-	struct fleet_message pong = {.kind = FLEET_PONG, .from = message->to, .to = message->from};
-	bool local = message->from % FLEET_ZONES == message->to % FLEET_ZONES &&
+	struct quota_fleet_member *m = &fleet->members[message->to];
+	struct quota_fleet_message pong = {
+		.kind = FLEET_PONG, .from = message->to, .to = message->from};
+	bool local = message->from % QUOTA_FLEET_ZONES == message->to % QUOTA_FLEET_ZONES &&
 		     fleet->members[message->from].source == message->to;
 
 	if (m->stopped)
@@ -292,7 +296,7 @@
 	}
 }
 
-bool fleet_request(struct fleet *fleet, int member, int account)
+bool quota_fleet_request(struct quota_fleet *fleet, int member, int account)
 {
 	struct pd_quota *quota = &fleet->members[member].quota;
 
@@ -308,16 +312,18 @@
 	return true;
 }
 
-void fleet_run(struct fleet *fleet, double seconds, const double *per_s, int from, int to,
-	       int stride)
+void quota_fleet_run(struct quota_fleet *fleet, double seconds, const double *per_s, int from,
+		     int to, int stride)
 {
 	int64_t end = fleet->now_us + (int64_t)(seconds * PD_USEC_PER_SEC);
+	int members = (to - from) / stride;
 
-	for (; fleet->now_us < end; fleet->now_us += FLEET_STEP_US) {
-		struct fleet_message **slot = &fleet->line[step_of(fleet) % FLEET_LINE_STEPS];
+	for (; fleet->now_us < end; fleet->now_us += QUOTA_FLEET_STEP_US) {
+		struct quota_fleet_message **slot =
+			&fleet->line[step_of(fleet) % QUOTA_FLEET_LINE_STEPS];
 
 		while (*slot) {
-			struct fleet_message *message = *slot;
+			struct quota_fleet_message *message = *slot;
 
 			*slot = message->next;
 			receive(fleet, message);
@@ -327,25 +333,25 @@
 			if (!fleet->members[i].stopped && (step_of(fleet) + i) % TICK_STEPS == 0)
 				tick(fleet, i);
 		}
-		for (int a = 0; a < FLEET_ACCOUNTS; a++) {
+		for (int a = 0; a < QUOTA_FLEET_ACCOUNTS; a++) {
 			double rate = fleet->accounts[a].rate_per_s;
 
-			fleet->ideal[a] =
-				fmin(fleet->ideal[a] + rate * FLEET_STEP_US / 1e6, fmax(rate, 1));
+			fleet->ideal[a] = fmin(fleet->ideal[a] + rate * QUOTA_FLEET_STEP_US / 1e6,
+					       fmax(rate, 1));
 			/* At most one request per step. */
-			int member =
-				from + stride * (int)(fleet_uniform() * ((to - from) / stride));
+			int member = from + stride * (int)(quota_fleet_uniform() * members);
 
-			if (fleet_uniform() < per_s[a] * FLEET_STEP_US / PD_USEC_PER_SEC &&
+			if (quota_fleet_uniform() <
+				    per_s[a] * QUOTA_FLEET_STEP_US / PD_USEC_PER_SEC &&
 			    !fleet->members[member].stopped)
-				fleet_request(fleet, member, a);
+				quota_fleet_request(fleet, member, a);
 		}
 	}
 }
 
-size_t fleet_window_max(const struct fleet *fleet, int account, double window_s)
+size_t quota_fleet_window_max(const struct quota_fleet *fleet, int account, double window_s)
 {
-	int64_t window = (int64_t)(window_s * PD_USEC_PER_SEC) / FLEET_STEP_US;
+	int64_t window = (int64_t)(window_s * PD_USEC_PER_SEC) / QUOTA_FLEET_STEP_US;
 	size_t sum = 0, most = 0;
 
 	for (int64_t i = 0; i < step_of(fleet); i++) {
--- /dev/null
+++ b/tests/test_quota.c
@@ -0,0 +1,487 @@
+#include <stdio.h>
+
+#include "fair_share.h"
+#include "quota_fleet.h"
+#include "suite.h"
+
+#define BOUND_20 152 /* (20 x 5 + 20) x 1.1 + 20 */
+#define MEMBERS	 130
+#define SEEDS	 3
+
+enum { NOISY, USUAL_20, USUAL_5, USUAL_03 };
+
+static const double rates[QUOTA_FLEET_ACCOUNTS] = {20, 20, 5, 0.3};
+static const double usual[QUOTA_FLEET_ACCOUNTS] = {12, 12, 3.1, 0.05};
+static const double noisy[QUOTA_FLEET_ACCOUNTS] = {84, 12, 3.1, 0.05};
+
+/**
+ * struct fleet_case - a load and a failure
+ * @name: name, for the output
+ * @count: number of instances
+ * @loss: share of the messages that are lost, and that are doubled
+ * @lead_s: time for which the account is noisy before the failure
+ * @noisy_s: time for which it is noisy afterwards; 0 for a usual load during 8 s
+ * @stopped: number of heads that are suspended
+ * @wake_s: time after which they continue; 0 for never
+ * @cut: 1 for a zone and 2 for 30% of all instances that are cut off from the others, 3 for these
+ *	30% each by itself
+ * @heal_s: time after which they are connected again; 0 for never
+ * @restart: number of instances that restart
+ * @one: the noisy requests come to one instance
+ * @moves: they come to one zone and after half of the time to another one
+ * @loss_max: share of the usual requests that may be refused although there are tokens
+ */
+struct fleet_case {
+	const char *name;
+	int count;
+	double loss;
+	double lead_s;
+	double noisy_s;
+	int stopped;
+	double wake_s;
+	int cut;
+	double heal_s;
+	int restart;
+	bool one;
+	bool moves;
+	double loss_max;
+};
+
+static void cut(struct quota_fleet *fleet, int kind)
+{
+	for (int i = 0; i < fleet->count; i++) {
+		if (kind == 1 ? i % QUOTA_FLEET_ZONES == 0 : i % 10 < 3)
+			fleet->members[i].side = kind == 3 ? i + 1 : 1;
+	}
+}
+
+static void run_load(struct quota_fleet *fleet, const struct fleet_case *c, double seconds)
+{
+	const double *per_s = c->noisy_s > 0 ? noisy : usual;
+	int end = fleet->count - fleet->count % QUOTA_FLEET_ZONES;
+
+	if (c->moves) {
+		quota_fleet_run(fleet, seconds / 2, per_s, 0, end, QUOTA_FLEET_ZONES);
+		quota_fleet_run(fleet, seconds / 2, per_s, 1, end + 1, QUOTA_FLEET_ZONES);
+	} else if (c->one) {
+		quota_fleet_run(fleet, seconds, per_s, 40, 41, 1);
+	} else {
+		quota_fleet_run(fleet, seconds, per_s, 0, fleet->count, 1);
+	}
+}
+
+static void begin_failure(struct quota_fleet *fleet, const struct fleet_case *c)
+{
+	for (int i = 0; i < c->stopped; i++)
+		fleet->members[i].stopped = true;
+	if (c->cut)
+		cut(fleet, c->cut);
+	for (int i = 0; i < c->restart; i++)
+		quota_fleet_restart(fleet, i);
+}
+
+static void end_failure(struct quota_fleet *fleet)
+{
+	for (int i = 0; i < fleet->count; i++) {
+		fleet->members[i].stopped = false;
+		fleet->members[i].side = 0;
+	}
+}
+
+/* Plays one case; returns the greatest number of requests of the noisy account in a window. Adds
+ * the usual requests, and those that were refused wrongly. */
+static size_t play(const struct fleet_case *c, uint64_t seed, size_t *offered, size_t *wronged)
+{
+	double fail_s = c->wake_s + c->heal_s, left_s = c->noisy_s > 0 ? c->noisy_s : 8;
+	struct quota_fleet *fleet = quota_fleet_new(c->count, rates, seed);
+	size_t most;
+
+	fleet->loss = c->loss;
+	quota_fleet_run(fleet, 9, usual, 0, fleet->count, 1);
+	for (int a = 0; a < QUOTA_FLEET_ACCOUNTS; a++)
+		fleet->wronged[a] = fleet->offered[a] = 0;
+	if (c->lead_s > 0)
+		run_load(fleet, c, c->lead_s);
+	begin_failure(fleet, c);
+	if (fail_s > 0) {
+		run_load(fleet, c, fail_s);
+		end_failure(fleet);
+	}
+	run_load(fleet, c, left_s - fail_s);
+	quota_fleet_run(fleet, 4, usual, 0, fleet->count, 1);
+	most = quota_fleet_window_max(fleet, NOISY, 5);
+	for (int a = USUAL_20; a < QUOTA_FLEET_ACCOUNTS; a++) {
+		*offered += fleet->offered[a];
+		*wronged += fleet->wronged[a];
+	}
+	quota_fleet_free(fleet);
+	return most;
+}
+
+static void check_case(const struct fleet_case *c)
+{
+	size_t offered = 0, wronged = 0, most = 0;
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		size_t sent = play(c, seed, &offered, &wronged);
+
+		most = sent > most ? sent : most;
+	}
+	printf("%s: at most %zu in a window, %zu of %zu usual requests refused wrongly\n", c->name,
+	       most, wronged, offered);
+	ck_assert_msg(most <= BOUND_20, "%s: %zu requests in a window", c->name, most);
+	ck_assert_msg((double)wronged <= c->loss_max * (double)offered, "%s: %zu of %zu refused",
+		      c->name, wronged, offered);
+}
+
+START_TEST(connected_fleet_keeps_to_the_quota)
+{
+	/* Guards against more requests of a noisy account than its quota, and against refusals of
+	 * the other accounts. Lost datagrams may delay the news of an empty bucket. */
+	static const struct fleet_case cases[] = {
+		{.name = "usual load", .count = MEMBERS, .loss = 0.02, .loss_max = 0.005},
+		{.name = "noisy", .count = MEMBERS, .loss = 0.02, .noisy_s = 6, .loss_max = 0.005},
+		{.name = "noisy, 5% lost",
+		 .count = MEMBERS,
+		 .loss = 0.05,
+		 .noisy_s = 6,
+		 .loss_max = 0.005},
+		{.name = "noisy at one instance",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .noisy_s = 6,
+		 .one = true,
+		 .loss_max = 0.005},
+		{.name = "noisy, moves to another zone",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .noisy_s = 6,
+		 .moves = true,
+		 .loss_max = 0.005},
+		{.name = "noisy, 300 instances",
+		 .count = 300,
+		 .loss = 0.02,
+		 .noisy_s = 6,
+		 .loss_max = 0.005},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		check_case(&cases[i]);
+}
+END_TEST
+
+START_TEST(failing_heads_keep_the_quota)
+{
+	/* Guards against a quota that begins anew at another head, or that is charged twice there.
+	 * While a zone has no head, a part of its usual requests may be refused. */
+	static const struct fleet_case cases[] = {
+		{.name = "head dies",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .stopped = 1,
+		 .loss_max = 0.1},
+		{.name = "head dies, then noisy",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .stopped = 1,
+		 .noisy_s = 6,
+		 .loss_max = 0.1},
+		{.name = "noisy, head dies",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .lead_s = 2,
+		 .stopped = 1,
+		 .noisy_s = 5,
+		 .loss_max = 0.1},
+		{.name = "noisy, head is suspended and wakes",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .stopped = 1,
+		 .wake_s = 3,
+		 .noisy_s = 7,
+		 .loss_max = 0.1},
+		{.name = "noisy, head restarts at once",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .lead_s = 2,
+		 .restart = 1,
+		 .noisy_s = 6,
+		 .loss_max = 0.1},
+		{.name = "noisy, all heads die",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .stopped = 3,
+		 .noisy_s = 6,
+		 .loss_max = 0.25},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		check_case(&cases[i]);
+}
+END_TEST
+
+START_TEST(divided_fleet_keeps_the_quota)
+{
+	/* Guards against parts of a divided fleet that use the whole quota each. The lesser part
+	 * of 30% refuses usual requests: it may use what the bound allows beyond the quota only. */
+	static const struct fleet_case cases[] = {
+		{.name = "zone cut off, noisy",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .cut = 1,
+		 .noisy_s = 6,
+		 .loss_max = 0.05},
+		{.name = "noisy, zone cut off",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .lead_s = 1,
+		 .cut = 1,
+		 .noisy_s = 6,
+		 .loss_max = 0.05},
+		{.name = "zone cut off for 3 s, noisy",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .cut = 1,
+		 .heal_s = 3,
+		 .noisy_s = 6,
+		 .loss_max = 0.05},
+		{.name = "30% cut off, noisy",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .cut = 2,
+		 .noisy_s = 6,
+		 .loss_max = 0.3},
+		{.name = "noisy, 30% cut off",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .lead_s = 2,
+		 .cut = 2,
+		 .noisy_s = 6,
+		 .loss_max = 0.3},
+		{.name = "30% cut off from each other, noisy",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .cut = 3,
+		 .noisy_s = 6,
+		 .loss_max = 0.3},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		check_case(&cases[i]);
+}
+END_TEST
+
+START_TEST(restart_of_all_refuses_few)
+{
+	/* Guards against refusals of usual requests while no instance knows the others. */
+	static const struct fleet_case restart = {.name = "all restart",
+						  .count = MEMBERS,
+						  .loss = 0.02,
+						  .restart = MEMBERS,
+						  .loss_max = 0.05};
+
+	check_case(&restart);
+}
+END_TEST
+
+/* A head that hears all of one zone, alone in it. */
+static const struct pd_quota_fleet alone = {.is_head = true,
+					    .instances = 1,
+					    .zones = 1,
+					    .zones_heard = 1,
+					    .heard_instances = 1,
+					    .heard_covered = 1};
+static const struct pd_quota_bounds bounds = {.window_s = 5, .overage = 0.1, .slack = 20};
+static struct pd_account account = {.hash = 7, .rate_per_s = 2, .burst = 2};
+static struct pd_quota quota;
+static int64_t now;
+
+static void setup(void)
+{
+	account.rate_per_s = account.burst = 2;
+	now = 100 * PD_USEC_PER_SEC;
+	pd_quota_init(&quota, &bounds, 1);
+	pd_quota_set_limits(&quota, &account, 1, now);
+	pd_quota_set_fleet(&quota, &alone, now);
+}
+
+static void teardown(void)
+{
+	pd_quota_finish(&quota);
+}
+
+static void pass(double seconds)
+{
+	now += (int64_t)(seconds * PD_USEC_PER_SEC);
+	pd_quota_set_fleet(&quota, &alone, now);
+}
+
+/* Sends as many requests as are admitted now. */
+static int send_all(void)
+{
+	int sent = 0;
+
+	for (; pd_quota_admit(&quota, &account, now).admitted; sent++)
+		pd_quota_count(&quota, &account, now);
+	return sent;
+}
+
+START_TEST(bucket_answers_at_its_edges)
+{
+	/* Guards against tokens that are lost or added, and a time to return that is too early. */
+	struct pd_quota_verdict verdict;
+
+	ck_assert_int_eq(send_all(), 2);
+	verdict = pd_quota_admit(&quota, &account, now);
+	ck_assert(!verdict.admitted);
+	/* One was refused before: this is the second token, and up to one more at random. */
+	ck_assert(verdict.wait_us >= PD_USEC_PER_SEC && verdict.wait_us <= 1.5 * PD_USEC_PER_SEC);
+	pd_quota_return(&quota, &account, now);
+	ck_assert_int_eq(send_all(), 1);
+	pass(100);
+	ck_assert_int_eq(send_all(), 2);
+	account.rate_per_s = account.burst = 1;
+	pass(100);
+	pd_quota_set_limits(&quota, &account, 1, now);
+	ck_assert_int_eq(send_all(), 1);
+	account.rate_per_s = account.burst = 0.3;
+	pd_quota_set_limits(&quota, &account, 1, now);
+	pass(3.2);
+	ck_assert_int_eq(send_all(), 0);
+	pass(0.2);
+	ck_assert_int_eq(send_all(), 1);
+	account.rate_per_s = 0;
+	pd_quota_set_limits(&quota, &account, 1, now);
+	ck_assert(pd_quota_admit(&quota, &account, now).admitted);
+	account.rate_per_s = account.burst = 2;
+	pd_quota_set_limits(&quota, NULL, 0, now);
+	ck_assert(pd_quota_admit(&quota, &account, now).admitted);
+}
+END_TEST
+
+START_TEST(reports_are_charged_once)
+{
+	/* Guards against a report that is charged again when it is doubled, late, or comes by
+	 * another head, and against an old use that is charged to a head that hears of it first. */
+	struct pd_quota_report report = {.origin = 5, .account = 7, .used = 1, .recent = 1};
+
+	pass(100);
+	for (int i = 0; i < 3; i++)
+		pd_quota_receive_report(&quota, &report, i == 1, now);
+	report.used = 0;
+	pd_quota_receive_report(&quota, &report, true, now);
+	ck_assert_int_eq(send_all(), 1);
+	pass(100);
+	report = (struct pd_quota_report){.origin = 6, .account = 7, .used = 900, .recent = 0};
+	pd_quota_receive_report(&quota, &report, true, now);
+	ck_assert_int_eq(send_all(), 2);
+	pass(2);
+	report = (struct pd_quota_report){
+		.origin = 6, .account = 7, .used = 905, .returned = 1, .recent = 4};
+	pd_quota_receive_report(&quota, &report, true, now);
+	/* 2 tokens less 4 are a debt of 2. */
+	pass(1.4);
+	ck_assert_int_eq(send_all(), 0);
+	pass(0.2);
+	ck_assert_int_eq(send_all(), 1);
+}
+END_TEST
+
+START_TEST(suspended_instance_relies_on_nothing)
+{
+	/* Guards against a full bucket of an instance that continues after a suspension. */
+	ck_assert_int_eq(send_all(), 2);
+	pass(1);
+	now += 100 * PD_USEC_PER_SEC;
+	/* The first request of an account that wasn't used lately is admitted. */
+	ck_assert_int_eq(send_all(), 1);
+}
+END_TEST
+
+START_TEST(idle_accounts_cost_nothing)
+{
+	/* Guards against state and messages of accounts that aren't in use any more. */
+	static struct pd_account accounts[10000];
+	struct pd_quota_report reports[8];
+
+	for (size_t i = 0; i < 10000; i++)
+		accounts[i] = (struct pd_account){.hash = i + 1, .rate_per_s = 2, .burst = 2};
+	pd_quota_set_limits(&quota, accounts, 10000, now);
+	for (size_t i = 0; i < 10000; i++)
+		pd_quota_count(&quota, &accounts[i], now);
+	ck_assert_uint_eq(quota.bucket_count, 10000);
+	pass(40);
+	ck_assert_uint_eq(pd_quota_take_reports(&quota, reports, 8, now), 0);
+	ck_assert_uint_eq(quota.bucket_count, 0);
+}
+END_TEST
+
+START_TEST(fair_share_has_its_order)
+{
+	/* Guards against urgent requests behind less urgent ones, and accounts above their share
+	 * before others. */
+	double last = 1.01;
+
+	for (uint32_t priority = 0; priority < 3; priority++) {
+		for (int over = 0; over < 2; over++) {
+			double limit = pd_fair_share_limit(priority, over, false);
+
+			ck_assert(limit < last && limit >= 0.5);
+			last = limit;
+		}
+	}
+	ck_assert_double_eq(pd_fair_share_limit(0, false, false), 1);
+	ck_assert_double_eq(pd_fair_share_limit(9, true, true), 1);
+}
+END_TEST
+
+START_TEST(fair_share_neglects_nobody)
+{
+	/* Guards against accounts and routes that get nothing while capacity is scarce, and a
+	 * request that can't be in time. */
+	static struct pd_fair_share fair_share;
+	struct pd_fair_request request = {.weight = 5, .legs = 1, .left_us = 100000};
+	size_t offered[2] = {0}, admitted[2] = {0};
+
+	pd_fair_share_init(&fair_share, 1);
+	for (int i = 0; i < 4000; i++) {
+		/* Four of five requests are of a noisy account on a less urgent route. */
+		int kind = i % 5 == 0;
+
+		request.account = 1 + (uint64_t)kind;
+		request.route = 1 + (uint64_t)kind;
+		request.priority = kind ? 0 : 2;
+		request.expected_us = 90000;
+		offered[kind]++;
+		admitted[kind] += pd_fair_share_admit(&fair_share, &request, i * 5000).admitted;
+	}
+	ck_assert_uint_eq(admitted[1], offered[1]);
+	ck_assert(4 * admitted[0] * 4000 >= offered[0] * (admitted[0] + admitted[1]));
+	ck_assert(admitted[0] < offered[0] / 2);
+	request.expected_us = 130000;
+	ck_assert(!pd_fair_share_admit(&fair_share, &request, 20000000).admitted);
+	ck_assert(pd_fair_share_admit(&fair_share, &request, 20000000).wait_us >= 30000);
+	request.expected_us = 40000;
+	ck_assert(pd_fair_share_admit(&fair_share, &request, 20000000).admitted);
+	pd_fair_share_finish(&fair_share);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const fleets[] = {
+		connected_fleet_keeps_to_the_quota, failing_heads_keep_the_quota,
+		divided_fleet_keeps_the_quota,	    restart_of_all_refuses_few,
+		fair_share_has_its_order,	    fair_share_neglects_nobody,
+	};
+	const TTest *const edges[] = {
+		bucket_answers_at_its_edges,
+		reports_are_charged_once,
+		suspended_instance_relies_on_nothing,
+		idle_accounts_cost_nothing,
+	};
+	int failed = suite_run("quota_fleet", fleets, sizeof(fleets) / sizeof(fleets[0]));
+
+	return suite_run_with("quota", setup, teardown, edges, sizeof(edges) / sizeof(edges[0])) |
+	       failed;
+}
