--- a/ingress/fanout.h
+++ b/ingress/fanout.h
@@ -15,6 +15,7 @@
 #include "exchange.h"
 #include "key_check.h"
 #include "policy.h"
+#include "quota.h"
 #include "reporter.h"
 
 #define PD_LEG_EXCHANGES    2 /* maximum number of concurrent attempts of one leg */
@@ -76,6 +77,9 @@
  * @key_refused: an attempt wasn't sent because of @key_check
  * @reporter: reporter that records crashes of upstreams
  * @fingerprint: fingerprint of the request, for @reporter
+ * @quota: quotas that the request is counted for when its first attempt is sent, or NULL
+ * @account: account of the request, if @quota isn't NULL
+ * @counted: the request was counted
  * @client_fd: socket that is watched for the client's disconnection; -1 for none
  * @arrived_us: time at which the request arrived
  * @deadline_us: time by which the final response must be sent
@@ -105,6 +109,9 @@
 	bool key_refused;
 	struct pd_reporter *reporter;
 	uint64_t fingerprint;
+	struct pd_quota *quota;
+	const struct pd_account *account;
+	bool counted;
 	int client_fd;
 	int64_t arrived_us;
 	int64_t deadline_us;
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -40,7 +40,7 @@
 					       .load = &ingress->load,
 					       .rollout = &ingress->rollout};
 
-	pd_quota_exchange_init(&ingress->quota);
+	pd_quota_exchange_init(&ingress->quota, &ingress->registry, &ingress->settings);
 	pd_load_report_init(&ingress->load);
 	pd_rollout_exchange_init(&ingress->rollout);
 	pd_cluster_init(&ingress->cluster, &parts, &ingress->settings.node, &ingress->settings.zone,
@@ -95,6 +95,7 @@
 	pd_membership_init(&ingress->membership, &ingress->directory, &ingress->sync, &self);
 	pd_reporter_init(&ingress->reporter, &ingress->directory, &ingress->sync);
 	pd_feed_init(&ingress->feed, &ingress->directory, &settings->peer);
+	pd_fair_share_init(&ingress->fair_share, pd_os_random_seed() | 1);
 	init_cluster(ingress);
 	pthread_mutex_init(&ingress->lock, NULL);
 	for (size_t i = 0; i < PD_LISTENER_COUNT; i++) {
--- /dev/null
+++ b/tests/quota_fleet.h
@@ -0,0 +1,94 @@
+/**
+ * DOC: A fleet of instances in three zones as plain structs, for tests of quotas
+ *
+ * The test delivers the messages between them, with delay, loss, duplication and reordering, and
+ * decides who follows whom as the membership does: the first instance of a zone that is reached is
+ * its head, and another one is followed 1.3 s after the source is no longer reached. Time is
+ * simulated, in steps of 5 ms.
+ */
+#ifndef TEST_QUOTA_FLEET_H
+#define TEST_QUOTA_FLEET_H
+
+#include "quota.h"
+
+#define QUOTA_FLEET_ZONES      3
+#define QUOTA_FLEET_MAX	       300
+#define QUOTA_FLEET_ACCOUNTS   4
+#define QUOTA_FLEET_STEP_US    (5 * PD_USEC_PER_MSEC)
+#define QUOTA_FLEET_LINE_STEPS 128
+
+/**
+ * struct quota_fleet_member - one instance
+ * @quota: its quotas
+ * @source: member that it follows; itself for a head
+ * @lost_us: time since which @source isn't reached; 0 if it is
+ * @stopped: it is suspended
+ * @side: members of different sides don't reach each other
+ * @heard_us: time at which each member was last heard: as a head, a follower, or the source
+ * @followers: number of followers that each head stated
+ * @sequence: sequence number of its news
+ * @processes: number of its restarts
+ */
+struct quota_fleet_member {
+	struct pd_quota quota;
+	int source;
+	int64_t lost_us;
+	bool stopped;
+	int side;
+	int64_t heard_us[QUOTA_FLEET_MAX];
+	size_t followers[QUOTA_FLEET_MAX];
+	uint64_t sequence;
+	uint64_t processes;
+};
+
+struct quota_fleet_message;
+
+/**
+ * struct quota_fleet - the fleet, its messages and its requests
+ * @members: instances; the zone of one is its index modulo QUOTA_FLEET_ZONES
+ * @count: number of members
+ * @now_us: simulated time
+ * @loss: share of the messages that are lost; as many are doubled
+ * @accounts: accounts
+ * @line: messages by the step in which they arrive
+ * @sent: number of requests of each account that were sent, by step
+ * @offered: number of requests of each account that were offered
+ * @refused: number of these that were refused
+ * @ideal: tokens of one bucket that knows of every request at once
+ * @wronged: number of refused requests that this bucket had a token for
+ * @messages: number of messages that were sent
+ * @shares: number of these that were sent between zones
+ */
+struct quota_fleet {
+	struct quota_fleet_member members[QUOTA_FLEET_MAX];
+	int count;
+	int64_t now_us;
+	double loss;
+	struct pd_account accounts[QUOTA_FLEET_ACCOUNTS];
+	struct quota_fleet_message *line[QUOTA_FLEET_LINE_STEPS];
+	uint16_t *sent[QUOTA_FLEET_ACCOUNTS];
+	size_t offered[QUOTA_FLEET_ACCOUNTS];
+	size_t refused[QUOTA_FLEET_ACCOUNTS];
+	double ideal[QUOTA_FLEET_ACCOUNTS];
+	size_t wronged[QUOTA_FLEET_ACCOUNTS];
+	size_t messages;
+	size_t shares;
+};
+
+/* Allocates a fleet whose accounts have these rates, and bursts that equal them. */
+struct quota_fleet *quota_fleet_new(int count, const double *rates, uint64_t seed);
+void quota_fleet_free(struct quota_fleet *fleet);
+/* Replaces the process of a member. */
+void quota_fleet_restart(struct quota_fleet *fleet, int member);
+/* Runs for a while. @per_s of each account are the requests per second of all members together,
+ * which come at random times to a random member among @from to @to, in steps of @stride. */
+void quota_fleet_run(struct quota_fleet *fleet, double seconds, const double *per_s, int from,
+		     int to, int stride);
+/* Offers one request; false if it is refused. */
+bool quota_fleet_request(struct quota_fleet *fleet, int member, int account);
+/* Returns the greatest number of requests that an account sent in any window. */
+size_t quota_fleet_window_max(const struct quota_fleet *fleet, int account, double window_s);
+/* Returns a random number from 0 to 1. */
+double quota_fleet_uniform(void);
+
+#endif
