Load reports: the fourth number is read

Upstreams state in X-Server-Load how long work takes on their machine now (100 is usual), and no code read it. A report with a negative fourth number, or a long one, was dropped as a whole.

read_load() splits the text at the third comma; a speed that is missing, isn't a plain decimal number, or is beyond the factors 0.01 and 100 leaves the three other numbers in force. Nothing uses it yet.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -137,6 +137,58 @@
 }
 END_TEST
 
+START_TEST(load_report_with_an_odd_speed_keeps_its_other_numbers)
+{
+	/* Guards against a lost load report, or a choice of upstreams by nonsense: an upstream may
+	 * state no fourth number or one that isn't a speed, and the three others must hold.
+	 */
+	static const struct {
+		const char *value;
+		bool has_load;
+		double speed; /* 0: not stated */
+	} cases[] = {
+		{"1,2,3", true, 0},
+		{"1,2,3,100", true, 1},
+		{"1,2,3,250", true, 2.5},
+		{"1,2,3, 80.5", true, 0.805},
+		{"1,2,3,", true, 0},
+		{"1,2,3,-250", true, 0},
+		{"1,2,3,0", true, 0},
+		{"1,2,3,0.5", true, 0},
+		{"1,2,3,10001", true, 0},
+		{"1,2,3,99999999999999999999999999999999999999999999999999999999", true, 0},
+		{"1,2,3,1e2", true, 0},
+		{"1,2,3,nan", true, 0},
+		{"1,2,3,fast", true, 0},
+		{"1,2,3,100,7", true, 0},
+		{"-1,2,3,100", false, 0},
+		{"1,2", false, 0},
+		{",,,100", false, 0},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct pd_response_fields fields;
+		struct pd_http_message msg;
+		char text[200];
+		size_t used;
+
+		snprintf(text, sizeof(text),
+			 "HTTP/1.1 200 X\r\nX-Server-Load: %s\r\nContent-Length: 0\r\n\r\n",
+			 cases[i].value);
+		pd_http_message_init(&msg, PD_HTTP_RESPONSE, 1000, 1000);
+		ck_assert_int_eq(pd_http_message_parse(&msg, text, strlen(text), &used),
+				 PD_HTTP_COMPLETE);
+		pd_platform_read_response(&msg, &fields);
+		ck_assert_msg(fields.has_load == cases[i].has_load, "%s", cases[i].value);
+		ck_assert_msg(fields.has_speed == (cases[i].speed > 0), "%s", cases[i].value);
+		ck_assert_double_eq_tol(fields.speed, cases[i].speed, 1e-9);
+		if (fields.has_load)
+			ck_assert(fields.running == 1 && fields.queued == 2 && fields.slots == 3);
+		pd_http_message_finish(&msg);
+	}
+}
+END_TEST
+
 START_TEST(parser_stops_at_end_of_message)
 {
 	/* Guards against mixing up consecutive responses: wherever the received bytes are split,
@@ -565,6 +617,7 @@
 		only_idempotent_routes_allow_retries,
 		invalid_configurations_are_rejected,
 		responses_show_whether_request_was_executed,
+		load_report_with_an_odd_speed_keeps_its_other_numbers,
 		parser_stops_at_end_of_message,
 		ambiguous_requests_are_malformed,
 		closed_connection_ends_unframed_response,
