Upstreams are chosen by the speed, load and silence that they show now

Callers saw late parts: a paused or slow machine got parts until this instance's own requests there were late, and a report counted until its weight had faded, whatever was sent or done since.

Where an upstream states how long work takes, its cost is now the expected time of a request: the stated speed (weight one half at 100 ms, the latency ratio otherwise), the load of the report less what the slots have done since and plus what this instance has sent, and the time for which a request in flight has had no response. Admission expects the same. The registry keeps news of that for the other instances of the zone, which nothing sends yet. Upstreams that don't state a speed are chosen as before.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -43,6 +43,9 @@
 #define ZONE_SILENCE_US	       250000
 #define ZONE_OVERDUE_UPSTREAMS 4
 #define ZONE_PROBE_INTERVAL_US 250000
+/* An upstream that is known to be silent counts as such for this long, unless it is heard: pauses
+ * of upstreams take 100 ms, and its next overdue request prolongs the time. */
+#define SILENCE_US 100000
 /* Step of the 92nd percentile's estimate as a share of the estimate: a sample above it raises it by
  * 0.92 of the step, a sample below it lowers it by 0.08 of the step. */
 #define P92_STEP     0.05
@@ -84,6 +87,57 @@
 	return false;
 }
 
+/* Returns the time that a request takes at the upstream while none is queued, from what it states;
+ * 0 if unknown. */
+static double stated_work_us(const struct pd_upstream *upstream)
+{
+	return upstream->service->work_time_us * upstream->speed;
+}
+
+static double expected_load(const struct pd_upstream *upstream, int64_t now_us)
+{
+	const struct pd_load_estimate estimate = {
+		.reported = upstream->reported_load,
+		.age_us = now_us - upstream->load_reported_us,
+		.sent_since = upstream->sent_since_report,
+		.in_flight = upstream->in_flight,
+		.slots = upstream->slots,
+		.work_us = stated_work_us(upstream),
+	};
+
+	return pd_expected_load(&estimate);
+}
+
+/* Returns how long the upstream has been silent, see pd_candidate.silence. */
+static double silence(const struct pd_upstream *upstream, int64_t now_us)
+{
+	double work_us = upstream->service->work_time_us, ratio = 0;
+
+	if (upstream->in_flight && work_us > 0)
+		ratio = (double)(now_us - upstream->waiting_since_us) / work_us;
+	if (ratio < PD_SILENCE_OVERDUE && upstream->silent_since_us &&
+	    now_us - upstream->silent_since_us < SILENCE_US)
+		ratio = PD_SILENCE_OVERDUE;
+	return ratio;
+}
+
+/* Sets what is compared of an upstream that states how long its work takes. */
+static void fill_stated(const struct pd_upstream *upstream, int64_t now_us,
+			struct pd_candidate *candidate)
+{
+	double weight = pd_speed_weight(now_us - upstream->load_reported_us);
+	double ratio =
+		weight * upstream->speed + (1 - weight) * current_latency_ratio(upstream, now_us);
+
+	candidate->states_speed = upstream->speed > 0;
+	if (!candidate->states_speed)
+		return;
+	candidate->work_ratio =
+		ratio * (1 + FAILURE_PENALTY * current_failure_rate(upstream, now_us));
+	candidate->expected_load = expected_load(upstream, now_us);
+	candidate->silence = silence(upstream, now_us);
+}
+
 static void fill_candidate(struct pd_registry *registry, struct pd_upstream *upstream,
 			   struct pd_upstream *const *tried, size_t tried_count, int64_t now_us,
 			   struct pd_candidate *candidate)
@@ -105,6 +159,7 @@
 	candidate->in_flight = upstream->in_flight;
 	candidate->reported_load = upstream->reported_load * weight;
 	candidate->slots = upstream->slots;
+	fill_stated(upstream, now_us, candidate);
 }
 
 /* Returns the first upstream that is compared: a random one if the service has more upstreams than
@@ -152,7 +207,9 @@
 	upstream = pick_locked(registry, service, tried, tried_count, now_us);
 	if (upstream) {
 		upstream->references++;
-		upstream->in_flight++;
+		if (!upstream->in_flight++)
+			upstream->waiting_since_us = now_us;
+		upstream->sent_since_report++;
 		pd_permit_consume_locked(upstream, now_us);
 	}
 	pthread_mutex_unlock(&registry->lock);
@@ -184,6 +241,13 @@
 	double slots = upstream->slots ? upstream->slots : 1;
 	double ahead;
 
+	if (upstream->speed > 0 && upstream->service->work_time_us > 0) {
+		double weight = pd_speed_weight((int64_t)age_us);
+
+		service_time_us =
+			weight * stated_work_us(upstream) + (1 - weight) * service_time_us;
+		load = expected_load(upstream, now_us);
+	}
 	if (load < upstream->in_flight)
 		load = upstream->in_flight;
 	ahead = load - slots + 1;
@@ -343,6 +407,17 @@
 	       zone->overdue_count);
 }
 
+/* Marks an upstream as silent if it has sent nothing since the overdue request was sent: otherwise,
+ * it is only slow. */
+static void record_silence(struct pd_registry *registry, struct pd_upstream *upstream,
+			   int64_t waited_us, int64_t now_us)
+{
+	if (upstream->speed <= 0 || upstream->waiting_since_us > now_us - waited_us)
+		return;
+	upstream->silent_since_us = now_us;
+	pd_load_news_add_locked(registry, upstream, true, now_us);
+}
+
 void pd_registry_report_overdue(struct pd_registry *registry, struct pd_upstream *upstream,
 				struct pd_route_stats *stats, int64_t waited_us, int64_t now_us)
 {
@@ -354,6 +429,7 @@
 			add_latency_ratio(upstream, sample, now_us);
 	}
 	record_overdue(upstream, now_us);
+	record_silence(registry, upstream, waited_us, now_us);
 	pthread_mutex_unlock(&registry->lock);
 }
 
@@ -372,6 +448,10 @@
 		weight = SERVICE_TIME_WEIGHT_MIN;
 	service->service_time_us +=
 		weight * ((double)report->latency_us - service->service_time_us);
+	if (report->has_speed && !service->internal)
+		service->work_time_us +=
+			(service->work_time_us > 0 ? weight : 1) *
+			((double)report->latency_us / report->speed - service->work_time_us);
 	service->service_time_updated_us = now_us;
 }
 
@@ -396,13 +476,37 @@
 		pd_pool_close_idle_locked(upstream);
 }
 
+void pd_registry_record_load_locked(struct pd_upstream *upstream, double load, double speed,
+				    int64_t now_us)
+{
+	upstream->reported_load = load;
+	upstream->load_reported_us = now_us;
+	upstream->speed = speed;
+	upstream->sent_since_report = 0;
+	upstream->waiting_since_us = now_us;
+	upstream->silent_since_us = 0;
+}
+
+/* Records the load report of a response, and that the other instances haven't heard of it. */
+static void record_own_report(struct pd_registry *registry, struct pd_upstream *upstream,
+			      const struct pd_report *report, int64_t now_us)
+{
+	/* Instances of the ingress execute no work of their own. */
+	bool has_speed = report->has_speed && !upstream->service->internal;
+
+	pd_registry_record_load_locked(upstream, report->load, has_speed ? report->speed : 0,
+				       now_us);
+	if (!has_speed)
+		return;
+	registry->outbox.wanted = true;
+	pd_load_news_add_locked(registry, upstream, false, now_us);
+}
+
 static void apply_report(struct pd_registry *registry, struct pd_upstream *upstream,
 			 const struct pd_report *report, int64_t now_us)
 {
-	if (report->has_load) {
-		upstream->reported_load = report->load;
-		upstream->load_reported_us = now_us;
-	}
+	if (report->has_load)
+		record_own_report(registry, upstream, report, now_us);
 	if (report->answered)
 		pd_registry_record_directives_locked(
 			registry, upstream, &report->directives,
--- a/ingress/exchange.c
+++ b/ingress/exchange.c
@@ -200,6 +200,8 @@
 	exchange->has_load = fields->has_load;
 	exchange->load = (double)fields->running + fields->queued;
 	exchange->queued = fields->queued;
+	exchange->has_speed = fields->has_speed;
+	exchange->speed = fields->speed;
 	exchange->directives = fields->directives;
 	exchange->closing = !msg->keep_alive;
 	exchange->reusable = exchange->reusable && msg->keep_alive && msg->framed &&
--- a/ingress/exchange.h
+++ b/ingress/exchange.h
@@ -69,6 +69,8 @@
  * @has_load: the response states the upstream's load: @load and @queued are valid
  * @load: number of requests running or queued at the upstream
  * @queued: number of requests queued at the upstream
+ * @has_speed: the response states @speed
+ * @speed: how long work takes on the upstream's machine now, as a factor
  * @directives: what the response states about further requests to the upstream
  * @closing: the response states that the upstream closes the connection
  * @overdue: the exchange was reported to the registry as overdue
@@ -93,6 +95,8 @@
 	bool has_load;
 	double load;
 	double queued;
+	bool has_speed;
+	double speed;
 	struct pd_directives directives;
 	bool closing;
 	bool overdue;
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -210,6 +210,8 @@
 		.has_load = exchange->has_load,
 		.load = exchange->load,
 		.queued = exchange->queued,
+		.has_speed = exchange->has_speed,
+		.speed = exchange->speed,
 		.answered = exchange->state == PD_EXCHANGE_ANSWERED ||
 			    exchange->state == PD_EXCHANGE_REJECTED,
 		.directives = exchange->directives,
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -19,6 +19,7 @@
 #include "budget.h"
 #include "catalog.h"
 #include "error.h"
+#include "load_news.h"
 #include "permit.h"
 #include "rate_limit.h"
 #include "revision.h"
@@ -99,6 +100,15 @@
  * @in_flight: number of requests of this process that are in flight to the upstream
  * @reported_load: number of running or queued requests that the upstream last reported
  * @load_reported_us: time at which @reported_load was received
+ * @speed: how long work takes on the upstream's machine, as a factor, from the same report; 0 if it
+ *	didn't state that
+ * @sent_since_report: number of requests that this process sent since then
+ * @waiting_since_us: time since which this process waits for a response of the upstream: that of
+ *	the last report, or of the first request since none was in flight
+ * @silent_since_us: time at which a request was noticed to be overdue while the upstream sent
+ *	nothing, here or at another instance; 0 after the next report
+ * @news_round: round of &pd_registry.outbox that has news of this upstream, increased by 1
+ * @news_index: index of these news
  * @terms: what the upstream has stated about further requests in its responses
  * @overdue_period: silence period of the zone in which the upstream was last counted as overdue
  * @connections: number of open connections from this process to the upstream, idle ones included
@@ -132,6 +142,12 @@
 	uint32_t in_flight;
 	double reported_load;
 	int64_t load_reported_us;
+	double speed;
+	uint32_t sent_since_report;
+	int64_t waiting_since_us;
+	int64_t silent_since_us;
+	uint64_t news_round;
+	size_t news_index;
 	struct pd_terms terms;
 	uint32_t overdue_period;
 	uint32_t connections;
@@ -155,6 +171,8 @@
  *		0 if not configured
  * @service_time_us: moving average of the response time while no request is queued at the upstream,
  *		     in microseconds; 0 until the first sample
+ * @work_time_us: the same average of the response time divided by the speed that the response
+ *	states, which is the time on a usual machine; 0 until the first sample
  * @service_time_updated_us: time at which @service_time_us was last updated
  */
 struct pd_service {
@@ -168,6 +186,7 @@
 	uint32_t max_connections;
 	double cold_per_s;
 	double service_time_us;
+	double work_time_us;
 	int64_t service_time_updated_us;
 	UT_hash_handle hh;
 };
@@ -201,6 +220,7 @@
  * @relay_upstreams: hash table of the upstreams of @relays by the name of the instance
  * @removed: hash table of upstreams that were removed lately, by id
  * @routes: hash table of route statistics by the name of the route
+ * @outbox: news of upstreams for the other instances of the zone
  * @catalog: current version of the configuration; NULL until one is installed
  * @hold_removals: upstreams whose entries are missing are kept for now, since the leases of the
  *		   entries may have expired in an outage of the store
@@ -222,6 +242,7 @@
 	struct pd_upstream *relay_upstreams;
 	struct pd_removed_upstream *removed;
 	struct pd_route_stats *routes;
+	struct pd_load_outbox outbox;
 	struct pd_catalog *catalog;
 	bool hold_removals;
 	uint64_t last_list;
@@ -414,6 +435,8 @@
  * @has_load: the response states the upstream's load: @load and @queued are valid
  * @load: number of requests running or queued at the upstream
  * @queued: number of requests queued at the upstream
+ * @has_speed: @speed is valid, too
+ * @speed: how long work takes on the upstream's machine now, as a factor; 1 is usual
  * @answered: a response to this request was received: @directives is valid
  * @directives: what the response states about further requests to the upstream
  * @relay_stopping: the upstream is a relay, which closes its connections because it is stopping
@@ -425,6 +448,8 @@
 	bool has_load;
 	double load;
 	double queued;
+	bool has_speed;
+	double speed;
 	bool answered;
 	struct pd_directives directives;
 	bool relay_stopping;
--- a/ingress/registry_private.h
+++ b/ingress/registry_private.h
@@ -8,6 +8,9 @@
 
 void pd_registry_unref_locked(struct pd_upstream *upstream);
 void pd_registry_report_received_locked(struct pd_upstream *upstream, int64_t now_us);
+/* Records a load report, whose @speed is 0 if it doesn't state one. */
+void pd_registry_record_load_locked(struct pd_upstream *upstream, double load, double speed,
+				    int64_t now_us);
 /* Returns a service, which is added if it is new; NULL if memory runs out or the name is empty. */
 struct pd_service *pd_registry_get_service_locked(struct pd_registry *registry, struct pd_str name);
 uint64_t pd_registry_random_locked(struct pd_registry *registry);
--- a/tests/balance_sim.c
+++ b/tests/balance_sim.c
@@ -38,8 +38,7 @@
 	EVENT_DONE, /* the upstream has executed a request */
 	EVENT_RESPONSE, /* a response reaches its dispatcher */
 	EVENT_LATE, /* a part has no response after its hedge delay */
-	EVENT_PASSED, /* a report reaches the other dispatchers of the zone */
-	EVENT_PASSED_SILENCE, /* news of an overdue request reaches them */
+	EVENT_PASSED, /* news of an upstream reach the other dispatchers of the zone */
 };
 
 /**
@@ -47,13 +46,13 @@
  * @at_us: when
  * @sequence: number by which events of the same time are ordered
  * @kind: what
- * @attempt: index of the attempt that it belongs to
+ * @index: index of the part, of the attempt, or of the news that it belongs to
  */
 struct event {
 	int64_t at_us;
 	uint64_t sequence;
 	enum event_kind kind;
-	size_t attempt;
+	size_t index;
 };
 
 /**
@@ -64,8 +63,8 @@
  * @upstream: index of the upstream
  * @picked: the registry's upstream
  * @sent_us: when it was sent
+ * @overdue: it was reported as overdue
  * @ended: its dispatcher has ended it, by a response or because the other attempt had one
- * @reported_us: when the dispatcher got the report
  * @running: load report in its response
  * @waiting: the same
  * @speed: the same
@@ -77,8 +76,8 @@
 	int upstream;
 	struct pd_upstream *picked;
 	int64_t sent_us;
+	bool overdue;
 	bool ended;
-	int64_t reported_us;
 	uint32_t running;
 	uint32_t waiting;
 	double speed;
@@ -100,6 +99,16 @@
 	size_t attempt_count;
 };
 
+/**
+ * struct passed_news - news that are passed on to the other dispatchers of the zone
+ * @dispatcher: index of the dispatcher that passes them on
+ * @news: what it has learned
+ */
+struct passed_news {
+	int dispatcher;
+	struct pd_load_news news;
+};
+
 struct machine {
 	double speed;
 	int64_t pause_offset_us;
@@ -117,6 +126,9 @@
 	size_t part_count;
 	struct attempt *attempts;
 	size_t attempt_count;
+	struct passed_news *news;
+	size_t news_count;
+	size_t news_capacity;
 	struct event *events;
 	size_t event_count;
 	size_t event_capacity;
@@ -128,6 +140,7 @@
 	double idle_time;
 	double measured_time;
 	uint64_t passed;
+	uint64_t other_zone;
 };
 
 static const struct pd_route route = {
@@ -152,9 +165,9 @@
 	return a->at_us < b->at_us || (a->at_us == b->at_us && a->sequence < b->sequence);
 }
 
-static void add_event(struct sim *sim, int64_t at_us, enum event_kind kind, size_t attempt)
+static void add_event(struct sim *sim, int64_t at_us, enum event_kind kind, size_t index)
 {
-	struct event event = {at_us, sim->event_sequence++, kind, attempt};
+	struct event event = {at_us, sim->event_sequence++, kind, index};
 	size_t i = sim->event_count++;
 
 	if (i == sim->event_capacity) {
@@ -308,6 +321,7 @@
 				    .picked = picked,
 				    .sent_us = now_us};
 	part->attempts[part->attempt_count++] = sim->attempt_count;
+	sim->other_zone += zone_of(dispatcher) != attempt->upstream;
 	add_event(sim, now_us + network_us(attempt), EVENT_REACHED, sim->attempt_count);
 	add_event(sim, now_us + pd_policy_hedge_delay(&route, sim->stats[dispatcher]->p92_us),
 		  EVENT_LATE, sim->attempt_count);
@@ -352,9 +366,44 @@
 	attempt->running = machine->jobs < BALANCE_SLOTS ? machine->jobs : BALANCE_SLOTS;
 	attempt->waiting = machine->jobs - attempt->running;
 	attempt->speed = speed_at(sim, attempt->upstream, now_us);
+	if (sim->setup.own_usual)
+		attempt->speed /= machine->speed;
 	add_event(sim, now_us + network_us(attempt), EVENT_RESPONSE, index);
 }
 
+/* Passes on what a dispatcher has learned, as load_report.c does. */
+static void pass_on(struct sim *sim, int dispatcher, int64_t now_us)
+{
+	struct pd_load_news news[PD_LOAD_NEWS_MAX];
+	size_t count = pd_load_news_take(&sim->registries[dispatcher], news);
+
+	if (sim->setup.delay_us == BALANCE_OWN_REPORTS)
+		return;
+	for (size_t i = 0; i < count; i++) {
+		if (sim->news_count == sim->news_capacity) {
+			sim->news_capacity = sim->news_capacity ? 2 * sim->news_capacity : 1024;
+			sim->news = reallocarray(sim->news, sim->news_capacity, sizeof(*sim->news));
+			ck_assert_ptr_nonnull(sim->news);
+		}
+		sim->news[sim->news_count] =
+			(struct passed_news){.dispatcher = dispatcher, .news = news[i]};
+		add_event(sim, now_us + sim->setup.delay_us, EVENT_PASSED, sim->news_count++);
+	}
+}
+
+static void handle_passed(struct sim *sim, size_t index)
+{
+	const struct passed_news *passed = &sim->news[index];
+
+	for (int i = zone_of(passed->dispatcher); i < sim->setup.dispatchers;
+	     i += BALANCE_UPSTREAMS) {
+		if (i == passed->dispatcher || draw(sim) < sim->setup.loss)
+			continue;
+		pd_load_news_apply(&sim->registries[i], &passed->news);
+		sim->passed++;
+	}
+}
+
 /* Ends the other attempt of a part that has its response. */
 static void abandon_other(struct sim *sim, const struct part *part, size_t index, int64_t now_us)
 {
@@ -381,6 +430,8 @@
 				   .has_load = true,
 				   .load = attempt->running + attempt->waiting,
 				   .queued = attempt->waiting,
+				   .has_speed = sim->setup.states_speed,
+				   .speed = attempt->speed,
 				   .answered = true};
 
 	if (attempt->ended)
@@ -389,6 +440,7 @@
 	part->latency_us = (double)(now_us - part->arrived_us);
 	pd_registry_report(&sim->registries[attempt->dispatcher], attempt->picked, &report, now_us);
 	abandon_other(sim, part, index, now_us);
+	pass_on(sim, attempt->dispatcher, now_us);
 }
 
 static void handle_late(struct sim *sim, size_t index, int64_t now_us)
@@ -399,10 +451,15 @@
 
 	if (attempt->ended)
 		return;
-	pd_registry_report_overdue(registry, attempt->picked, sim->stats[dispatcher],
-				   now_us - attempt->sent_us, now_us);
-	if (sim->setup.hedges && !attempt->hedge &&
-	    pd_registry_consume_retry(registry, sim->services[dispatcher]))
+	if (!attempt->overdue) {
+		attempt->overdue = true;
+		pd_registry_report_overdue(registry, attempt->picked, sim->stats[dispatcher],
+					   now_us - attempt->sent_us, now_us);
+		pass_on(sim, dispatcher, now_us);
+	}
+	if (!sim->setup.hedges || attempt->hedge)
+		return;
+	if (pd_registry_consume_retry(registry, sim->services[dispatcher]))
 		send_attempt(sim, attempt->part, dispatcher, now_us);
 }
 
@@ -410,22 +467,22 @@
 {
 	switch (event->kind) {
 	case EVENT_ARRIVAL:
-		handle_arrival(sim, event->attempt, event->at_us);
+		handle_arrival(sim, event->index, event->at_us);
 		break;
 	case EVENT_REACHED:
-		handle_reached(sim, event->attempt, event->at_us);
+		handle_reached(sim, event->index, event->at_us);
 		break;
 	case EVENT_DONE:
-		handle_done(sim, event->attempt, event->at_us);
+		handle_done(sim, event->index, event->at_us);
 		break;
 	case EVENT_RESPONSE:
-		handle_response(sim, event->attempt, event->at_us);
+		handle_response(sim, event->index, event->at_us);
 		break;
 	case EVENT_LATE:
-		handle_late(sim, event->attempt, event->at_us);
+		handle_late(sim, event->index, event->at_us);
 		break;
 	case EVENT_PASSED:
-	case EVENT_PASSED_SILENCE:
+		handle_passed(sim, event->index);
 		break;
 	}
 }
@@ -499,6 +556,7 @@
 		.spread = sim->spread_time / sim->measured_time,
 		.idle_share = sim->idle_time / sim->measured_time,
 		.sent = (double)sim->attempt_count / (double)sim->setup.parts,
+		.other_zone = (double)sim->other_zone / (double)sim->attempt_count,
 		.passed = (double)sim->passed / (double)sim->setup.parts,
 	};
 	free(latencies);
@@ -532,6 +590,7 @@
 	result = summarise(sim);
 	for (int i = 0; i < setup->dispatchers; i++)
 		pd_registry_finish(&sim->registries[i]);
+	free(sim->news);
 	free(sim->events);
 	free(sim->attempts);
 	free(sim->parts);
--- a/tests/balance_sim.h
+++ b/tests/balance_sim.h
@@ -29,6 +29,7 @@
  *	its zone, in microseconds; BALANCE_OWN_REPORTS if they never know it
  * @load: offered work as a share of the upstreams' capacity
  * @states_speed: responses state how long work takes on the upstream's machine
+ * @own_usual: the stated speed is relative to what is usual for that machine, rather than for all
  * @hedges: late parts are hedged, within the retry budget
  * @loss: share of the passed-on reports that are lost
  * @parts: number of parts
@@ -39,6 +40,7 @@
 	int64_t delay_us;
 	double load;
 	bool states_speed;
+	bool own_usual;
 	bool hedges;
 	double loss;
 	size_t parts;
@@ -55,6 +57,7 @@
  *	mean over time
  * @idle_share: share of time in which one upstream queues while another one has a free slot
  * @sent: number of requests that upstreams received, with hedges, for each part
+ * @other_zone: share of the requests that go to upstreams of another zone
  * @passed: number of passed-on reports that dispatchers received, for each part
  */
 struct balance_result {
@@ -64,6 +67,7 @@
 	double spread;
 	double idle_share;
 	double sent;
+	double other_zone;
 	double passed;
 };
 
