Hedges go to free slots only, where upstreams state how long work takes

Callers saw later parts with hedges than without: when two of three machines of a service are slow, most parts are late, each gets a hedge until the retry budget is used up, and the upstreams get more work than they can do.

A late part is hedged when another upstream has a free slot, as far as is known, and is checked again every 5 ms until then. Services whose upstreams don't state a speed are hedged as before.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -231,6 +231,23 @@
 	return best;
 }
 
+bool pd_registry_hedge_helps(struct pd_registry *registry, struct pd_service *service,
+			     struct pd_upstream *const *tried, size_t tried_count, int64_t now_us)
+{
+	bool helps = false;
+
+	pthread_mutex_lock(&registry->lock);
+	for (struct pd_upstream *u = service->upstreams; u && !helps; u = u->next) {
+		struct pd_candidate candidate;
+
+		fill_candidate(registry, u, tried, tried_count, now_us, &candidate);
+		helps = candidate.usable &&
+			(!candidate.states_speed || pd_candidate_has_free_slot(&candidate));
+	}
+	pthread_mutex_unlock(&registry->lock);
+	return helps;
+}
+
 /* Returns the expected latency of a request sent now to this upstream: the service time, plus the
  * time that the upstream's slots need for the requests that are queued before this one. */
 static double expected_latency(const struct pd_upstream *upstream, double service_time_us,
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -329,12 +329,13 @@
 }
 
 /* Delay after which a late leg is checked again for a hedge if most of the other legs are late,
- * too. */
+ * too, or if no other upstream has a free slot. */
 #define HEDGE_RECHECK_US 5000
 
 /* Handles a leg whose attempts are late. If enough other legs have responses, reports the attempts
- * as overdue and sends a hedge to another upstream, if the retry budget allows it. Otherwise the
- * leg is checked again later. */
+ * as overdue and sends a hedge to another upstream, if the retry budget allows it and the hedge
+ * needn't wait there: the upstreams of a service whose machines are slow would get more work than
+ * they can do, and all its parts would be late. Otherwise the leg is checked again later. */
 static void hedge_leg(struct pd_fanout *fanout, struct pd_leg *leg, int64_t now_us)
 {
 	struct pd_registry *registry = fanout->pool->registry;
@@ -349,19 +350,28 @@
 	for (int i = 0; i < PD_LEG_EXCHANGES; i++) {
 		struct pd_exchange *exchange = &leg->exchanges[i];
 
-		if (!pd_exchange_is_live(exchange) || exchange->overdue)
+		if (!pd_exchange_is_live(exchange) || (exchange->overdue && !leg->hedge_waits))
 			continue;
-		exchange->overdue = true;
 		late_upstream = exchange->upstream;
 		waited_us = now_us - exchange->started_us;
-		pd_registry_report_overdue(registry, late_upstream, fanout->stats, waited_us,
-					   now_us);
+		if (!exchange->overdue)
+			pd_registry_report_overdue(registry, late_upstream, fanout->stats,
+						   waited_us, now_us);
+		exchange->overdue = true;
 	}
+	leg->hedge_waits = false;
 	if (!late_upstream || !fanout->route->idempotent || !find_unused_exchange(leg) ||
 	    leg->attempts >= fanout->route->max_attempts ||
 	    fanout->broken_connections >= BROKEN_CONNECTIONS_MAX ||
-	    leg_permit(fanout, leg, now_us).block != PD_BLOCK_NONE ||
-	    !pd_registry_consume_retry(registry, leg->service))
+	    leg_permit(fanout, leg, now_us).block != PD_BLOCK_NONE)
+		return;
+	if (!pd_registry_hedge_helps(registry, leg->service, leg->tried, leg->tried_count,
+				     now_us)) {
+		leg->hedge_waits = true;
+		leg->hedge_us = now_us + HEDGE_RECHECK_US;
+		return;
+	}
+	if (!pd_registry_consume_retry(registry, leg->service))
 		return;
 	if (!send_attempt(fanout, leg, now_us))
 		return;
--- a/ingress/fanout.h
+++ b/ingress/fanout.h
@@ -36,6 +36,7 @@
  * @attempts: number of attempts
  * @executions: number of attempts that the upstream may have executed
  * @hedge_us: time at which the leg counts as late and may be hedged; 0 if it isn't checked again
+ * @hedge_waits: the leg is late, and is hedged once another upstream has a free slot
  * @response: response that was received, an error response included; empty if there is none
  * @stamp: signature of the response; points into @response
  * @status: status code of the response; 0 if there is none
@@ -49,6 +50,7 @@
 	uint8_t attempts;
 	uint8_t executions;
 	int64_t hedge_us;
+	bool hedge_waits;
 	struct pd_http_message response;
 	struct pd_str stamp;
 	int status;
--- a/ingress/pick.c
+++ b/ingress/pick.c
@@ -116,3 +116,9 @@
 		load -= (double)estimate->age_us * slots / estimate->work_us;
 	return load > estimate->in_flight ? load : estimate->in_flight;
 }
+
+bool pd_candidate_has_free_slot(const struct pd_candidate *candidate)
+{
+	return candidate->expected_load + 1 <= slot_count(candidate) &&
+	       candidate->silence < PD_SILENCE_OVERDUE;
+}
--- a/ingress/pick.h
+++ b/ingress/pick.h
@@ -108,5 +108,7 @@
  * completed meanwhile, but at least those that are known to be in flight.
  */
 double pd_expected_load(const struct pd_load_estimate *estimate);
+/* Whether the upstream can begin to execute a request at once, as far as is known. */
+bool pd_candidate_has_free_slot(const struct pd_candidate *candidate);
 
 #endif
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -412,6 +412,11 @@
 					int64_t now_us);
 /* Consumes a token of the service's retry budget; false if none is left. */
 bool pd_registry_consume_retry(struct pd_registry *registry, struct pd_service *service);
+/* Whether a hedge can shorten a late sub-request: an upstream outside @tried has a free slot, as
+ * far as is known, or doesn't state how long its work takes.
+ */
+bool pd_registry_hedge_helps(struct pd_registry *registry, struct pd_service *service,
+			     struct pd_upstream *const *tried, size_t tried_count, int64_t now_us);
 /* Adds the first attempt of a request to the service's retry budget. */
 void pd_registry_count_request(struct pd_registry *registry, struct pd_service *service);
 
--- a/tests/balance_sim.c
+++ b/tests/balance_sim.c
@@ -24,6 +24,7 @@
 #define ZONE_NETWORK_US	  150
 #define OTHER_NETWORK_US  600
 #define OBJECTIVE_MS	  80
+#define HEDGE_RECHECK_US  5000 /* as in fanout.c */
 #define START_US	  (1000 * PD_USEC_PER_SEC)
 #define QUERY_PARTS	  90
 #define QUERY_PARTS_SPARE 4
@@ -459,7 +460,10 @@
 	}
 	if (!sim->setup.hedges || attempt->hedge)
 		return;
-	if (pd_registry_consume_retry(registry, sim->services[dispatcher]))
+	if (!pd_registry_hedge_helps(registry, sim->services[dispatcher], &attempt->picked, 1,
+				     now_us))
+		add_event(sim, now_us + HEDGE_RECHECK_US, EVENT_LATE, index);
+	else if (pd_registry_consume_retry(registry, sim->services[dispatcher]))
 		send_attempt(sim, attempt->part, dispatcher, now_us);
 }
 
