Load reports are passed on inside a zone

Callers of a deployment with many instances saw late parts because an instance that gets two reports of an upstream per second knows nothing about its load: others' reports and overdue requests weren't known to it.

The cluster's thread starts when the first upstream states the fourth number. The stand-in's upstreams can state the fourth number (command speed).

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -613,7 +613,6 @@
 		announce_head(cluster, now_us);
 	log_changes(cluster, now_us);
 	pd_quota_exchange_tick(cluster->parts.quota, cluster, now_us);
-	pd_load_report_tick(cluster->parts.load, cluster, now_us);
 	pd_rollout_exchange_tick(cluster->parts.rollout, cluster, now_us);
 }
 
@@ -645,18 +644,26 @@
 static void *run(void *arg)
 {
 	struct pd_cluster *cluster = arg;
-	int64_t next_tick = pd_os_boot_us();
+	int64_t next_tick = pd_os_boot_us(), next_load = next_tick;
 
 	for (;;) {
 		struct pollfd p = {.fd = cluster->fd, .events = POLLIN};
-		int64_t now = pd_os_boot_us();
+		int64_t now = pd_os_boot_us(), next;
 
 		if (now >= next_tick) {
 			pd_cluster_tick(cluster, now);
 			next_tick = now + PD_CLUSTER_TICK_US;
 			continue;
 		}
-		if (poll(&p, 1, (int)((next_tick - now) / PD_USEC_PER_MSEC) + 1) > 0)
+		if (now >= next_load) {
+			pd_load_report_tick(cluster->parts.load, cluster, now);
+			next_load = now + (pd_load_report_is_needed(cluster->parts.load)
+						   ? PD_LOAD_REPORT_INTERVAL_US
+						   : PD_CLUSTER_TICK_US);
+			continue;
+		}
+		next = next_tick < next_load ? next_tick : next_load;
+		if (poll(&p, 1, (int)((next - now) / PD_USEC_PER_MSEC) + 1) > 0)
 			receive_all(cluster);
 	}
 	return NULL;
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -41,7 +41,7 @@
 					       .rollout = &ingress->rollout};
 
 	pd_quota_exchange_init(&ingress->quota);
-	pd_load_report_init(&ingress->load);
+	pd_load_report_init(&ingress->load, &ingress->registry, ingress->settings.cpu_share);
 	pd_rollout_exchange_init(&ingress->rollout);
 	pd_cluster_init(&ingress->cluster, &parts, &ingress->settings.node, &ingress->settings.zone,
 			&ingress->settings.peer);
@@ -370,10 +370,27 @@
 	pd_registry_unref(&ingress->registry, upstream);
 }
 
+/* Starts the cluster when the first upstream has stated how long work takes on its machine. Without
+ * it, upstreams are chosen by the reports that this instance receives.
+ */
+static void start_load_reports(struct pd_ingress *ingress)
+{
+	struct pd_error err;
+
+	if (ingress->load_started || !pd_load_report_is_needed(&ingress->load))
+		return;
+	ingress->load_started = true;
+	if (pd_cluster_start(&ingress->cluster, &err) == PD_OK)
+		pd_log(PD_LOG_INFO, "load_reports_started", "reason=speed_stated");
+	else
+		pd_log_failure(PD_LOG_ERROR, "load_reports_not_started", &err);
+}
+
 void pd_ingress_maintain(struct pd_ingress *ingress)
 {
 	int64_t now = pd_os_boot_us();
 
+	start_load_reports(ingress);
 	pd_pool_maintain(&ingress->pool, now);
 	pd_registry_apply_removals(&ingress->registry);
 	probe_zone(ingress, now);
--- a/ingress/ingress_private.h
+++ b/ingress/ingress_private.h
@@ -56,6 +56,7 @@
  * @feed: sends the contents of @directory to instances that follow this one
  * @quota: use of the accounts' quotas, exchanged with the other instances
  * @load: load reports of upstreams, exchanged with the instances of the zone
+ * @load_started: the exchange of load reports was started; used by the main thread only
  * @rollout: roll-outs, with evidence exchanged with the other instances
  * @cluster: exchange of datagrams between instances, for @quota, @load and @rollout
  * @listeners: listening sockets, indexed by enum pd_listener_kind
@@ -84,6 +85,7 @@
 	struct pd_feed feed;
 	struct pd_quota_exchange quota;
 	struct pd_load_report load;
+	bool load_started;
 	struct pd_rollout_exchange rollout;
 	struct pd_cluster cluster;
 	struct pd_listener listeners[PD_LISTENER_COUNT];
--- a/standins/platform_upstream.c
+++ b/standins/platform_upstream.c
@@ -57,6 +57,13 @@
 	return false;
 }
 
+void platform_upstream_set_speed(struct platform_upstream *upstream, const char *speed)
+{
+	pthread_mutex_lock(&upstream->lock);
+	snprintf(upstream->speed, sizeof(upstream->speed), "%s", speed);
+	pthread_mutex_unlock(&upstream->lock);
+}
+
 void platform_upstream_set_limit(struct platform_upstream *upstream, const char *limit)
 {
 	pthread_mutex_lock(&upstream->lock);
@@ -130,8 +137,11 @@
 {
 	pd_buf_printf(out, "HTTP/1.1 %d %s\r\nX-Request-Id: %.*s\r\n", status,
 		      pd_http_reason(status), PD_STR_ARG(id));
-	pd_buf_printf(out, "X-Server-Stamp: %s.%.*s\r\nX-Server-Load: 1,0,3\r\n", upstream->id,
-		      PD_STR_ARG(id));
+	pd_buf_printf(out, "X-Server-Stamp: %s.%.*s\r\n", upstream->id, PD_STR_ARG(id));
+	pthread_mutex_lock(&upstream->lock);
+	pd_buf_printf(out, "X-Server-Load: 1,0,3%s%s\r\n", upstream->speed[0] ? "," : "",
+		      upstream->speed);
+	pthread_mutex_unlock(&upstream->lock);
 	append_directives(out, upstream, false);
 }
 
--- a/standins/platform_upstream.h
+++ b/standins/platform_upstream.h
@@ -91,6 +91,7 @@
  * @executed_count: number of requests executed
  * @endless_count: number of responses without end that are being sent
  * @last_executed: method, target and start of the body of the last executed request
+ * @speed: how long work takes, as all responses state it in their load reports; empty if they don't
  * @limit: rate limit that all responses state, as a decimal number of requests per second; empty
  * for none
  * @retry_after: value of Retry-After in the responses of the mode PLATFORM_UPSTREAM_SHED; empty for
@@ -114,6 +115,7 @@
 	uint32_t executed_count;
 	uint32_t endless_count;
 	char last_executed[1024];
+	char speed[16];
 	char limit[16];
 	char retry_after[32];
 	bool leaving;
@@ -141,6 +143,8 @@
 /* Selects the mode with the name @name; returns false if there is none. */
 bool platform_upstream_set_mode(struct platform_upstream *upstream, const char *name, int delay_ms);
 
+/* Sets the fourth number of the upstream's load reports, which may be any text; empty for none. */
+void platform_upstream_set_speed(struct platform_upstream *upstream, const char *speed);
 /* Sets the rate limit that the upstream states in its responses; empty for none. */
 void platform_upstream_set_limit(struct platform_upstream *upstream, const char *limit);
 /* Sets the pause that the upstream asks for when it rejects a request; empty for none. */
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -175,6 +175,12 @@
 		append_output("no mode %s", words[2]);
 }
 
+/* speed ID [TEXT]: sets the fourth number of an upstream's load reports; none without TEXT */
+static void do_speed(char **words, int count)
+{
+	platform_upstream_set_speed(find_upstream(words[1]), count > 2 ? words[2] : "");
+}
+
 /* limit ID [RATE]: sets the rate limit that an upstream states in its responses; none without RATE
  */
 static void do_limit(char **words, int count)
@@ -1127,6 +1133,7 @@
 static const struct command commands[] = {
 	{"upstream", 3, do_upstream},
 	{"mode", 3, do_mode},
+	{"speed", 2, do_speed},
 	{"limit", 2, do_limit},
 	{"retry_after", 2, do_retry_after},
 	{"leaving", 2, do_leaving},
