--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -737,8 +737,6 @@
 	log_changes(cluster, now_us);
 	if (cluster->parts.quota)
 		pd_quota_exchange_tick(cluster->parts.quota, cluster, now_us);
-	if (cluster->parts.load)
-		pd_load_report_tick(cluster->parts.load, cluster, now_us);
 	if (cluster->parts.rollout)
 		pd_rollout_exchange_tick(cluster->parts.rollout, cluster, now_us);
 }
@@ -779,10 +777,24 @@
 	}
 }
 
+/* Runs the tick of load reports, which are sent more often while they are needed. */
+static void tick_load(struct pd_cluster *cluster, int64_t now_us)
+{
+	struct pd_load_report *load = cluster->parts.load;
+	int64_t interval_us = PD_CLUSTER_TICK_US;
+
+	if (load) {
+		pd_load_report_tick(load, cluster, now_us);
+		if (pd_load_report_is_needed(load))
+			interval_us = PD_LOAD_REPORT_INTERVAL_US;
+	}
+	cluster->next_load_us = now_us + interval_us;
+}
+
 void pd_cluster_step(struct pd_cluster *cluster)
 {
 	struct pollfd p = {.fd = cluster->fd, .events = POLLIN};
-	int64_t now = pd_os_boot_us();
+	int64_t now = pd_os_boot_us(), next;
 	int ready;
 
 	if (now >= cluster->next_tick_us) {
@@ -790,7 +802,13 @@
 		cluster->next_tick_us = now + PD_CLUSTER_TICK_US;
 		return;
 	}
-	ready = poll(&p, 1, (int)((cluster->next_tick_us - now) / PD_USEC_PER_MSEC) + 1);
+	if (now >= cluster->next_load_us) {
+		tick_load(cluster, now);
+		return;
+	}
+	next = cluster->next_tick_us < cluster->next_load_us ? cluster->next_tick_us
+							     : cluster->next_load_us;
+	ready = poll(&p, 1, (int)((next - now) / PD_USEC_PER_MSEC) + 1);
 	if (ready > 0)
 		receive_all(cluster);
 	else if (!ready)
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -158,6 +158,7 @@
  * @next_ping_us: time of the next PING
  * @next_head_us: time of the next HEAD
  * @next_tick_us: time of the next tick; used by the thread only
+ * @next_load_us: time of the next tick of load reports; used by the thread only
  * @redirects_left: number of REDIRECTs that are followed until the next HEAD
  * @emptied_us: time at which the socket was last known to be empty; used by the thread only
  * @random_state: state of the random number generator
@@ -189,6 +190,7 @@
 	int64_t next_ping_us;
 	int64_t next_head_us;
 	int64_t next_tick_us;
+	int64_t next_load_us;
 	int64_t emptied_us;
 	size_t redirects_left;
 	uint64_t random_state;
--- a/standins/platform_upstream.c
+++ b/standins/platform_upstream.c
@@ -74,6 +74,13 @@
 	pthread_mutex_unlock(&upstream->lock);
 }
 
+void platform_upstream_set_speed(struct platform_upstream *upstream, const char *speed)
+{
+	pthread_mutex_lock(&upstream->lock);
+	snprintf(upstream->speed, sizeof(upstream->speed), "%s", speed);
+	pthread_mutex_unlock(&upstream->lock);
+}
+
 void platform_upstream_set_limit(struct platform_upstream *upstream, const char *limit)
 {
 	pthread_mutex_lock(&upstream->lock);
@@ -145,8 +152,11 @@
 static void append_fields(struct pd_buf *out, struct platform_upstream *upstream, struct pd_str id)
 {
 	pd_buf_printf(out, "X-Request-Id: %.*s\r\n", PD_STR_ARG(id));
-	pd_buf_printf(out, "X-Server-Stamp: %s.%.*s\r\nX-Server-Load: 1,0,3\r\n", upstream->id,
-		      PD_STR_ARG(id));
+	pd_buf_printf(out, "X-Server-Stamp: %s.%.*s\r\n", upstream->id, PD_STR_ARG(id));
+	pthread_mutex_lock(&upstream->lock);
+	pd_buf_printf(out, "X-Server-Load: 1,0,3%s%s\r\n", upstream->speed[0] ? "," : "",
+		      upstream->speed);
+	pthread_mutex_unlock(&upstream->lock);
 	append_directives(out, upstream, false);
 }
 
