--- a/tests/soak/datagram_proxy.c
+++ b/tests/soak/datagram_proxy.c
@@ -74,7 +74,7 @@
 static void forward(struct forwarder *forwarder, nfds_t index)
 {
 	enum proxy_state state = state_of(forwarder->proxy);
-	struct sockaddr_in from;
+	struct sockaddr_in from = {0};
 	socklen_t len = sizeof(from);
 	char bytes[DATAGRAM_BYTES];
 	ssize_t n = recvfrom(forwarder->fds[index].fd, bytes, sizeof(bytes), MSG_DONTWAIT,
