--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -14,7 +14,7 @@
 /* Length of the full phase, in which faults under load show, until the outcome may be written: this
  * number of requests, within these bounds; the last one is for a version that has passed before.
  */
-#define FULL_REQUESTS 36
+#define FULL_REQUESTS 30
 #define FULL_MIN_US   (300 * PD_USEC_PER_MSEC)
 #define FULL_MAX_US   (900 * PD_USEC_PER_MSEC)
 #define FULL_AGAIN_US (500 * PD_USEC_PER_MSEC)
@@ -24,6 +24,8 @@
 #define DRAIN_US      (300 * PD_USEC_PER_MSEC)
 #define WRITE_US      (300 * PD_USEC_PER_MSEC)
 #define WRITE_LEFT_US (150 * PD_USEC_PER_MSEC)
+/* Results of the full phase arrive until this long after it. */
+#define FULL_RESULTS_US (700 * PD_USEC_PER_MSEC)
 /* A head begins the full phase up to this much earlier if another one has begun. */
 #define FOLLOW_US (500 * PD_USEC_PER_MSEC)
 /* Without a reason to wait, an order that can't be completed is rolled back this long before its
@@ -37,7 +39,7 @@
  */
 #define FULL_SAMPLES 20
 /* Requests whose results aren't known yet: evidence is up to this old, and a few more. */
-#define EVIDENCE_AGE_S	 0.25
+#define EVIDENCE_AGE_S	 0.15
 #define EXPOSURE_RESERVE 4
 /* The new version fails if its rate of failures is higher by this factor and share, and the
  * difference isn't chance, see struct thresholds.
@@ -58,10 +60,14 @@
 #define PENDING_FACTOR 3.0
 #define PENDING_MIN    6.0
 #define PENDING_SHARE  0.6
-/* More requests per second than this factor times those of the canary phase are a burst. */
-#define BURST_FACTOR 1.6
+/* More requests per second than this factor times those of the canary phase, and this many more,
+ * are a burst: latencies and rejections then don't say much.
+ */
+#define BURST_FACTOR	   1.3
+#define BURST_MARGIN_PER_S 5.0
 /* Time constant of the number of requests per second. */
-#define RATE_US (1000.0 * PD_USEC_PER_MSEC)
+#define RATE_US	 (1000.0 * PD_USEC_PER_MSEC)
+#define BURST_US (300.0 * PD_USEC_PER_MSEC)
 /* Length of a window; faults that begin late show in the last two of them. */
 #define WINDOW_US	(3000 * PD_USEC_PER_MSEC)
 #define CALL_BACKOFF_US (300 * PD_USEC_PER_MSEC)
@@ -192,8 +198,8 @@
 /* A comparison is made every 50 ms, but of counts that are mostly the same; of one route among
  * some, it has to be clearer. Without the worst zone, it only has to point in the same direction.
  */
-static const struct thresholds service_thresholds = {3, 0.0003, 5, 3.5};
-static const struct thresholds route_thresholds = {3, 0.0001, 5, 3.8};
+static const struct thresholds service_thresholds = {3, 0.0002, 5, 3.5};
+static const struct thresholds part_thresholds = {3, 0.00005, 5, 3.8};
 static const struct thresholds zone_thresholds = {2, 0.05, 2, 1.6};
 
 /**
@@ -418,8 +424,31 @@
 	return 2 * matched < all;
 }
 
-/* Whether the new version has results in at least two zones, and is also worse without any one of
- * them. A fault of one zone would be worse only there.
+/* Whether the new version has results of the route, or of any if it is empty. */
+static bool has_results(const struct pd_rollout_stratum *stratum, const struct pd_name *route)
+{
+	return (!route->len || pd_name_equal(&stratum->route, route)) &&
+	       count_results(&stratum->sides[PD_ROLLOUT_NEW]);
+}
+
+/* Returns the number of zones in which the new version has results of the route. */
+static size_t count_zones(const struct pd_rollout_evidence *evidence, const struct pd_name *route)
+{
+	size_t zones = 0;
+
+	for (size_t i = 0; i < evidence->count; i++) {
+		bool counted = !has_results(&evidence->strata[i], route);
+
+		for (size_t j = 0; j < i && !counted; j++)
+			counted = evidence->strata[j].zone == evidence->strata[i].zone &&
+				  has_results(&evidence->strata[j], route);
+		zones += !counted;
+	}
+	return zones;
+}
+
+/* Whether the new version is also worse without any one of the zones. A fault of one zone would
+ * show only there.
  */
 static bool holds_without_each_zone(const struct pd_rollout_evidence *evidence,
 				    const struct pd_name *route, bool latency_too)
@@ -429,7 +458,6 @@
 	sum_up(evidence, route, 0, &all);
 	for (size_t i = 0; i < evidence->count; i++) {
 		sum_up(evidence, route, evidence->strata[i].zone, &comparison);
-		/* There is nothing to compare if all results are from one zone. */
 		if (comparison.total[PD_ROLLOUT_NEW] &&
 		    comparison.total[PD_ROLLOUT_NEW] < all.total[PD_ROLLOUT_NEW] &&
 		    !find_objection(&comparison, latency_too, &zone_thresholds))
@@ -438,9 +466,10 @@
 	return true;
 }
 
-void pd_rollout_compare(struct pd_rollout_evidence *evidence, bool latency_too, bool same_time,
+void pd_rollout_compare(struct pd_rollout_evidence *evidence, const struct pd_rollout_scope *scope,
 			struct pd_rollout_verdict *verdict)
 {
+	const struct thresholds *thresholds = scope->part ? &part_thresholds : &service_thresholds;
 	struct comparison comparison, route;
 
 	memset(verdict, 0, sizeof(*verdict));
@@ -448,17 +477,18 @@
 		pd_rollout_evidence_merge_zones(evidence);
 	sum_up(evidence, &verdict->route, 0, &comparison);
 	verdict->samples = comparison.total[PD_ROLLOUT_NEW];
-	verdict->reason = find_objection(&comparison, latency_too, &service_thresholds);
+	verdict->reason = find_objection(&comparison, scope->latency_too, thresholds);
 	for (size_t i = 0; i < evidence->count && !verdict->reason; i++) {
 		sum_up(evidence, &evidence->strata[i].route, 0, &route);
-		verdict->reason = find_objection(&route, latency_too, &route_thresholds);
+		verdict->reason = find_objection(&route, scope->latency_too, &part_thresholds);
 		if (!verdict->reason)
 			continue;
 		verdict->route = evidence->strata[i].route;
 		comparison = route;
 	}
-	if (verdict->reason && !same_time &&
-	    !holds_without_each_zone(evidence, &verdict->route, latency_too))
+	if (verdict->reason && scope->zones > 1 &&
+	    (count_zones(evidence, &verdict->route) < 2 ||
+	     !holds_without_each_zone(evidence, &verdict->route, scope->latency_too)))
 		verdict->reason = NULL;
 	verdict->bad = verdict->reason != NULL;
 	describe(&comparison, verdict);
@@ -497,9 +527,13 @@
 		return;
 	if (!rollout->rate_us)
 		rollout->per_s = requests / ((double)input->age_us / PD_USEC_PER_SEC + 1);
-	else if (requests >= 0)
-		rollout->per_s += (1 - exp(-past_us / RATE_US)) *
-				  (requests * PD_USEC_PER_SEC / past_us - rollout->per_s);
+	if (rollout->rate_us && requests >= 0) {
+		double per_s = requests * PD_USEC_PER_SEC / past_us;
+
+		rollout->per_s += (1 - exp(-past_us / RATE_US)) * (per_s - rollout->per_s);
+		rollout->burst_per_s +=
+			(1 - exp(-past_us / BURST_US)) * (per_s - rollout->burst_per_s);
+	}
 	rollout->rate_us = now_us;
 	rollout->rate_requests = input->evidence->requests;
 }
@@ -570,9 +604,12 @@
 {
 	double full_s = (double)(now_us - rollout->phase_since_us) / PD_USEC_PER_SEC;
 	double requests = (double)input->evidence->requests - rollout->full_requests;
+	double per_s = requests / (full_s + EVIDENCE_AGE_S);
 
+	if (per_s < rollout->burst_per_s)
+		per_s = rollout->burst_per_s;
 	return rollout->phase == PD_ROLLOUT_FULL &&
-	       requests > BURST_FACTOR * rollout->canary_per_s * (full_s + EVIDENCE_AGE_S);
+	       per_s > BURST_FACTOR * rollout->canary_per_s + BURST_MARGIN_PER_S;
 }
 
 /* Whether more requests of the full phase are without a response than the latency of the old
@@ -609,25 +646,33 @@
 static void judge(struct pd_rollout *rollout, const struct pd_rollout_input *input, int64_t now_us,
 		  struct pd_rollout_verdict *verdict)
 {
+	static const struct pd_name any_route;
 	struct pd_rollout_evidence *work = &rollout->work;
 	bool full = rollout->phase == PD_ROLLOUT_FULL;
-	bool latency_too = !is_burst(rollout, input, now_us);
+	struct pd_rollout_scope scope = {
+		.latency_too = !is_burst(rollout, input, now_us),
+		.zones = rollout->full_since_us ? count_zones(input->evidence, &any_route) : 1,
+	};
 	struct pd_rollout_verdict recent;
 
 	copy_evidence(work, input->evidence);
-	pd_rollout_compare(work, latency_too, !rollout->full_since_us, verdict);
+	pd_rollout_compare(work, &scope, verdict);
+	/* After a full phase, the sums of both versions are from different times. */
+	if (rollout->full_since_us && !full)
+		verdict->bad = false;
 	if (verdict->bad)
 		return;
+	scope.part = true;
 	copy_evidence(work, input->evidence);
 	if (full)
 		pd_rollout_evidence_subtract(work, &rollout->full_base, 1U << PD_ROLLOUT_NEW);
 	else
 		pd_rollout_evidence_subtract(work, &rollout->earlier_base,
 					     1U << PD_ROLLOUT_NEW | 1U << PD_ROLLOUT_OLD);
-	pd_rollout_compare(work, latency_too, !rollout->full_since_us, &recent);
+	pd_rollout_compare(work, &scope, &recent);
 	if (recent.bad)
 		*verdict = recent;
-	else if (full && latency_too)
+	else if (full && scope.latency_too)
 		has_too_many_pending(rollout, input, now_us, verdict);
 }
 
@@ -756,6 +801,14 @@
 {
 	struct pd_rollout_evidence earlier = rollout->earlier_base;
 
+	/* Results of a full phase don't compare with those of the old version after it. */
+	if (rollout->phase != PD_ROLLOUT_FULL && rollout->full_since_us &&
+	    now_us - rollout->full_until_us < FULL_RESULTS_US) {
+		rollout->window_us = now_us;
+		copy_evidence(&rollout->recent_base, input->evidence);
+		copy_evidence(&rollout->earlier_base, input->evidence);
+		return;
+	}
 	if (now_us - rollout->window_us < WINDOW_US)
 		return;
 	rollout->window_us = now_us;
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -141,11 +141,24 @@
 	char figures[PD_ROLLOUT_FIGURES_BYTES];
 };
 
+/**
+ * struct pd_rollout_scope - what a comparison covers
+ * @latency_too: latencies and rejections, too
+ * @part: one of some parts of the results, of which one may differ by chance
+ * @zones: number of zones with results of the new version, if the versions had their results at
+ *	different times, so that a fault of one zone may affect one version only: then the new
+ *	version has to be worse in more than one of them; 1 otherwise
+ */
+struct pd_rollout_scope {
+	bool latency_too;
+	bool part;
+	size_t zones;
+};
+
 /* Compares the versions. Merges the zones of @evidence if most results of the new version have no
- * counterpart in their zone. @latency_too: compares latencies and rejections, too. @same_time: the
- * results of both are from the same time, so that faults of a zone affect both.
+ * counterpart in their zone.
  */
-void pd_rollout_compare(struct pd_rollout_evidence *evidence, bool latency_too, bool same_time,
+void pd_rollout_compare(struct pd_rollout_evidence *evidence, const struct pd_rollout_scope *scope,
 			struct pd_rollout_verdict *verdict);
 
 /**
@@ -165,6 +178,7 @@
  * @full_since_us: time at which the last full phase began; 0 if there was none
  * @full_until_us: time at which it ends if no outcome is known; other heads rely on it
  * @per_s: requests per second to the service now
+ * @burst_per_s: the same, of a shorter time
  * @rate_us: time of the last update of @per_s
  * @rate_requests: number of requests at that time
  * @canary_per_s: requests per second to the service in the canary phase
@@ -191,6 +205,7 @@
 	int64_t full_since_us;
 	int64_t full_until_us;
 	double per_s;
+	double burst_per_s;
 	int64_t rate_us;
 	uint32_t rate_requests;
 	double canary_per_s;
