Cluster, fair admission: tables are allocated when they are needed

The tables of heads and followers (106 KB) and of fair admission (160 KB) are now allocated with their first entry.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -54,8 +54,14 @@
 void pd_cluster_finish(struct pd_cluster *cluster)
 {
 	free(cluster->instances);
+	free(cluster->heads);
+	free(cluster->followers);
 	cluster->instances = NULL;
 	cluster->instance_count = 0;
+	cluster->heads = NULL;
+	cluster->head_count = 0;
+	cluster->followers = NULL;
+	cluster->follower_count = 0;
 	pd_os_close(&cluster->fd);
 	pthread_mutex_destroy(&cluster->lock);
 }
@@ -363,7 +369,7 @@
 }
 
 static void send_to_peers(struct pd_cluster *cluster, enum pd_datagram_kind kind,
-			  struct pd_str payload, const struct pd_cluster_peer *peers,
+			  struct pd_str payload, struct pd_cluster_peer *const *peers,
 			  const size_t *count)
 {
 	struct pd_buf out = {0};
@@ -371,7 +377,7 @@
 	if (encode(cluster, kind, payload, &out)) {
 		pthread_mutex_lock(&cluster->lock);
 		for (size_t i = 0; i < *count; i++)
-			send_bytes(cluster, &out, &peers[i].address);
+			send_bytes(cluster, &out, &(*peers)[i].address);
 		pthread_mutex_unlock(&cluster->lock);
 	}
 	pd_buf_finish(&out);
@@ -380,13 +386,13 @@
 void pd_cluster_send_to_followers(struct pd_cluster *cluster, enum pd_datagram_kind kind,
 				  struct pd_str payload)
 {
-	send_to_peers(cluster, kind, payload, cluster->followers, &cluster->follower_count);
+	send_to_peers(cluster, kind, payload, &cluster->followers, &cluster->follower_count);
 }
 
 void pd_cluster_send_to_heads(struct pd_cluster *cluster, enum pd_datagram_kind kind,
 			      struct pd_str payload)
 {
-	send_to_peers(cluster, kind, payload, cluster->heads, &cluster->head_count);
+	send_to_peers(cluster, kind, payload, &cluster->heads, &cluster->head_count);
 }
 
 void pd_cluster_forward_to_source(struct pd_cluster *cluster, const struct pd_datagram *datagram)
@@ -419,19 +425,28 @@
 	return count;
 }
 
-/* Records a peer that was heard, in place of its earlier entry; drops it if there are too many. */
-static void record_peer(struct pd_cluster_peer *peers, size_t *count, size_t max,
+/* Records a peer that was heard, in place of its earlier entry; drops it if there are too many. The
+ * table is allocated with its first entry, since most instances have no followers.
+ */
+static void record_peer(struct pd_cluster_peer **peers, size_t *count, size_t max,
 			const struct pd_datagram *datagram, uint32_t followers, int64_t now_us)
 {
 	size_t i = 0;
 
-	while (i < *count && !pd_name_equal(&peers[i].name, &datagram->sender))
+	if (!*peers)
+		*peers = calloc(max, sizeof(**peers));
+	if (!*peers) {
+		pd_log(PD_LOG_ERROR, "instance_not_kept", "instance=%s reason=no_memory",
+		       datagram->sender.text);
+		return;
+	}
+	while (i < *count && !pd_name_equal(&(*peers)[i].name, &datagram->sender))
 		i++;
 	if (i == max)
 		return;
 	if (i == *count)
 		++*count;
-	peers[i] = (struct pd_cluster_peer){
+	(*peers)[i] = (struct pd_cluster_peer){
 		.name = datagram->sender,
 		.zone = datagram->zone,
 		.incarnation = datagram->incarnation,
@@ -469,7 +484,7 @@
 	if (reader.failed || followers > PD_CLUSTER_FOLLOWERS_MAX)
 		return;
 	pthread_mutex_lock(&cluster->lock);
-	record_peer(cluster->followers, &cluster->follower_count, PD_CLUSTER_FOLLOWERS_MAX, ping,
+	record_peer(&cluster->followers, &cluster->follower_count, PD_CLUSTER_FOLLOWERS_MAX, ping,
 		    (uint32_t)followers, now_us);
 	/* A head that has begun to follow this instance is none any more. */
 	forget_peer(cluster->heads, &cluster->head_count, &ping->sender);
@@ -558,7 +573,7 @@
 		return;
 	}
 	pthread_mutex_lock(&cluster->lock);
-	record_peer(cluster->heads, &cluster->head_count, PD_CLUSTER_HEADS_MAX, head,
+	record_peer(&cluster->heads, &cluster->head_count, PD_CLUSTER_HEADS_MAX, head,
 		    (uint32_t)followers, now_us);
 	forget_peer(cluster->followers, &cluster->follower_count, &head->sender);
 	pthread_mutex_unlock(&cluster->lock);
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -150,9 +150,9 @@
  * @source_heard_us: time at which a PONG of the source was last received; 0 if none was
  * @pings: time stamps of the last PINGs to the source; 0 in unused entries
  * @ping_count: number of PINGs to the source
- * @heads: heads that were heard
+ * @heads: heads that were heard; NULL until the first one is
  * @head_count: number of entries in @heads
- * @followers: followers that were heard
+ * @followers: followers that were heard; NULL until the first one is
  * @follower_count: number of entries in @followers
  * @logged: view that was last logged
  * @next_ping_us: time of the next PING
@@ -182,9 +182,9 @@
 	int64_t source_heard_us;
 	int64_t pings[PD_CLUSTER_PINGS_MAX];
 	size_t ping_count;
-	struct pd_cluster_peer heads[PD_CLUSTER_HEADS_MAX];
+	struct pd_cluster_peer *heads;
 	size_t head_count;
-	struct pd_cluster_peer followers[PD_CLUSTER_FOLLOWERS_MAX];
+	struct pd_cluster_peer *followers;
 	size_t follower_count;
 	struct pd_cluster_view logged;
 	int64_t next_ping_us;
--- a/ingress/fair_share.c
+++ b/ingress/fair_share.c
@@ -1,6 +1,7 @@
 #include "fair_share.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "os.h"
@@ -49,9 +50,21 @@
 
 void pd_fair_share_finish(struct pd_fair_share *fair_share)
 {
+	free(fair_share->accounts);
+	free(fair_share->routes);
 	pthread_mutex_destroy(&fair_share->lock);
 }
 
+/* Allocates the entries with the first request, since deployments without accounts need none. */
+static bool allocate_entries_locked(struct pd_fair_share *fair_share)
+{
+	if (!fair_share->accounts)
+		fair_share->accounts = calloc(PD_FAIR_ENTRIES, sizeof(*fair_share->accounts));
+	if (!fair_share->routes)
+		fair_share->routes = calloc(PD_FAIR_ENTRIES, sizeof(*fair_share->routes));
+	return fair_share->accounts && fair_share->routes;
+}
+
 static void fade(struct pd_fair_entry *entry, int64_t now_us)
 {
 	double factor;
@@ -121,7 +134,18 @@
 	return wait_us + (int64_t)(fair_share->random_state % (uint64_t)(wait_us / 4));
 }
 
-struct pd_fair_verdict pd_fair_share_admit(struct pd_fair_share *fair_share,
+/* Decides on a request as if nothing was known of the recent work. */
+static struct pd_fair_verdict admit_in_time(struct pd_fair_share *fair_share,
+					    const struct pd_fair_request *request)
+{
+	struct pd_fair_verdict verdict = {.admitted = request->expected_us <= request->left_us};
+
+	if (!verdict.admitted)
+		verdict.wait_us = time_to_wait(fair_share, request, LATE_LIMIT);
+	return verdict;
+}
+
+static struct pd_fair_verdict admit_locked(struct pd_fair_share *fair_share,
 					   const struct pd_fair_request *request, int64_t now_us)
 {
 	struct pd_fair_entry *account = &fair_share->accounts[request->account % PD_FAIR_ENTRIES];
@@ -130,7 +154,6 @@
 	double left_us = (double)request->left_us, expected_us = (double)request->expected_us;
 	double limit = LATE_LIMIT;
 
-	pthread_mutex_lock(&fair_share->lock);
 	fade(account, now_us);
 	fade(route, now_us);
 	fade(&fair_share->all, now_us);
@@ -148,6 +171,17 @@
 	record(account, request, verdict.admitted);
 	record(route, request, verdict.admitted);
 	record(&fair_share->all, request, verdict.admitted);
+	return verdict;
+}
+
+struct pd_fair_verdict pd_fair_share_admit(struct pd_fair_share *fair_share,
+					   const struct pd_fair_request *request, int64_t now_us)
+{
+	struct pd_fair_verdict verdict;
+
+	pthread_mutex_lock(&fair_share->lock);
+	verdict = allocate_entries_locked(fair_share) ? admit_locked(fair_share, request, now_us)
+						      : admit_in_time(fair_share, request);
 	pthread_mutex_unlock(&fair_share->lock);
 	return verdict;
 }
--- a/ingress/fair_share.h
+++ b/ingress/fair_share.h
@@ -73,15 +73,15 @@
  * struct pd_fair_share - recent work of this instance
  * @lock: guards all fields below
  * @random_state: state of the random number generator
- * @accounts: entries of accounts, by their hash
- * @routes: entries of routes, by their hash
+ * @accounts: PD_FAIR_ENTRIES entries of accounts, by their hash; NULL until the first request
+ * @routes: PD_FAIR_ENTRIES entries of routes, by their hash; NULL until the first request
  * @all: all requests
  */
 struct pd_fair_share {
 	pthread_mutex_t lock;
 	uint64_t random_state;
-	struct pd_fair_entry accounts[PD_FAIR_ENTRIES];
-	struct pd_fair_entry routes[PD_FAIR_ENTRIES];
+	struct pd_fair_entry *accounts;
+	struct pd_fair_entry *routes;
 	struct pd_fair_entry all;
 };
 
