Roll-outs: instances that need no order cost less

An instance that starts now leaves the orders to its source; heads read them. The sets of orders and the jobs of the writer (109 KB, touched by the functions that initialise them) are allocated where roll-outs are in use, and the writer's threads start with the first job.

--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -34,6 +34,7 @@
 	for (size_t i = 0; i < PD_DIRECTORY_LOG_SIZE; i++)
 		pd_buf_finish(&directory->log[i].frame);
 	pd_buf_finish(&directory->config);
+	free(directory->rollouts);
 	pd_buf_finish(&directory->snapshot.frames);
 	pd_crashes_finish(&directory->crashes);
 	pthread_cond_destroy(&directory->joined);
@@ -453,36 +454,63 @@
 	struct pd_feed_message msg = {.kind = PD_FEED_ROLLOUTS};
 	struct pd_buf text = {0};
 
-	pd_rollout_set_encode(&directory->rollouts, now_us, &text);
+	pd_rollout_set_encode(directory->rollouts, now_us, &text);
 	msg.rollouts.text = pd_buf_str(&text);
 	msg.rollouts.at = directory->rollouts_at;
 	log_locked(directory, &msg);
 	pd_buf_finish(&text);
 }
 
+/* Copies a set; NULL if memory runs out. */
+static struct pd_rollout_set *copy_rollouts(const struct pd_rollout_set *set)
+{
+	struct pd_rollout_set *copy = calloc(1, sizeof(*copy));
+
+	if (!copy) {
+		pd_log(PD_LOG_ERROR, "rollouts_not_kept", "orders=%zu reason=no_memory",
+		       set->count);
+		return NULL;
+	}
+	copy->count = set->count;
+	memcpy(copy->orders, set->orders, set->count * sizeof(set->orders[0]));
+	return copy;
+}
+
+/* Takes over the ages of known orders, and logs what has changed. */
+static void merge_orders(const struct pd_rollout_set *known, struct pd_rollout_set *set,
+			 int64_t now_us)
+{
+	for (size_t i = 0; i < set->count; i++)
+		merge_order(known ? pd_rollout_set_find(known, &set->orders[i].service) : NULL,
+			    &set->orders[i], now_us);
+	if (known)
+		log_removed_orders(known, set, now_us);
+}
+
 void pd_directory_set_rollouts(struct pd_directory *directory, const struct pd_rollout_set *set,
 			       struct pd_revision at)
 {
-	struct pd_rollout_set *known = &directory->rollouts, merged = *set;
+	struct pd_rollout_set *merged = copy_rollouts(set);
 	int64_t now = pd_os_boot_us();
 
+	if (!merged)
+		return;
 	pthread_mutex_lock(&directory->lock);
 	if (pd_revision_is_before(at, directory->rollouts_at)) {
 		pd_log(PD_LOG_INFO, "rollouts_ignored",
 		       "orders=%zu revision=%" PRIu64 " known=%" PRIu64 " reason=older", set->count,
 		       at.number, directory->rollouts_at.number);
 		pthread_mutex_unlock(&directory->lock);
+		free(merged);
 		return;
 	}
-	for (size_t i = 0; i < merged.count; i++)
-		merge_order(pd_rollout_set_find(known, &merged.orders[i].service),
-			    &merged.orders[i], now);
-	log_removed_orders(known, &merged, now);
-	*known = merged;
+	merge_orders(directory->rollouts, merged, now);
+	free(directory->rollouts);
+	directory->rollouts = merged;
 	directory->rollouts_at = at;
 	directory->rollouts_changes++;
 	/* The store and a source may both send a set, so the lock covers the registry as well. */
-	pd_registry_set_rollouts(directory->registry, known);
+	pd_registry_set_rollouts(directory->registry, merged);
 	log_rollouts_locked(directory, now);
 	pthread_mutex_unlock(&directory->lock);
 }
@@ -505,8 +533,11 @@
 	pthread_mutex_lock(&directory->lock);
 	changed = *changes != directory->rollouts_changes;
 	*changes = directory->rollouts_changes;
-	if (changed)
-		*set = directory->rollouts;
+	if (changed) {
+		set->count = directory->rollouts->count;
+		memcpy(set->orders, directory->rollouts->orders,
+		       set->count * sizeof(set->orders[0]));
+	}
 	pthread_mutex_unlock(&directory->lock);
 	return changed;
 }
@@ -514,10 +545,11 @@
 void pd_directory_age_rollout(struct pd_directory *directory, const struct pd_rollout_order *order,
 			      int64_t started_us)
 {
-	struct pd_rollout_set *set = &directory->rollouts;
+	struct pd_rollout_set *set;
 
 	pthread_mutex_lock(&directory->lock);
-	for (size_t i = 0; i < set->count; i++) {
+	set = directory->rollouts;
+	for (size_t i = 0; set && i < set->count; i++) {
 		if (!pd_rollout_same_order(&set->orders[i], order) ||
 		    set->orders[i].started_us <= started_us)
 			continue;
@@ -652,7 +684,7 @@
 	if (pd_revision_is_known(msg.evacuations.at))
 		pd_feed_message_encode(&msg, &frames);
 	if (pd_revision_is_known(directory->rollouts_at)) {
-		pd_rollout_set_encode(&directory->rollouts, pd_os_boot_us(), &rollouts);
+		pd_rollout_set_encode(directory->rollouts, pd_os_boot_us(), &rollouts);
 		msg = (struct pd_feed_message){.kind = PD_FEED_ROLLOUTS};
 		msg.rollouts.text = pd_buf_str(&rollouts);
 		msg.rollouts.at = directory->rollouts_at;
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -119,7 +119,7 @@
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
 	size_t evacuated_count;
 	struct pd_revision evacuated_at;
-	struct pd_rollout_set rollouts;
+	struct pd_rollout_set *rollouts;
 	struct pd_revision rollouts_at;
 	uint64_t rollouts_changes;
 	struct pd_revision upstreams_at;
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -46,10 +46,6 @@
 	pd_cluster_init(&ingress->cluster, &parts, &ingress->settings.node, &ingress->settings.zone,
 			&ingress->settings.peer);
 	ingress->membership.cluster = &ingress->cluster;
-	if (ingress->settings.exposure_share > 0)
-		pd_rollout_exchange_enable(&ingress->rollout, &ingress->directory, &ingress->sync,
-					   ingress->settings.exposure_share,
-					   ingress->settings.exposure_slack);
 }
 
 /* Whether the settings ask for a part that exchanges datagrams. */
@@ -270,10 +266,12 @@
 			return pd_error_wrap(err, PD_LAYER_STATE, code, "start");
 	}
 	code = pd_feed_start(&ingress->feed, err);
+	if (code == PD_OK && ingress->settings.exposure_share > 0)
+		code = pd_rollout_exchange_enable(&ingress->rollout, &ingress->directory,
+						  &ingress->sync, ingress->settings.exposure_share,
+						  ingress->settings.exposure_slack, err);
 	if (code == PD_OK && needs_cluster(&ingress->settings))
 		code = pd_cluster_start(&ingress->cluster, err);
-	if (code == PD_OK && ingress->settings.exposure_share > 0)
-		code = pd_rollout_exchange_start(&ingress->rollout, err);
 	if (code == PD_OK)
 		code = pd_sync_start(&ingress->sync, err);
 	if (code == PD_OK)
--- a/ingress/rollout_exchange.c
+++ b/ingress/rollout_exchange.c
@@ -46,27 +46,28 @@
 	for (size_t i = 0; i < exchange->tracked_count; i++)
 		free_tracked(exchange->tracked[i]);
 	if (exchange->enabled)
-		pd_rollout_writer_finish(&exchange->writer);
+		pd_rollout_writer_finish(exchange->writer);
+	free(exchange->writer);
+	free(exchange->set);
 	memset(exchange, 0, sizeof(*exchange));
 }
 
-void pd_rollout_exchange_enable(struct pd_rollout_exchange *exchange,
-				struct pd_directory *directory, struct pd_sync *sync, double share,
-				double slack)
+enum pd_code pd_rollout_exchange_enable(struct pd_rollout_exchange *exchange,
+					struct pd_directory *directory, struct pd_sync *sync,
+					double share, double slack, struct pd_error *err)
 {
-	exchange->enabled = true;
 	exchange->directory = directory;
 	exchange->registry = directory->registry;
 	exchange->share = share;
 	exchange->slack = slack;
-	pd_rollout_writer_init(&exchange->writer, sync);
+	exchange->writer = calloc(1, sizeof(*exchange->writer));
+	exchange->set = calloc(1, sizeof(*exchange->set));
+	if (!exchange->writer || !exchange->set || !pd_sync_enable_rollouts(sync))
+		return pd_error_set(err, PD_LAYER_COORDINATION, PD_NO_MEMORY, "roll-outs");
+	exchange->enabled = true;
+	pd_rollout_writer_init(exchange->writer, sync);
 	pd_registry_enable_versions(directory->registry);
-	pd_sync_enable_rollouts(sync);
-}
-
-enum pd_code pd_rollout_exchange_start(struct pd_rollout_exchange *exchange, struct pd_error *err)
-{
-	return pd_rollout_writer_start(&exchange->writer, err);
+	return PD_OK;
 }
 
 static struct pd_rollout_tracked *find_tracked(struct pd_rollout_exchange *exchange,
@@ -133,7 +134,7 @@
 	for (size_t i = exchange->tracked_count; i > 0; i--) {
 		struct pd_rollout_tracked *tracked = exchange->tracked[i - 1];
 		const struct pd_rollout_order *order =
-			pd_rollout_set_find(&exchange->set, &tracked->order.service);
+			pd_rollout_set_find(exchange->set, &tracked->order.service);
 
 		if (order && pd_rollout_same_order(order, &tracked->order) &&
 		    !has_begun_anew(tracked, order))
@@ -145,11 +146,11 @@
 
 static void refresh_orders(struct pd_rollout_exchange *exchange, int64_t now_us)
 {
-	if (!pd_directory_get_rollouts(exchange->directory, &exchange->changes, &exchange->set))
+	if (!pd_directory_get_rollouts(exchange->directory, &exchange->changes, exchange->set))
 		return;
 	remove_outdated(exchange);
-	for (size_t i = 0; i < exchange->set.count; i++) {
-		const struct pd_rollout_order *order = &exchange->set.orders[i];
+	for (size_t i = 0; i < exchange->set->count; i++) {
+		const struct pd_rollout_order *order = &exchange->set->orders[i];
 
 		if (!find_tracked(exchange, order) && !pd_rollout_is_final(order->state))
 			add_tracked(exchange, order);
@@ -457,7 +458,7 @@
 	struct pd_rollout_job job;
 	enum pd_rollout_call call;
 
-	if (rollout->writing && pd_rollout_writer_take(&exchange->writer, &tracked->order, &job)) {
+	if (rollout->writing && pd_rollout_writer_take(exchange->writer, &tracked->order, &job)) {
 		if (job.call == PD_ROLLOUT_CALL_WRITE)
 			pd_rollout_end_write(rollout, job.code, now_us);
 		else
@@ -468,7 +469,7 @@
 	if (call == PD_ROLLOUT_NO_CALL)
 		return;
 	order.revision = rollout->revision;
-	if (!pd_rollout_writer_queue(&exchange->writer, call, &order, rollout->written))
+	if (!pd_rollout_writer_queue(exchange->writer, call, &order, rollout->written))
 		pd_rollout_end_write(rollout, PD_UNAVAILABLE, now_us);
 }
 
--- a/ingress/rollout_exchange.h
+++ b/ingress/rollout_exchange.h
@@ -104,11 +104,11 @@
 	double slack;
 	struct pd_registry *registry;
 	struct pd_directory *directory;
-	struct pd_rollout_writer writer;
+	struct pd_rollout_writer *writer;
 	struct pd_rollout_tracked *tracked[PD_ROLLOUTS_MAX];
 	size_t tracked_count;
 	uint64_t changes;
-	struct pd_rollout_set set;
+	struct pd_rollout_set *set;
 	int64_t head_since_us;
 	uint64_t sequence;
 	int64_t next_exposure_us;
@@ -119,11 +119,9 @@
 /* Begins to use the part, with the bounds on what a bad version may get; before the start of the
  * cluster and the sync.
  */
-void pd_rollout_exchange_enable(struct pd_rollout_exchange *exchange,
-				struct pd_directory *directory, struct pd_sync *sync, double share,
-				double slack);
-/* Starts the threads that call the store. */
-enum pd_code pd_rollout_exchange_start(struct pd_rollout_exchange *exchange, struct pd_error *err);
+enum pd_code pd_rollout_exchange_enable(struct pd_rollout_exchange *exchange,
+					struct pd_directory *directory, struct pd_sync *sync,
+					double share, double slack, struct pd_error *err);
 /* Sends what is due; called by the thread of the cluster, without its lock. */
 void pd_rollout_exchange_tick(struct pd_rollout_exchange *exchange, struct pd_cluster *cluster,
 			      int64_t now_us);
--- a/ingress/rollout_writer.c
+++ b/ingress/rollout_writer.c
@@ -124,16 +124,19 @@
 	return NULL;
 }
 
-enum pd_code pd_rollout_writer_start(struct pd_rollout_writer *writer, struct pd_error *err)
+/* Starts the threads with the first job: most instances never write an outcome. */
+static bool start_threads(struct pd_rollout_writer *writer)
 {
-	for (size_t i = 0; i < PD_ROLLOUT_WRITER_THREADS; i++) {
-		enum pd_code code =
-			pd_os_thread_start(&writer->threads[i], "rollout", run, writer, err);
+	struct pd_error err;
 
-		if (code != PD_OK)
-			return pd_error_wrap(err, PD_LAYER_COORDINATION, code, "roll-outs");
+	for (; writer->thread_count < PD_ROLLOUT_WRITER_THREADS; writer->thread_count++) {
+		if (pd_os_thread_start(&writer->threads[writer->thread_count], "rollout", run,
+				       writer, &err) != PD_OK) {
+			pd_log_failure(PD_LOG_ERROR, "rollout_not_written", &err);
+			break;
+		}
 	}
-	return PD_OK;
+	return writer->thread_count > 0;
 }
 
 bool pd_rollout_writer_queue(struct pd_rollout_writer *writer, enum pd_rollout_call call,
@@ -141,6 +144,8 @@
 {
 	struct pd_rollout_job *job = NULL;
 
+	if (!start_threads(writer))
+		return false;
 	pthread_mutex_lock(&writer->lock);
 	for (size_t i = 0; i < PD_ROLLOUTS_MAX; i++) {
 		struct pd_rollout_job *at = &writer->jobs[i];
--- a/ingress/rollout_writer.h
+++ b/ingress/rollout_writer.h
@@ -51,7 +51,8 @@
  * @lock: guards @jobs
  * @queued: signalled when a job is queued
  * @jobs: jobs
- * @threads: threads
+ * @threads: threads that call the store; started with the first job
+ * @thread_count: number of these that run
  */
 struct pd_rollout_writer {
 	struct pd_sync *sync;
@@ -59,11 +60,11 @@
 	pthread_cond_t queued;
 	struct pd_rollout_job jobs[PD_ROLLOUTS_MAX];
 	pthread_t threads[PD_ROLLOUT_WRITER_THREADS];
+	size_t thread_count;
 };
 
 void pd_rollout_writer_init(struct pd_rollout_writer *writer, struct pd_sync *sync);
 void pd_rollout_writer_finish(struct pd_rollout_writer *writer);
-enum pd_code pd_rollout_writer_start(struct pd_rollout_writer *writer, struct pd_error *err);
 /* Queues a call; false if there are too many jobs. The results of earlier jobs of the same order
  * are dropped.
  */
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -62,9 +62,12 @@
 	}
 }
 
-void pd_sync_enable_rollouts(struct pd_sync *sync)
+bool pd_sync_enable_rollouts(struct pd_sync *sync)
 {
-	sync->task_count = PD_SYNC_TASK_COUNT;
+	sync->rollouts = calloc(1, sizeof(*sync->rollouts));
+	if (sync->rollouts)
+		sync->task_count = PD_SYNC_TASK_COUNT;
+	return sync->rollouts != NULL;
 }
 
 void pd_sync_prove_config(struct pd_sync *sync, uint32_t revocation_ms)
@@ -225,6 +228,14 @@
 	pthread_mutex_unlock(&sync->lock);
 }
 
+/* Whether an instance that is starting leaves the kind to its source. A stale list of orders is of
+ * no use, see list_all(), and a current one is billed ten times as much: only heads read it.
+ */
+static bool is_left_to_source(const struct pd_sync_task *task)
+{
+	return task->kind == PD_OBJECT_ROLLOUTS && task->sync->mode == PD_SYNC_STARTING;
+}
+
 bool pd_sync_is_current(struct pd_sync *sync)
 {
 	bool current;
@@ -232,7 +243,7 @@
 	pthread_mutex_lock(&sync->lock);
 	current = sync->mode != PD_SYNC_PAUSED;
 	for (size_t i = 0; i < sync->task_count; i++)
-		current = current && sync->tasks[i].listed;
+		current = current && (sync->tasks[i].listed || is_left_to_source(&sync->tasks[i]));
 	pthread_mutex_unlock(&sync->lock);
 	return current;
 }
@@ -457,7 +468,7 @@
 
 static void apply_rollout(struct pd_sync *sync, const struct pd_object *object)
 {
-	struct pd_rollout_set *set = &sync->rollouts;
+	struct pd_rollout_set *set = sync->rollouts;
 	struct pd_rollout_order order;
 	const char *reason = NULL;
 	struct pd_error err;
@@ -525,7 +536,7 @@
 		pd_directory_set_evacuated(task->sync->directory, task->sync->evacuated,
 					   task->sync->evacuated_count, at);
 	else if (task->kind == PD_OBJECT_ROLLOUTS)
-		pd_directory_set_rollouts(task->sync->directory, &task->sync->rollouts, at);
+		pd_directory_set_rollouts(task->sync->directory, task->sync->rollouts, at);
 	else if (task->kind == PD_OBJECT_UPSTREAMS)
 		pd_directory_advance(task->sync->directory, task->sync->upstream_list, at);
 }
@@ -663,7 +674,7 @@
 	if (task->kind == PD_OBJECT_EVACUATIONS)
 		task->sync->evacuated_count = 0;
 	if (task->kind == PD_OBJECT_ROLLOUTS)
-		task->sync->rollouts.count = 0;
+		task->sync->rollouts->count = 0;
 	while (more && code == PD_OK)
 		code = list_page(task, &listing, &after, &more, err);
 	pd_buf_finish(&after);
@@ -807,7 +818,8 @@
 	bool waited = false;
 
 	pthread_mutex_lock(&sync->lock);
-	while (sync->mode == PD_SYNC_PAUSED || (sync->mode == PD_SYNC_STARTING && task->listed)) {
+	while (sync->mode == PD_SYNC_PAUSED || (sync->mode == PD_SYNC_STARTING && task->listed) ||
+	       is_left_to_source(task)) {
 		/* The list becomes outdated, because changes are received from another instance. */
 		if (sync->mode == PD_SYNC_PAUSED)
 			task->listed = false;
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -94,7 +94,7 @@
  * @upstream_list: number of the last complete list of upstreams
  * @evacuated: names of the evacuated zones; used only by the task for evacuations
  * @evacuated_count: number of entries in @evacuated
- * @rollouts: orders of roll-outs; used only by the task for them
+ * @rollouts: orders of roll-outs; used only by the task for them; NULL if they aren't read
  * @unreadable: hashes of the unreadable objects that were logged last, with their reasons
  * @unreadable_count: number of unreadable objects that were logged
  */
@@ -114,15 +114,15 @@
 	uint64_t upstream_list;
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
 	size_t evacuated_count;
-	struct pd_rollout_set rollouts;
+	struct pd_rollout_set *rollouts;
 	uint64_t unreadable[PD_SYNC_UNREADABLE_MAX];
 	size_t unreadable_count;
 };
 
 void pd_sync_init(struct pd_sync *sync, struct pd_directory *directory,
 		  const struct sockaddr_in *address);
-/* Lets the orders of roll-outs be read, too; before pd_sync_start(). */
-void pd_sync_enable_rollouts(struct pd_sync *sync);
+/* Lets the orders of roll-outs be read, too; before pd_sync_start(). False if memory runs out. */
+bool pd_sync_enable_rollouts(struct pd_sync *sync);
 /* Makes the task for the configuration prove often enough that it is the newest one, so that keys
  * that were withdrawn can be refused after @revocation_ms. To be called before the start.
  */
