Admission: only a queue is a reason to refuse a request

Cause: a request is refused if its parts are expected after the cut-off, and the expected latency starts with the service's mean response time. That holds the set-up of 90 new connections at once, and the work of other routes of the same service (7.5 against 2.5 ms), and falls only with further responses. Ruled out: quotas, which refuse with 429.

A service of which one upstream has a free slot is now no reason to refuse. Queues refuse as before, and the expected latency itself is unchanged. The test fails before (60000 us).

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -304,26 +304,36 @@
 	return helps;
 }
 
+/* Returns the number of requests that an upstream would serve before one that is sent now, beyond
+ * those in its other slots; 0 or less if it has a free slot.
+ */
+static double requests_ahead(const struct pd_upstream *upstream, int64_t now_us)
+{
+	double age_us = (double)(now_us - upstream->load_reported_us);
+	double load = upstream->reported_load * exp2(-age_us / LOAD_HALF_LIFE_US);
+	double slots = upstream->slots ? upstream->slots : 1;
+
+	if (upstream->speed > 0 && upstream->service->work_time_us > 0)
+		load = expected_load(upstream, now_us);
+	if (load < upstream->in_flight)
+		load = upstream->in_flight;
+	return load - slots + 1;
+}
+
 /* Returns the expected latency of a request sent now to this upstream: the service time, plus the
  * time that the upstream's slots need for the requests that are queued before this one. */
 static double expected_latency(const struct pd_upstream *upstream, double service_time_us,
 			       int64_t now_us)
 {
-	double age_us = (double)(now_us - upstream->load_reported_us);
-	double load = upstream->reported_load * exp2(-age_us / LOAD_HALF_LIFE_US);
 	double slots = upstream->slots ? upstream->slots : 1;
-	double ahead;
+	double ahead = requests_ahead(upstream, now_us);
 
 	if (upstream->speed > 0 && upstream->service->work_time_us > 0) {
-		double weight = pd_speed_weight((int64_t)age_us);
+		double weight = pd_speed_weight(now_us - upstream->load_reported_us);
 
 		service_time_us =
 			weight * stated_work_us(upstream) + (1 - weight) * service_time_us;
-		load = expected_load(upstream, now_us);
 	}
-	if (load < upstream->in_flight)
-		load = upstream->in_flight;
-	ahead = load - slots + 1;
 	return service_time_us * (1 + (ahead > 0 ? ahead / slots : 0));
 }
 
@@ -336,27 +346,58 @@
 	return stale_us <= 0 ? 1 : exp2(-stale_us / STATS_HALF_LIFE_US);
 }
 
-int64_t pd_registry_expected_latency_us(struct pd_registry *registry, struct pd_service *service,
-					int64_t now_us)
+/**
+ * struct outlook - what a request to a service can expect now
+ * @expected_us: expected latency at the upstream with the shortest queue, in microseconds; 0 if
+ *	unknown
+ * @free_slot: an upstream that may get it has a free slot
+ */
+struct outlook {
+	double expected_us;
+	bool free_slot;
+};
+
+static struct outlook outlook_locked(struct pd_registry *registry, struct pd_service *service,
+				     int64_t now_us)
 {
-	double best = 0, mean_service_time_us;
+	struct outlook outlook = {0};
+	double mean_us = service->service_time_us * service_time_decay(service, now_us);
 
-	pthread_mutex_lock(&registry->lock);
-	mean_service_time_us = service->service_time_us * service_time_decay(service, now_us);
-	for (struct pd_upstream *u = service->upstreams; u && mean_service_time_us > 0;
-	     u = u->next) {
+	for (struct pd_upstream *u = service->upstreams; u && mean_us > 0; u = u->next) {
 		struct pd_permit permit = pd_permit_check_locked(registry, u, now_us);
 		double expected;
 
 		if (permit.block != PD_BLOCK_NONE || permit.ejected ||
 		    permit.use == PD_VERSION_CANARY)
 			continue;
-		expected = expected_latency(u, mean_service_time_us, now_us);
-		if (best <= 0 || expected < best)
-			best = expected;
+		expected = expected_latency(u, mean_us, now_us);
+		if (outlook.expected_us <= 0 || expected < outlook.expected_us)
+			outlook.expected_us = expected;
+		outlook.free_slot = outlook.free_slot || requests_ahead(u, now_us) <= 0;
 	}
+	return outlook;
+}
+
+int64_t pd_registry_expected_latency_us(struct pd_registry *registry, struct pd_service *service,
+					int64_t now_us)
+{
+	struct outlook outlook;
+
+	pthread_mutex_lock(&registry->lock);
+	outlook = outlook_locked(registry, service, now_us);
+	pthread_mutex_unlock(&registry->lock);
+	return (int64_t)outlook.expected_us;
+}
+
+int64_t pd_registry_queued_latency_us(struct pd_registry *registry, struct pd_service *service,
+				      int64_t now_us)
+{
+	struct outlook outlook;
+
+	pthread_mutex_lock(&registry->lock);
+	outlook = outlook_locked(registry, service, now_us);
 	pthread_mutex_unlock(&registry->lock);
-	return (int64_t)best;
+	return outlook.free_slot ? 0 : (int64_t)outlook.expected_us;
 }
 
 /* Sets the share of the random numbers with which each upstream is chosen. */
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -456,6 +456,11 @@
  * service with the shortest queue; 0 if unknown. */
 int64_t pd_registry_expected_latency_us(struct pd_registry *registry, struct pd_service *service,
 					int64_t now_us);
+/* The same, but 0 if an upstream that may get the sub-request has a free slot. The latency of a
+ * service includes that of new connections and of other routes, so that only a queue is a reason to
+ * refuse a request before it is sent. */
+int64_t pd_registry_queued_latency_us(struct pd_registry *registry, struct pd_service *service,
+				      int64_t now_us);
 #define PD_CHOICES_MAX 64 /* maximum number of upstreams of a service that are compared */
 
 /**
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -531,8 +531,8 @@
 	if (!expected)
 		return false;
 	for (size_t i = 0; i < fanout->leg_count; i++)
-		expected[i] = pd_registry_expected_latency_us(&request->ingress->registry,
-							      fanout->legs[i].service, now);
+		expected[i] = pd_registry_queued_latency_us(&request->ingress->registry,
+							    fanout->legs[i].service, now);
 	if (request->catalog->has_accounts) {
 		admitted = is_fair(request, fanout, expected, now, wait_us);
 	} else {
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -876,6 +876,34 @@
 }
 END_TEST
 
+START_TEST(slow_responses_without_a_queue_are_no_reason_to_refuse)
+{
+	/* Guards against refusing requests of an urgent route while all upstreams idle, because the
+	 * first responses came on new connections or belong to a route with more work.
+	 */
+	int64_t now = pd_os_boot_us();
+	struct pd_upstream *upstream;
+	struct pd_report report = {
+		.kind = PD_REPORT_SUCCESS, .latency_us = 60000, .has_load = true, .load = 1};
+
+	init_registry();
+	put_upstream("a", "here");
+	upstream = pd_registry_pick(&registry, find_service(), NULL, 0, now);
+	pd_registry_report(&registry, upstream, &report, now);
+	ck_assert_int_eq(pd_registry_queued_latency_us(&registry, find_service(), now), 0);
+	report.load = 14;
+	report.queued = 11;
+	upstream = pd_registry_pick(&registry, find_service(), NULL, 0, now);
+	pd_registry_report(&registry, upstream, &report, now);
+	ck_assert_int_eq(pd_registry_queued_latency_us(&registry, find_service(), now),
+			 pd_registry_expected_latency_us(&registry, find_service(), now));
+	/* Another upstream has a free slot. */
+	put_upstream("b", "here");
+	ck_assert_int_eq(pd_registry_queued_latency_us(&registry, find_service(), now), 0);
+	pd_registry_finish(&registry);
+}
+END_TEST
+
 START_TEST(high_service_time_decays_without_responses)
 {
 	/* Guards against refusing all requests for good: after a pause of this process, the first
@@ -933,6 +961,7 @@
 		old_response_does_not_end_a_rate_limit,
 		traffic_split_keeps_its_shares,
 		expected_latency_grows_with_queue,
+		slow_responses_without_a_queue_are_no_reason_to_refuse,
 		high_service_time_decays_without_responses,
 	};
 
