Sync: the configuration is proven twice as often

Cause: a proof counts from when its watch was sent, so that with a wait of 1.5 s it is up to 3 s old in calm, and 3.5 s at followers, of the 4.5 s that it holds. The watch now waits for a sixth of that time (750 ms). Counting from the end of a watch without changes was ruled out: a store whose watches hear nothing for a while would prove what it didn't know. Cost: 2 more calls per head in 1.5 s.

--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -15,10 +15,11 @@
 #define WATCH_WAIT_MS 25000
 /* Longest wait of a watch that proves that the configuration is the newest one, and the part of the
  * time until the proof is too old for which it waits. A proof is up to twice the wait old when the
- * next one arrives, and another wait is left for a call that fails.
+ * next one arrives, and followers learn it up to half a second later: two thirds of the time remain
+ * for an outage of the store, in which requests with keys are served on.
  */
 #define PROOF_WAIT_MAX_MS  1500
-#define PROOF_WAIT_DIVISOR 3
+#define PROOF_WAIT_DIVISOR 6
 /* Time after the wait in which the response to such a watch must arrive. With the usual 1.5 s, a
  * lost response would let the proof become too old.
  */
