Stand-ins: orders, conditional status writes, versions and their faults; the full phase is as long as exposure allows

An upstream that fails only above ten requests per second was completed: the full phase ended after 0.75 s. It now lasts up to 1.2 s where the bound allows it. The simulated heads waited for each other to be drained, which the process doesn't do.

--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -11,12 +11,14 @@
  * store's messages have to fit in.
  */
 #define CANARY_END_US (3000 * PD_USEC_PER_MSEC)
-/* Length of the full phase, in which faults under load show, until the outcome may be written: this
- * number of requests, within these bounds; the last one is for a version that has passed before.
+/* Length of the full phase, in which faults under load show, until the outcome may be written: as
+ * long as the bound on the requests allows, up to the first number. In a burst, this number of
+ * requests is enough, but not less than the second time; the last one is for a version that has
+ * passed before.
  */
+#define FULL_MAX_US   (1200 * PD_USEC_PER_MSEC)
 #define FULL_REQUESTS 30
 #define FULL_MIN_US   (300 * PD_USEC_PER_MSEC)
-#define FULL_MAX_US   (900 * PD_USEC_PER_MSEC)
 #define FULL_AGAIN_US (500 * PD_USEC_PER_MSEC)
 /* Time for requests that are still in flight to the old version, and for the write of the outcome.
  * All heads stay in the full phase for it, because the old upstreams stop with the write.
@@ -26,6 +28,9 @@
 #define WRITE_LEFT_US (150 * PD_USEC_PER_MSEC)
 /* Results of the full phase arrive until this long after it. */
 #define FULL_RESULTS_US (700 * PD_USEC_PER_MSEC)
+/* Difference of the heads' full phases: of their begin, and of the requests that each one counts.
+ */
+#define HEADS_DIFFER_US (200 * PD_USEC_PER_MSEC)
 /* A head begins the full phase up to this much earlier if another one has begun. */
 #define FOLLOW_US (500 * PD_USEC_PER_MSEC)
 /* Without a reason to wait, an order that can't be completed is rolled back this long before its
@@ -72,7 +77,9 @@
 #define WINDOW_US	(3000 * PD_USEC_PER_MSEC)
 #define CALL_BACKOFF_US (300 * PD_USEC_PER_MSEC)
 /* A head waits this long for each head that writes before it. */
-#define RANK_DELAY_US	      (200 * PD_USEC_PER_MSEC)
+#define RANK_DELAY_US (200 * PD_USEC_PER_MSEC)
+/* Until then, the other heads aren't heard yet. */
+#define FIRST_CALL_US	      (300 * PD_USEC_PER_MSEC)
 #define RUNNING_RANK_DELAY_US (1000 * PD_USEC_PER_MSEC)
 
 const char *pd_rollout_state_name(enum pd_rollout_state state)
@@ -565,19 +572,31 @@
 		       : input->duration_us;
 }
 
-/* Returns the time after which the full phase has shown enough at many requests per second. */
-static int64_t full_length_us(const struct pd_rollout *rollout)
+/* Returns the time that a full phase takes at least until the outcome may be written. */
+static int64_t full_min_us(const struct pd_rollout *rollout)
 {
-	double length_us;
+	double min_us;
 
 	if (rollout->passed)
 		return FULL_AGAIN_US;
 	if (rollout->per_s < 1)
 		return FULL_MAX_US;
-	length_us = FULL_REQUESTS / rollout->per_s * PD_USEC_PER_SEC;
-	if (length_us > FULL_MAX_US)
+	min_us = FULL_REQUESTS / rollout->per_s * PD_USEC_PER_SEC;
+	if (min_us > FULL_MAX_US)
 		return FULL_MAX_US;
-	return length_us < FULL_MIN_US ? FULL_MIN_US : (int64_t)length_us;
+	return min_us < FULL_MIN_US ? FULL_MIN_US : (int64_t)min_us;
+}
+
+/* Returns the time that a full phase which begins now takes until the outcome may be written. */
+static int64_t full_length_us(const struct pd_rollout *rollout,
+			      const struct pd_rollout_input *input)
+{
+	int64_t min_us = full_min_us(rollout);
+	int64_t length_us = exposure_time_us(rollout, input) - WRITE_US - HEADS_DIFFER_US;
+
+	if (rollout->passed || length_us < min_us)
+		return min_us;
+	return is_late(input) || length_us > FULL_MAX_US ? FULL_MAX_US : length_us;
 }
 
 /* Returns the age of the order at which the full phase begins. With few requests, it begins earlier
@@ -662,7 +681,7 @@
 		verdict->bad = false;
 	if (verdict->bad)
 		return;
-	scope.part = true;
+	scope.part = !full;
 	copy_evidence(work, input->evidence);
 	if (full)
 		pd_rollout_evidence_subtract(work, &rollout->full_base, 1U << PD_ROLLOUT_NEW);
@@ -685,7 +704,7 @@
 	uint32_t samples =
 		input->evidence->ended[PD_ROLLOUT_NEW] - rollout->full_base.ended[PD_ROLLOUT_NEW];
 
-	if (now_us - rollout->phase_since_us < full_length_us(rollout))
+	if (now_us - rollout->phase_since_us < rollout->full_length_us)
 		return false;
 	return rollout->passed || samples >= FULL_SAMPLES || is_late(input) ||
 	       now_us >= rollout->full_until_us - DRAIN_US - WRITE_US;
@@ -703,7 +722,7 @@
 	if (!input->connected || left_us < WRITE_LEFT_US)
 		return false;
 	return input->drained ||
-	       now_us - rollout->phase_since_us >= full_length_us(rollout) + DRAIN_US;
+	       now_us - rollout->phase_since_us >= rollout->full_length_us + DRAIN_US;
 }
 
 /* Whether the full phase may begin. After the deadline, the bound on the requests is over, but the
@@ -711,7 +730,7 @@
  */
 static bool may_advance(const struct pd_rollout *rollout, const struct pd_rollout_input *input)
 {
-	int64_t needed_us = full_length_us(rollout) + WRITE_US;
+	int64_t needed_us = full_min_us(rollout) + WRITE_US;
 
 	if (!input->connected || !input->target_ready || rollout->must_read || rollout->writing)
 		return false;
@@ -779,9 +798,10 @@
 static void begin_full(struct pd_rollout *rollout, const struct pd_rollout_input *input,
 		       int64_t now_us)
 {
-	int64_t length_us = full_length_us(rollout) + DRAIN_US + WRITE_US;
+	int64_t length_us = full_length_us(rollout, input) + DRAIN_US + WRITE_US;
 	double age_s = (double)input->age_us / PD_USEC_PER_SEC;
 
+	rollout->full_length_us = full_length_us(rollout, input);
 	copy_evidence(&rollout->full_base, input->evidence);
 	rollout->full_requests = input->evidence->requests;
 	rollout->canary_per_s = input->evidence->requests / (age_s > 1 ? age_s : 1);
@@ -835,7 +855,8 @@
 {
 	struct pd_rollout_verdict verdict;
 
-	if (!rollout->phase_since_us) {
+	if (!rollout->started_us) {
+		rollout->started_us = now_us;
 		rollout->phase_since_us = now_us;
 		rollout->window_us = now_us;
 	}
@@ -885,7 +906,7 @@
 		rollout->wanted = rollout->decided;
 		if (rollout->next_call_us < now_us + input->rank * RANK_DELAY_US)
 			rollout->next_call_us = now_us + input->rank * RANK_DELAY_US;
-	} else if (!rollout->wanted) {
+	} else if (!rollout->wanted && now_us - rollout->started_us >= FIRST_CALL_US) {
 		rollout->wanted = PD_ROLLOUT_RUNNING;
 		rollout->next_call_us = now_us + input->rank * RUNNING_RANK_DELAY_US;
 	}
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -163,8 +163,9 @@
 
 /**
  * struct pd_rollout - a running order at a head
+ * @started_us: time of the first update; 0 before it
  * @phase: current phase
- * @phase_since_us: time at which it began; 0 before the first update
+ * @phase_since_us: time at which it began
  * @passed: a full phase has ended without an objection
  * @decided: outcome that is to be written; PD_ROLLOUT_RUNNING if there is none yet
  * @verdict: reason and figures of the decision
@@ -176,6 +177,7 @@
  * @written: state that was last handed out
  * @next_call_us: earliest time of the next write or read
  * @full_since_us: time at which the last full phase began; 0 if there was none
+ * @full_length_us: time from its start until the outcome may be written
  * @full_until_us: time at which it ends if no outcome is known; other heads rely on it
  * @per_s: requests per second to the service now
  * @burst_per_s: the same, of a shorter time
@@ -190,6 +192,7 @@
  * @work: evidence that is being compared
  */
 struct pd_rollout {
+	int64_t started_us;
 	enum pd_rollout_phase phase;
 	int64_t phase_since_us;
 	bool passed;
@@ -203,6 +206,7 @@
 	enum pd_rollout_state written;
 	int64_t next_call_us;
 	int64_t full_since_us;
+	int64_t full_length_us;
 	int64_t full_until_us;
 	double per_s;
 	double burst_per_s;
--- a/ingress/rollout_exchange.c
+++ b/ingress/rollout_exchange.c
@@ -111,14 +111,15 @@
 
 /* Takes over what is known of a tracked order from the store. */
 static void update_tracked(struct pd_rollout_tracked *tracked, const struct pd_rollout_order *order,
-			   int64_t now_us)
+			   bool is_head, int64_t now_us)
 {
 	tracked->order = *order;
 	pd_rollout_observe(&tracked->rollout, order->state, order->revision);
 	if (!pd_rollout_is_final(order->state) || tracked->ended_us)
 		return;
 	tracked->ended_us = now_us;
-	log_outcome(tracked, now_us);
+	if (is_head)
+		log_outcome(tracked, now_us);
 }
 
 /* Whether the store has begun an order anew that has ended. */
@@ -154,7 +155,8 @@
 		if (!find_tracked(exchange, order) && !pd_rollout_is_final(order->state))
 			add_tracked(exchange, order);
 		if (find_tracked(exchange, order))
-			update_tracked(find_tracked(exchange, order), order, now_us);
+			update_tracked(find_tracked(exchange, order), order,
+				       exchange->head_since_us != 0, now_us);
 	}
 }
 
--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -10,6 +10,7 @@
 
 #define HEAD_MAX_BYTES 16384
 #define BODY_MAX_BYTES (1024 * 1024)
+#define LATE_STATUS_US (2 * PD_USEC_PER_SEC)
 
 /** struct connection - argument of serve_connection() */
 struct connection {
@@ -38,13 +39,13 @@
 }
 
 static json_t *put_locked(struct platform_store *store, const char *kind, const char *name,
-			  json_t *spec)
+			  json_t *spec, json_t *status)
 {
 	json_t *object;
 
 	store->revision++;
-	object = json_pack("{s:{s:s,s:I},s:o,s:n}", "meta", "name", name, "revision",
-			   (json_int_t)store->revision, "spec", spec, "status");
+	object = json_pack("{s:{s:s,s:I},s:o,s:O}", "meta", "name", name, "revision",
+			   (json_int_t)store->revision, "spec", spec, "status", status);
 	json_object_set_new(objects_of_kind(store, kind), name, object);
 	append_event_locked(store, kind, object, false);
 	return object;
@@ -54,7 +55,7 @@
 			json_t *spec)
 {
 	pthread_mutex_lock(&store->lock);
-	put_locked(store, kind, name, spec);
+	put_locked(store, kind, name, spec, json_null());
 	pthread_mutex_unlock(&store->lock);
 }
 
@@ -68,7 +69,7 @@
 		abort();
 	snprintf(reference, sizeof(reference), "@raw-%zu@", store->raw_count);
 	store->raw[store->raw_count++] = strdup(text);
-	put_locked(store, kind, name, json_string(reference));
+	put_locked(store, kind, name, json_string(reference), json_null());
 	pthread_mutex_unlock(&store->lock);
 }
 
@@ -291,7 +292,7 @@
 {
 	if (store->on_write)
 		store->on_write(kind, name, spec);
-	return put_locked(store, kind, name, json_incref(spec));
+	return put_locked(store, kind, name, json_incref(spec), json_null());
 }
 
 static json_t *create_locked(struct platform_store *store, const char *kind, const char *body,
@@ -311,6 +312,76 @@
 	return json_incref(object);
 }
 
+/* Waits without the lock, as the rest of a request that arrives late. */
+static void delay_locked(struct platform_store *store)
+{
+	pthread_mutex_unlock(&store->lock);
+	pd_os_sleep_us(LATE_STATUS_US);
+	pthread_mutex_lock(&store->lock);
+}
+
+/* Writes the status of an object, if that has the revision which the body states. */
+static json_t *write_status_locked(struct platform_store *store, const char *kind, const char *name,
+				   const char *body, int *status)
+{
+	json_t *json = json_loads(body ? body : "", 0, NULL);
+	json_t *object = json_object_get(objects_of_kind(store, kind), name);
+	json_t *condition = json_object_get(json_object_get(json, "meta"), "revision");
+	json_t *revision = json_object_get(json_object_get(object, "meta"), "revision");
+
+	*status = 200;
+	if (!object)
+		*status = 404;
+	else if (!json_is_object(json_object_get(json, "status")) || !json_is_integer(condition))
+		*status = 400;
+	else if (!json_equal(condition, revision))
+		*status = 409;
+	else
+		object = put_locked(store, kind, name, json_incref(json_object_get(object, "spec")),
+				    json_object_get(json, "status"));
+	json_decref(json);
+	return *status == 200 ? json_incref(object) : NULL;
+}
+
+static json_t *handle_status_locked(struct platform_store *store, const char *kind,
+				    const char *name, const char *body, int *status)
+{
+	bool late = store->late_statuses > 0, lost = late || store->lost_statuses > 0;
+	json_t *object;
+
+	if (late)
+		store->late_statuses--;
+	else if (lost)
+		store->lost_statuses--;
+	if (late)
+		delay_locked(store);
+	object = write_status_locked(store, kind, name, body, status);
+	if (lost)
+		*status = 0;
+	return object;
+}
+
+void platform_store_lose_statuses(struct platform_store *store, uint32_t lost, uint32_t late)
+{
+	pthread_mutex_lock(&store->lock);
+	store->lost_statuses = lost;
+	store->late_statuses = late;
+	pthread_mutex_unlock(&store->lock);
+}
+
+void platform_store_get_status(struct platform_store *store, const char *kind, const char *name,
+			       const char *member, char *out, size_t size)
+{
+	const char *text;
+
+	pthread_mutex_lock(&store->lock);
+	text = json_string_value(json_object_get(
+		json_object_get(json_object_get(objects_of_kind(store, kind), name), "status"),
+		member));
+	snprintf(out, size, "%s", text ? text : "none");
+	pthread_mutex_unlock(&store->lock);
+}
+
 static json_t *replace_locked(struct platform_store *store, const char *kind, const char *name,
 			      const char *body, int *status)
 {
@@ -326,14 +397,14 @@
 
 static void handle_request(struct platform_store *store, int fd, const struct pd_http_message *msg)
 {
-	char target[512], kind[64] = "", name[128] = "", after[128] = "";
+	char target[512], kind[64] = "", name[128] = "", after[128] = "", part[16] = "";
 	json_t *body = NULL;
 	int status = 200;
 	uint64_t era;
 	char *text;
 
 	pd_str_copy(pd_http_message_target(msg), target, sizeof(target));
-	sscanf(target, "/api/objects/%63[^?/]/%127[^?/]", kind, name);
+	sscanf(target, "/api/objects/%63[^?/]/%127[^?/]/%15[^?/]", kind, name, part);
 	/* The names of the tests need no percent-encoding. */
 	sscanf(query_argument(target, "after"), "%127[^&]", after);
 	pthread_mutex_lock(&store->lock);
@@ -345,6 +416,8 @@
 		status = 0;
 	else if (msg->parser.method == HTTP_POST)
 		body = create_locked(store, kind, msg->body.data, &status);
+	else if (msg->parser.method == HTTP_PUT && !strcmp(part, "status"))
+		body = handle_status_locked(store, kind, name, msg->body.data, &status);
 	else if (msg->parser.method == HTTP_PUT)
 		body = replace_locked(store, kind, name, msg->body.data, &status);
 	else if (msg->parser.method == HTTP_DELETE)
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -68,6 +68,9 @@
  * @mode: how the store handles requests
  * @request_count: number of requests received
  * @watch_count: number of watches started
+ * @lost_statuses: number of next writes of a status that get no response
+ * @late_statuses: number of next writes of a status that are executed two seconds later, if their
+ * condition holds then, and get no response
  * @on_write: if set, called with the contents of an object that a request writes, before the object
  * is stored; called with @lock held
  * @raw: contents of objects that are sent as they are, in place of the string "@raw-INDEX"
@@ -93,6 +96,8 @@
 	enum platform_store_mode mode;
 	uint32_t request_count;
 	uint32_t watch_count;
+	uint32_t lost_statuses;
+	uint32_t late_statuses;
 	void (*on_write)(const char *kind, const char *name, json_t *spec);
 	char *raw[PLATFORM_STORE_RAW_MAX];
 	size_t raw_count;
@@ -122,6 +127,11 @@
  * of the copy, and watches from later ones get status 410.
  */
 void platform_store_restore(struct platform_store *store);
+/* Lets the next writes of a status be lost or late, see above. */
+void platform_store_lose_statuses(struct platform_store *store, uint32_t lost, uint32_t late);
+/* Copies a member of the status of an object; "none" if there is none. */
+void platform_store_get_status(struct platform_store *store, const char *kind, const char *name,
+			       const char *member, char *out, size_t size);
 /* Returns the number of objects of the kind @kind. */
 size_t platform_store_object_count(struct platform_store *store, const char *kind);
 
--- a/standins/platform_upstream.c
+++ b/standins/platform_upstream.c
@@ -27,6 +27,9 @@
 	[PLATFORM_UPSTREAM_GARBLE] = "garble",
 	[PLATFORM_UPSTREAM_EXTRA] = "extra",
 	[PLATFORM_UPSTREAM_LATE] = "late",
+	[PLATFORM_UPSTREAM_FLAKY] = "flaky",
+	[PLATFORM_UPSTREAM_OVERLOADED] = "overloaded",
+	[PLATFORM_UPSTREAM_ROUTE] = "route",
 	[PLATFORM_UPSTREAM_OVERFULL] = "overfull",
 	[PLATFORM_UPSTREAM_ENDLESS_HEAD] = "endless-head",
 	[PLATFORM_UPSTREAM_ENDLESS_BODY] = "endless-body",
@@ -244,6 +247,7 @@
 		keep_open = false;
 		break;
 	case PLATFORM_UPSTREAM_ERROR:
+		pd_os_sleep_us(delay_ms * PD_USEC_PER_MSEC);
 		append_response(&out, upstream, 500, id, &body);
 		break;
 	case PLATFORM_UPSTREAM_HANG:
@@ -293,6 +297,33 @@
 		 msg->body.data ? msg->body.data : "");
 }
 
+/* Returns the mode in which a request is handled, for the modes that are faulty at times. */
+static enum platform_upstream_mode mode_of_request_locked(struct platform_upstream *upstream,
+							  const struct pd_http_message *msg)
+{
+	struct pd_str target = pd_http_message_target(msg);
+	bool faulty = false;
+
+	switch (upstream->mode) {
+	case PLATFORM_UPSTREAM_FLAKY:
+		faulty = upstream->received_count % 3 == 0;
+		break;
+	case PLATFORM_UPSTREAM_OVERLOADED:
+		if (pd_os_now_us() - upstream->second_us > PD_USEC_PER_SEC) {
+			upstream->second_us = pd_os_now_us();
+			upstream->second_count = 0;
+		}
+		faulty = ++upstream->second_count > 10;
+		break;
+	case PLATFORM_UPSTREAM_ROUTE:
+		faulty = target.len > 5 && !memcmp(target.data, "/bad/", 5);
+		break;
+	default:
+		return upstream->mode;
+	}
+	return faulty ? PLATFORM_UPSTREAM_ERROR : PLATFORM_UPSTREAM_LATE;
+}
+
 static bool handle_request(struct platform_upstream *upstream, int fd,
 			   const struct pd_http_message *msg)
 {
@@ -306,7 +337,7 @@
 	for_this_instance = !pd_http_message_field(msg, "X-Expect-Instance", &expected) ||
 			    pd_str_is(expected, upstream->id);
 	pthread_mutex_lock(&upstream->lock);
-	mode = upstream->mode;
+	mode = mode_of_request_locked(upstream, msg);
 	response_delay_ms = upstream->delay_ms;
 	upstream->received_count++;
 	if (for_this_instance && mode != PLATFORM_UPSTREAM_SHED) {
--- a/standins/platform_upstream.h
+++ b/standins/platform_upstream.h
@@ -30,6 +30,12 @@
  * @PLATFORM_UPSTREAM_GARBLE: executes them and responds with bytes that aren't HTTP
  * @PLATFORM_UPSTREAM_EXTRA: executes them and sends the response twice
  * @PLATFORM_UPSTREAM_LATE: executes them and responds after delay_ms
+ * @PLATFORM_UPSTREAM_FLAKY: executes them and responds to every third one with 500, to the others
+ * as the mode "late"
+ * @PLATFORM_UPSTREAM_OVERLOADED: executes them and responds as the mode "late", but with 500 while
+ * it gets more than ten requests in a second
+ * @PLATFORM_UPSTREAM_ROUTE: executes them and responds as the mode "late", but with 500 to those
+ * whose path begins with "/bad/"
  * @PLATFORM_UPSTREAM_OVERFULL: resets each new connection, as an upstream does that is over its
  * limit of connections
  * @PLATFORM_UPSTREAM_ENDLESS_HEAD: executes them and sends a header field without end
@@ -54,6 +60,9 @@
 	PLATFORM_UPSTREAM_GARBLE,
 	PLATFORM_UPSTREAM_EXTRA,
 	PLATFORM_UPSTREAM_LATE,
+	PLATFORM_UPSTREAM_FLAKY,
+	PLATFORM_UPSTREAM_OVERLOADED,
+	PLATFORM_UPSTREAM_ROUTE,
 	PLATFORM_UPSTREAM_OVERFULL,
 	PLATFORM_UPSTREAM_ENDLESS_HEAD,
 	PLATFORM_UPSTREAM_ENDLESS_BODY,
@@ -87,6 +96,8 @@
  * @lock: guards the members from @mode to @leaving
  * @mode: how the upstream handles requests
  * @delay_ms: delay of responses in the mode PLATFORM_UPSTREAM_LATE, in milliseconds
+ * @second_us: start of the second in which requests are counted for PLATFORM_UPSTREAM_OVERLOADED
+ * @second_count: number of requests in that second
  * @received_count: number of requests received
  * @executed_count: number of requests executed
  * @endless_count: number of responses without end that are being sent
@@ -110,6 +121,8 @@
 	pthread_mutex_t lock;
 	enum platform_upstream_mode mode;
 	int delay_ms;
+	int64_t second_us;
+	uint32_t second_count;
 	uint32_t received_count;
 	uint32_t executed_count;
 	uint32_t endless_count;
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -79,7 +79,9 @@
  * @store_link: link over which instances that are started reach the store; unused if its target has
  * no port
  * @upstreams: upstreams
+ * @versions: versions of @upstreams
  * @upstream_count: number of entries used in @upstreams
+ * @bounds: further bounds in the settings of instances that are started
  * @routes: routes for the next published configuration
  * @extra_services: number of services without upstreams in the next published configuration
  * @instances: ingress processes
@@ -98,7 +100,9 @@
 	struct platform_store store;
 	struct slow_link store_link;
 	struct platform_upstream upstreams[UPSTREAMS_MAX];
+	char versions[UPSTREAMS_MAX][16];
 	size_t upstream_count;
+	char bounds[256];
 	json_t *routes;
 	int extra_services;
 	struct instance instances[INSTANCES_MAX];
@@ -145,7 +149,8 @@
 
 	pd_address_format(&upstream->address, address, sizeof(address));
 	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service", upstream->service,
-			 "address", address, "zone", zone, "version", "v1", "slots", 3, "state",
+			 "address", address, "zone", zone, "version",
+			 deployment.versions[upstream - deployment.upstreams], "slots", 3, "state",
 			 state, "cold_remaining_ms", 0, "seq", ++deployment.last_seq, "born",
 			 started_ms);
 }
@@ -157,10 +162,13 @@
 	return create_entry_of_start(upstream, zone, state, 1000);
 }
 
-/* upstream ID SERVICE [ZONE]: starts and registers an upstream */
+/* upstream ID SERVICE [ZONE [VERSION]]: starts and registers an upstream, of version v1 */
 static void do_upstream(char **words, int count)
 {
-	struct platform_upstream *upstream = &deployment.upstreams[deployment.upstream_count++];
+	struct platform_upstream *upstream = &deployment.upstreams[deployment.upstream_count];
+
+	snprintf(deployment.versions[deployment.upstream_count++], sizeof(deployment.versions[0]),
+		 "%s", count > 4 ? words[4] : "v1");
 
 	platform_upstream_start(upstream, words[1], words[2]);
 	platform_store_put(&deployment.store, "servers", words[1],
@@ -411,6 +419,92 @@
 	platform_store_set_page_size(&deployment.store, (size_t)atoi(words[1]));
 }
 
+/* bounds JSON: adds members to the bounds in the settings of instances that are started from now on
+ */
+static void do_bounds(char **words, int count)
+{
+	(void)count;
+	snprintf(deployment.bounds, sizeof(deployment.bounds), ",%s", words[1]);
+}
+
+/* order SERVICE VERSION SECONDS, unorder SERVICE: orders a roll-out, or removes the order; counts
+ * requests to the upstreams from now on
+ */
+static void do_order(char **words, int count)
+{
+	if (!strcmp(words[0], "unorder")) {
+		platform_store_remove(&deployment.store, "rollouts", words[1]);
+		return;
+	}
+	for (size_t i = 0; i < deployment.upstream_count; i++) {
+		pthread_mutex_lock(&deployment.upstreams[i].lock);
+		deployment.upstreams[i].received_count = 0;
+		pthread_mutex_unlock(&deployment.upstreams[i].lock);
+	}
+	platform_store_put(&deployment.store, "rollouts", words[1],
+			   json_pack("{s:s,s:s,s:f}", "service", words[1], "target_version",
+				     words[2], "duration_s", count > 3 ? atof(words[3]) : 12.0));
+}
+
+/* statuses lost|late COUNT: the next writes of a status get no response, or are late, too */
+static void do_statuses(char **words, int count)
+{
+	bool late = !strcmp(words[1], "late");
+	uint32_t writes = (uint32_t)atoi(words[2]);
+
+	(void)count;
+	platform_store_lose_statuses(&deployment.store, late ? 0 : writes, late ? writes : 0);
+}
+
+/* status SERVICE: prints the state of a roll-out by its status, and the version */
+static void do_status(char **words, int count)
+{
+	char state[32], version[32];
+
+	(void)count;
+	platform_store_get_status(&deployment.store, "rollouts", words[1], "state", state,
+				  sizeof(state));
+	platform_store_get_status(&deployment.store, "rollouts", words[1], "target_version",
+				  version, sizeof(version));
+	append_output("%s %s", state, version);
+}
+
+/* Returns the number of requests that the upstreams of a version, or all, have received. */
+static uint32_t count_arrivals(const char *version)
+{
+	uint32_t arrivals = 0;
+
+	for (size_t i = 0; i < deployment.upstream_count; i++) {
+		if (version && strcmp(deployment.versions[i], version) != 0)
+			continue;
+		pthread_mutex_lock(&deployment.upstreams[i].lock);
+		arrivals += deployment.upstreams[i].received_count;
+		pthread_mutex_unlock(&deployment.upstreams[i].lock);
+	}
+	return arrivals;
+}
+
+/* exposed VERSION: prints the number of requests to its upstreams since the order */
+static void do_exposed(char **words, int count)
+{
+	(void)count;
+	append_output("%u", count_arrivals(words[1]));
+}
+
+/* exposure VERSION SHARE SLACK: tells whether the upstreams of a version have received at most
+ * SHARE of all requests since the order and SLACK more
+ */
+static void do_exposure(char **words, int count)
+{
+	uint32_t exposed = count_arrivals(words[1]), all = count_arrivals(NULL);
+
+	(void)count;
+	if (exposed <= atof(words[2]) * all + atof(words[3]))
+		append_output("within");
+	else
+		append_output("above: %u of %u", exposed, all);
+}
+
 /* storelink KB: lets instances that are started from now on reach the store over a link of KB
  * kilobytes per second
  */
@@ -474,11 +568,11 @@
 		"\"127.0.0.1:%u\"},\"limits\":{\"max_file_descriptors\":%d,\"memory_mb\":112,"
 		"\"cpu_share\":%g},"
 		"\"bounds\":"
-		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6}},"
+		"{\"retry_budget_ratio\":0.2,\"retry_budget_slack\":104,\"grace_period_s\":6%s}},"
 		"\"ingress\":{\"metrics_address\":\"127.0.0.1:%u\",\"log_lines_per_s\":500}}\n",
 		instance->name, instance->zone, instance->peer.port, instance->peer.port,
 		instance->front.port, instance->ready.port, store_port, deployment.descriptors,
-		instance->cpu_share, instance->metrics.port);
+		instance->cpu_share, deployment.bounds, instance->metrics.port);
 	fclose(file);
 }
 
@@ -833,15 +927,19 @@
 }
 
 /*
- * flood MS EACH_MS TARGET INSTANCE...: for MS milliseconds, sends requests to the instances in
- * turn, one after the other with a pause of EACH_MS milliseconds
+ * flood MS EACH_MS TARGET[,TARGET] INSTANCE...: for MS milliseconds, sends requests to the
+ * instances in turn, one after the other with a pause of EACH_MS milliseconds; of two targets,
+ * every fourth one to the second
  */
 static void do_flood(char **words, int count)
 {
 	int64_t until_us = pd_os_now_us() + atoi(words[1]) * PD_USEC_PER_MSEC;
 	char get[] = "GET";
+	char *second = strchr(words[3], ',');
 	char *request_words[] = {words[0], get, words[3]};
 
+	if (second)
+		*second++ = '\0';
 	memset(deployment.flood_statuses, 0, sizeof(deployment.flood_statuses));
 	for (int i = 0; pd_os_now_us() < until_us; i++) {
 		char *use[] = {words[0], words[4 + i % (count - 4)]};
@@ -852,6 +950,7 @@
 		fd = connect_to_instance();
 		if (fd < 0)
 			return;
+		request_words[2] = second && i % 4 == 3 ? second : words[3];
 		append_request(request_words, 3, &request);
 		count_flood_reply(fd, &request);
 		pd_buf_finish(&request);
@@ -1148,6 +1247,13 @@
 	{"store", 2, do_store},
 	{"stale", 2, do_stale},
 	{"page", 2, do_page},
+	{"bounds", 2, do_bounds},
+	{"order", 3, do_order},
+	{"unorder", 2, do_order},
+	{"statuses", 3, do_statuses},
+	{"status", 2, do_status},
+	{"exposed", 2, do_exposed},
+	{"exposure", 4, do_exposure},
 	{"storelink", 2, do_storelink},
 	{"objects", 2, do_objects},
 	{"start", 1, do_start},
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -369,6 +369,13 @@
 	}
 }
 
+static bool zone_is_drained(const struct head *head, int index)
+{
+	return pd_rollout_ledger_drained(&head->ledger, HEARD_US, sim.now_us) >=
+		       ORIGINS / HEADS - 1 &&
+	       sim.phases[index] == PD_ROLLOUT_FULL && !sim.origins[index].gauges.old_in_flight;
+}
+
 static void fill_input(struct head *head, int index, struct pd_rollout_input *input)
 {
 	bool settled = head->since_us <= START_US || sim.now_us - head->since_us > 3500000;
@@ -381,10 +388,7 @@
 					   .target_ready = true,
 					   .connected = settled && !store_is_down(),
 					   .others_full_us = INT64_MAX};
-	input->drained = pd_rollout_ledger_drained(&head->ledger, HEARD_US, sim.now_us) >=
-				 ORIGINS / HEADS - 1 &&
-			 sim.phases[index] == PD_ROLLOUT_FULL &&
-			 !sim.origins[index].gauges.old_in_flight;
+	input->drained = zone_is_drained(head, index);
 	for (int i = 0; i < HEADS; i++) {
 		const struct message *stated = &head->stated[i];
 
@@ -402,11 +406,11 @@
 	}
 }
 
-static void send_statement(const struct head *head, int index, bool drained)
+static void send_statement(const struct head *head, int index)
 {
 	struct message message = {.from = index,
 				  .statement = true,
-				  .drained = drained,
+				  .drained = zone_is_drained(head, index),
 				  .phase = head->rollout.phase,
 				  .full_until_us = head->rollout.phase == PD_ROLLOUT_FULL
 							   ? head->rollout.full_until_us
@@ -443,7 +447,7 @@
 	if (call != PD_ROLLOUT_NO_CALL)
 		start_call(index, call);
 	if (sim.now_us % (2 * TICK_US) == 0)
-		send_statement(head, index, input.drained);
+		send_statement(head, index);
 	/* The followers have the permission at the next tick. */
 	for (int i = index; i < ORIGINS; i += HEADS)
 		sim.phases[i] = head->rollout.phase;
