--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -208,6 +208,8 @@
 static const struct thresholds service_thresholds = {3, 0.0002, 5, 3.5};
 static const struct thresholds part_thresholds = {3, 0.00005, 5, 3.8};
 static const struct thresholds zone_thresholds = {2, 0.05, 2, 1.6};
+/* A version that may be worse isn't completed before that is clear. */
+static const struct thresholds doubt_thresholds = {3, 0.005, 5, 2.5};
 
 /**
  * struct comparison - results of both versions, over some strata
@@ -493,10 +495,14 @@
 		verdict->route = evidence->strata[i].route;
 		comparison = route;
 	}
-	if (verdict->reason && scope->zones > 1 &&
+	verdict->doubtful = !verdict->reason &&
+			    find_objection(&comparison, scope->latency_too, &doubt_thresholds);
+	if (scope->zones > 1 &&
 	    (count_zones(evidence, &verdict->route) < 2 ||
-	     !holds_without_each_zone(evidence, &verdict->route, scope->latency_too)))
+	     !holds_without_each_zone(evidence, &verdict->route, scope->latency_too))) {
 		verdict->reason = NULL;
+		verdict->doubtful = false;
+	}
 	verdict->bad = verdict->reason != NULL;
 	describe(&comparison, verdict);
 }
@@ -689,6 +695,7 @@
 		pd_rollout_evidence_subtract(work, &rollout->earlier_base,
 					     1U << PD_ROLLOUT_NEW | 1U << PD_ROLLOUT_OLD);
 	pd_rollout_compare(work, &scope, &recent);
+	verdict->doubtful = verdict->doubtful || recent.doubtful;
 	if (recent.bad)
 		*verdict = recent;
 	else if (full && scope.latency_too)
@@ -780,8 +787,8 @@
 		return give_up("another_head", verdict);
 	verdict->reason = "no_objection";
 	if (rollout->phase == PD_ROLLOUT_FULL) {
-		if (verdict->samples && is_full_enough(rollout, input, now_us) &&
-		    is_old_unused(rollout, input, now_us))
+		if (verdict->samples && !verdict->doubtful &&
+		    is_full_enough(rollout, input, now_us) && is_old_unused(rollout, input, now_us))
 			return PD_ROLLOUT_COMPLETE;
 	} else if (may_advance(rollout, input)) {
 		return PD_ROLLOUT_ADVANCE;
@@ -873,6 +880,11 @@
 			set_phase(rollout, PD_ROLLOUT_HALTED, now_us);
 		return;
 	}
+	/* A head that has started meanwhile has results of the other heads' full phase. */
+	if (input->another_full && !rollout->full_since_us) {
+		rollout->full_since_us = now_us;
+		rollout->full_until_us = now_us;
+	}
 	move_window(rollout, input, now_us);
 	update_rate(rollout, input, now_us);
 	switch (pd_rollout_decide(rollout, input, now_us, &verdict)) {
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -128,6 +128,7 @@
 /**
  * struct pd_rollout_verdict - comparison of the two versions
  * @bad: the new version is worse
+ * @doubtful: it may be worse, which more results will show
  * @reason: why, for the log
  * @route: route that shows it; empty for all
  * @samples: number of responses of the new version
@@ -135,6 +136,7 @@
  */
 struct pd_rollout_verdict {
 	bool bad;
+	bool doubtful;
 	const char *reason;
 	struct pd_name route;
 	uint32_t samples;
--- a/standins/platform_upstream.h
+++ b/standins/platform_upstream.h
@@ -33,7 +33,7 @@
  * @PLATFORM_UPSTREAM_FLAKY: executes them and responds to every third one with 500, to the others
  * as the mode "late"
  * @PLATFORM_UPSTREAM_OVERLOADED: executes them and responds as the mode "late", but with 500 while
- * it gets more than ten requests in a second
+ * it gets more than five requests in half a second
  * @PLATFORM_UPSTREAM_ROUTE: executes them and responds as the mode "late", but with 500 to those
  * whose path begins with "/bad/"
  * @PLATFORM_UPSTREAM_OVERFULL: resets each new connection, as an upstream does that is over its
@@ -96,8 +96,9 @@
  * @lock: guards the members from @mode to @leaving
  * @mode: how the upstream handles requests
  * @delay_ms: delay of responses in the mode PLATFORM_UPSTREAM_LATE, in milliseconds
- * @second_us: start of the second in which requests are counted for PLATFORM_UPSTREAM_OVERLOADED
- * @second_count: number of requests in that second
+ * @window_us: start of the half second in which requests are counted for
+ * PLATFORM_UPSTREAM_OVERLOADED
+ * @window_count: number of requests in that half second
  * @received_count: number of requests received
  * @executed_count: number of requests executed
  * @endless_count: number of responses without end that are being sent
@@ -121,8 +122,8 @@
 	pthread_mutex_t lock;
 	enum platform_upstream_mode mode;
 	int delay_ms;
-	int64_t second_us;
-	uint32_t second_count;
+	int64_t window_us;
+	uint32_t window_count;
 	uint32_t received_count;
 	uint32_t executed_count;
 	uint32_t endless_count;
