--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -74,8 +74,13 @@
 #define RATE_US	 (1000.0 * PD_USEC_PER_MSEC)
 #define BURST_US (300.0 * PD_USEC_PER_MSEC)
 /* Length of a window; faults that begin late show in the last two of them. */
-#define WINDOW_US	(3000 * PD_USEC_PER_MSEC)
-#define CALL_BACKOFF_US (300 * PD_USEC_PER_MSEC)
+#define WINDOW_US (3000 * PD_USEC_PER_MSEC)
+/* Delay after a call that failed, doubled with each further one up to the second number: calls are
+ * billed. A call that the store doesn't understand will fail again.
+ */
+#define CALL_BACKOFF_US		(300 * PD_USEC_PER_MSEC)
+#define CALL_BACKOFF_MAX_US	(1200 * PD_USEC_PER_MSEC)
+#define CALL_BACKOFF_INVALID_US (10000 * PD_USEC_PER_MSEC)
 /* A head waits this long for each head that writes before it. */
 #define RANK_DELAY_US (200 * PD_USEC_PER_MSEC)
 /* Until then, the other heads aren't heard yet. */
@@ -939,6 +944,7 @@
 	if (rollout->writing || now_us < rollout->next_call_us || !rollout->wanted ||
 	    pd_rollout_is_final(rollout->state))
 		return PD_ROLLOUT_NO_CALL;
+	rollout->call_revision = rollout->revision;
 	if (rollout->must_read) {
 		rollout->writing = true;
 		return PD_ROLLOUT_CALL_READ;
@@ -953,16 +959,34 @@
 	return PD_ROLLOUT_CALL_WRITE;
 }
 
+/* Delays the next call after one that failed. */
+static void back_off(struct pd_rollout *rollout, enum pd_code code, int64_t now_us)
+{
+	int64_t delay_us = CALL_BACKOFF_US;
+
+	for (uint32_t i = 0; i < rollout->failures && delay_us < CALL_BACKOFF_MAX_US; i++)
+		delay_us *= 2;
+	rollout->failures++;
+	rollout->next_call_us = now_us + (code == PD_INVALID ? CALL_BACKOFF_INVALID_US : delay_us);
+}
+
 void pd_rollout_end_write(struct pd_rollout *rollout, enum pd_code code, int64_t now_us)
 {
+	bool known_later = rollout->revision != rollout->call_revision;
+
 	rollout->writing = false;
 	if (code == PD_OK) {
-		rollout->state = rollout->written;
+		rollout->failures = 0;
+		if (!known_later)
+			rollout->state = rollout->written;
 		return;
 	}
-	/* Only a write that the store has refused is certainly not executed later. */
-	rollout->must_read = code != PD_UNAVAILABLE;
-	rollout->next_call_us = now_us + (code == PD_CONFLICT ? 0 : CALL_BACKOFF_US);
+	/* Only a write that the store has refused, or whose condition doesn't hold any more, is
+	 * certainly not executed later.
+	 */
+	rollout->must_read = code != PD_UNAVAILABLE && !known_later;
+	if (code != PD_CONFLICT)
+		back_off(rollout, code, now_us);
 }
 
 void pd_rollout_end_read(struct pd_rollout *rollout, bool succeeded, bool found,
@@ -971,9 +995,10 @@
 	rollout->writing = false;
 	if (!succeeded || !found) {
 		/* Without the object, the order is over as soon as the store's watch says so. */
-		rollout->next_call_us = now_us + CALL_BACKOFF_US;
+		back_off(rollout, PD_UNAVAILABLE, now_us);
 		return;
 	}
+	rollout->failures = 0;
 	rollout->must_read = false;
 	pd_rollout_observe(rollout, state, revision);
 }
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -173,10 +173,12 @@
  * @verdict: reason and figures of the decision
  * @state: state by the status, as far as known
  * @revision: revision of the object, on which the next write is conditional
+ * @call_revision: revision on which the last call was conditional
  * @writing: a write or read was handed out, and its result is awaited
  * @must_read: the result of a write isn't known: the object has to be read before the next write
  * @wanted: state that is to be written next
  * @written: state that was last handed out
+ * @failures: number of consecutive failed calls
  * @next_call_us: earliest time of the next write or read
  * @full_since_us: time at which the last full phase began; 0 if there was none
  * @full_length_us: time from its start until the outcome may be written
@@ -202,10 +204,12 @@
 	struct pd_rollout_verdict verdict;
 	enum pd_rollout_state state;
 	uint64_t revision;
+	uint64_t call_revision;
 	bool writing;
 	bool must_read;
 	enum pd_rollout_state wanted;
 	enum pd_rollout_state written;
+	uint32_t failures;
 	int64_t next_call_us;
 	int64_t full_since_us;
 	int64_t full_length_us;
--- a/ingress/rollout_exchange.c
+++ b/ingress/rollout_exchange.c
@@ -459,7 +459,9 @@
 	struct pd_rollout_job job;
 	enum pd_rollout_call call;
 
-	if (rollout->writing && pd_rollout_writer_take(&exchange->writer, &tracked->order, &job)) {
+	/* A result may be of an earlier time as a head. */
+	if (rollout->writing && pd_rollout_writer_take(&exchange->writer, &tracked->order, &job) &&
+	    job.order.revision == rollout->call_revision) {
 		if (job.call == PD_ROLLOUT_CALL_WRITE)
 			pd_rollout_end_write(rollout, job.code, now_us);
 		else
@@ -493,6 +495,19 @@
 		exchange->next_exposure_us = now_us;
 }
 
+/* Begins anew when this instance isn't a head any more: what it has decided is out of date when it
+ * becomes one again.
+ */
+static void reset_rollout(struct pd_rollout_tracked *tracked)
+{
+	if (!tracked->rollout.started_us)
+		return;
+	pd_rollout_finish(&tracked->rollout);
+	pd_rollout_init(&tracked->rollout);
+	pd_rollout_observe(&tracked->rollout, tracked->order.state, tracked->order.revision);
+	tracked->decision_logged = PD_ROLLOUT_NONE;
+}
+
 static bool is_ignored(struct pd_rollout_tracked *tracked, const struct pd_version_view *view)
 {
 	if (!view->exists && !tracked->ignored)
@@ -528,6 +543,8 @@
 			continue;
 		if (instances.is_head)
 			lead(exchange, cluster, tracked, &view, now_us);
+		else
+			reset_rollout(tracked);
 		send_evidence(cluster, tracked, own, instances.is_head, now_us);
 	}
 	if (!instances.is_head || now_us < exchange->next_exposure_us)
--- a/tests/test_store_client.c
+++ b/tests/test_store_client.c
@@ -144,6 +144,41 @@
 }
 END_TEST
 
+START_TEST(status_is_written_only_to_the_known_revision)
+{
+	/* Guards against a second outcome of a roll-out: a write after another one must fail, also
+	 * if the response to that was lost or it was executed late.
+	 */
+	struct pd_rollout_order order = {.object = "s", .object_len = 1};
+	struct pd_error err;
+	char state[32];
+
+	ck_assert(pd_name_set(&order.target, PD_STR("v2")));
+	order.revision = list_revision();
+	ck_assert_int_eq(pd_store_write_status(&client, &order, PD_ROLLOUT_RUNNING, &err),
+			 PD_NOT_FOUND);
+	platform_store_put(&server, "rollouts", "s", json_object());
+	ck_assert_int_eq(pd_store_write_status(&client, &order, PD_ROLLOUT_RUNNING, &err),
+			 PD_CONFLICT);
+	order.revision = list_revision();
+	platform_store_lose_statuses(&server, 0, 1);
+	ck_assert_int_eq(pd_store_write_status(&client, &order, PD_ROLLOUT_COMPLETED, &err),
+			 PD_UNKNOWN_OUTCOME);
+	ck_assert_uint_eq(list_revision(), order.revision);
+	platform_store_lose_statuses(&server, 1, 0);
+	ck_assert_int_eq(pd_store_write_status(&client, &order, PD_ROLLOUT_RUNNING, &err),
+			 PD_UNKNOWN_OUTCOME);
+	pd_os_sleep_us(2200 * PD_USEC_PER_MSEC);
+	platform_store_get_status(&server, "rollouts", "s", "state", state, sizeof(state));
+	ck_assert_str_eq(state, "running");
+	ck_assert_int_eq(pd_store_write_status(&client, &order, PD_ROLLOUT_ROLLED_BACK, &err),
+			 PD_CONFLICT);
+	order.revision = list_revision();
+	ck_assert_int_eq(pd_store_write_status(&client, &order, PD_ROLLOUT_ROLLED_BACK, &err),
+			 PD_OK);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -153,6 +188,7 @@
 		closed_idle_connection_is_reopened,
 		second_create_returns_conflict,
 		failed_calls_return_distinct_codes,
+		status_is_written_only_to_the_known_revision,
 	};
 
 	return suite_run_with("store_client", setup, teardown, tests,
