--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -673,13 +673,16 @@
 	}
 }
 
-/* Logs the view when this instance becomes a head or a follower, or hears more or fewer zones. */
+/* Logs the view when this instance becomes a head or a follower, when the list of instances
+ * changes, and when it hears more or fewer zones.
+ */
 static void log_changes(struct pd_cluster *cluster, int64_t now_us)
 {
 	struct pd_cluster_view view;
 
 	pd_cluster_view(cluster, now_us, &view);
 	if (view.is_head == cluster->logged.is_head &&
+	    view.instance_count == cluster->logged.instance_count &&
 	    view.zones_heard == cluster->logged.zones_heard &&
 	    view.zone_count == cluster->logged.zone_count)
 		return;
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -128,6 +128,7 @@
 /**
  * struct pd_rollout_verdict - comparison of the two versions
  * @bad: the new version is worse
+ * @doubtful: it may be worse, which more results will show
  * @reason: why, for the log
  * @route: route that shows it; empty for all
  * @samples: number of responses of the new version
@@ -135,6 +136,7 @@
  */
 struct pd_rollout_verdict {
 	bool bad;
+	bool doubtful;
 	const char *reason;
 	struct pd_name route;
 	uint32_t samples;
@@ -163,19 +165,23 @@
 
 /**
  * struct pd_rollout - a running order at a head
+ * @started_us: time of the first update; 0 before it
  * @phase: current phase
- * @phase_since_us: time at which it began; 0 before the first update
+ * @phase_since_us: time at which it began
  * @passed: a full phase has ended without an objection
  * @decided: outcome that is to be written; PD_ROLLOUT_RUNNING if there is none yet
  * @verdict: reason and figures of the decision
  * @state: state by the status, as far as known
  * @revision: revision of the object, on which the next write is conditional
+ * @call_revision: revision on which the last call was conditional
  * @writing: a write or read was handed out, and its result is awaited
  * @must_read: the result of a write isn't known: the object has to be read before the next write
  * @wanted: state that is to be written next
  * @written: state that was last handed out
+ * @failures: number of consecutive failed calls
  * @next_call_us: earliest time of the next write or read
  * @full_since_us: time at which the last full phase began; 0 if there was none
+ * @full_length_us: time from its start until the outcome may be written
  * @full_until_us: time at which it ends if no outcome is known; other heads rely on it
  * @per_s: requests per second to the service now
  * @burst_per_s: the same, of a shorter time
@@ -190,6 +196,7 @@
  * @work: evidence that is being compared
  */
 struct pd_rollout {
+	int64_t started_us;
 	enum pd_rollout_phase phase;
 	int64_t phase_since_us;
 	bool passed;
@@ -197,12 +204,15 @@
 	struct pd_rollout_verdict verdict;
 	enum pd_rollout_state state;
 	uint64_t revision;
+	uint64_t call_revision;
 	bool writing;
 	bool must_read;
 	enum pd_rollout_state wanted;
 	enum pd_rollout_state written;
+	uint32_t failures;
 	int64_t next_call_us;
 	int64_t full_since_us;
+	int64_t full_length_us;
 	int64_t full_until_us;
 	double per_s;
 	double burst_per_s;
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -13,6 +13,8 @@
 
 /* A long wait saves calls; TCP keep-alive detects a broken connection meanwhile. */
 #define WATCH_WAIT_MS 25000
+/* Time after the start in which the orders of roll-outs are left to a source, if there is one. */
+#define ORDERS_DELAY_US (700 * PD_USEC_PER_MSEC)
 /* Longest wait of a watch that proves that the configuration is the newest one, and the part of the
  * time until the proof is too old for which it waits. A proof is up to twice the wait old when the
  * next one arrives, and followers learn it up to half a second later: two thirds of the time remain
@@ -231,10 +233,12 @@
 
 /* Whether an instance that is starting leaves the kind to its source. A stale list of orders is of
  * no use, see list_all(), and a current one is billed ten times as much: only heads read it.
+ * Followers have found their source by ORDERS_DELAY_US.
  */
 static bool is_left_to_source(const struct pd_sync_task *task)
 {
-	return task->kind == PD_OBJECT_ROLLOUTS && task->sync->mode == PD_SYNC_STARTING;
+	return task->kind == PD_OBJECT_ROLLOUTS && task->sync->mode == PD_SYNC_STARTING &&
+	       !task->listed && pd_os_now_us() < task->sync->orders_from_us;
 }
 
 bool pd_sync_is_current(struct pd_sync *sync)
@@ -824,7 +828,10 @@
 		/* The list becomes outdated, because changes are received from another instance. */
 		if (sync->mode == PD_SYNC_PAUSED)
 			task->listed = false;
-		pthread_cond_wait(&sync->changed, &sync->lock);
+		if (is_left_to_source(task))
+			pd_os_cond_wait_until(&sync->changed, &sync->lock, sync->orders_from_us);
+		else
+			pthread_cond_wait(&sync->changed, &sync->lock);
 		waited = true;
 	}
 	address = sync->address;
@@ -854,6 +861,7 @@
 
 enum pd_code pd_sync_start(struct pd_sync *sync, struct pd_error *err)
 {
+	sync->orders_from_us = pd_os_now_us() + ORDERS_DELAY_US;
 	for (size_t i = 0; i < sync->task_count; i++) {
 		struct pd_sync_task *task = &sync->tasks[i];
 		const char *name = pd_object_kind_name(task->kind);
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -95,6 +95,8 @@
  * @evacuated: names of the evacuated zones; used only by the task for evacuations
  * @evacuated_count: number of entries in @evacuated
  * @rollouts: orders of roll-outs; used only by the task for them; NULL if they aren't read
+ * @orders_from_us: time from which an instance that is starting reads the orders itself, in
+ *	microseconds of pd_os_now_us()
  * @unreadable: hashes of the unreadable objects that were logged last, with their reasons
  * @unreadable_count: number of unreadable objects that were logged
  */
@@ -115,6 +117,7 @@
 	struct pd_name evacuated[PD_FEED_ZONES_MAX];
 	size_t evacuated_count;
 	struct pd_rollout_set *rollouts;
+	int64_t orders_from_us;
 	uint64_t unreadable[PD_SYNC_UNREADABLE_MAX];
 	size_t unreadable_count;
 };
