--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -506,6 +506,18 @@
 	return per_s * TICK_US / PD_USEC_PER_SEC;
 }
 
+/* Sends the requests of a tick: a whole number, and one more by chance. */
+static void send_requests(void)
+{
+	double requests = requests_per_tick();
+	int whole = (int)requests;
+
+	for (int i = 0; i < whole + 1; i++) {
+		if (i < whole || draw() < requests - whole)
+			send_request();
+	}
+}
+
 static void play(enum fault fault, enum trouble trouble, unsigned int seed)
 {
 	finish();
@@ -523,12 +535,7 @@
 	for (int i = 0; i < ORIGINS; i++)
 		sim.credit[i] = draw();
 	for (; sim.now_us < START_US + SETTLE_US; sim.now_us += TICK_US) {
-		double requests = requests_per_tick();
-
-		for (; requests > 0; requests--) {
-			if (draw() < requests)
-				send_request();
-		}
+		send_requests();
 		end_requests();
 		if (sim.now_us % (2 * TICK_US) == 0)
 			send_evidence();
