Quotas: the enforced rate uses what the bound of a window allows

An account of 3 requests per second that sent 4.6 was refused 41% of them, although the bound of a window allows 39.8 in 5 s and it sent at most 19: rate and burst were enforced exactly, and the overage and slack of the bound served as a reserve only.

The rate is raised so that rate, burst and a reserve of 1.45 s of it and 4 requests reach the bound. Parts of a divided fleet use the raised rate and share what is left.

The bounds of all fleets are unchanged.

--- a/ingress/quota.c
+++ b/ingress/quota.c
@@ -35,6 +35,13 @@
 /* Part of the allowed excess that requests may take up that are sent before an instance hears that
  * a bucket is empty; the other part is for instances that are cut off. */
 #define LAG_SHARE 0.5
+/* Part of the bound of a window that isn't used for a higher rate: RESERVE_S seconds of the
+ * enforced rate and RESERVE_TOKENS. Fleets of the tests exceed their buckets by as much when an
+ * account is noisy while heads fail, or while a part is cut off and returns. The excess is in
+ * proportion to the rate that is enforced, since both sides of a partition use it until they
+ * notice. */
+#define RESERVE_S      1.45
+#define RESERVE_TOKENS 4.0
 /* An account that isn't in use for this long has a full bucket again at any usual limit. */
 #define IDLE_US	 (30 * PD_USEC_PER_SEC)
 #define PRUNE_US PD_USEC_PER_SEC
@@ -48,15 +55,34 @@
 /**
  * struct pd_quota_limit - limit of an account by the configuration
  * @hash: hash of its name
- * @rate_per_s: rate; 0 for no limit
+ * @rate_per_s: rate that it is enforced with; 0 for no limit
  * @burst: burst
+ * @spare: as in &struct pd_quota_bucket
  */
 struct pd_quota_limit {
 	uint64_t hash;
 	double rate_per_s;
 	double burst;
+	double spare;
 };
 
+/* Returns the number of requests that the bound of a window allows beyond rate and burst. */
+static double allowed_excess(const struct pd_quota_bounds *bounds, double rate_per_s, double burst)
+{
+	return (rate_per_s * bounds->window_s + burst) * bounds->overage + bounds->slack;
+}
+
+double pd_quota_enforced_rate(const struct pd_quota_bounds *bounds, double rate_per_s, double burst)
+{
+	double excess = allowed_excess(bounds, rate_per_s, burst);
+	double reserve = RESERVE_S * rate_per_s + RESERVE_TOKENS;
+
+	if (rate_per_s <= 0 || bounds->window_s <= 0 || excess <= reserve)
+		return rate_per_s;
+	/* What is added is added to the reserve, too. */
+	return rate_per_s + (excess - reserve) / (bounds->window_s + RESERVE_S);
+}
+
 void pd_quota_init(struct pd_quota *quota, const struct pd_quota_bounds *bounds, uint64_t seed)
 {
 	memset(quota, 0, sizeof(*quota));
@@ -109,6 +135,15 @@
 	return (double)(next_random(quota) >> 11) * 0x1p-53;
 }
 
+/* Returns the part of the instances of the zones that this head hears that it covers, with the
+ * heads that it hears. */
+static double covered_part(const struct pd_quota_fleet *fleet)
+{
+	return fleet->heard_instances
+		       ? (double)fleet->heard_covered / (double)fleet->heard_instances
+		       : 1;
+}
+
 /* Returns the part of the quota that an account's bucket gets here. A head that hears only some of
  * the zones uses their part. Heads that cover the lesser part of the instances of the zones that
  * they hear share what the bound allows beyond the quota, which the others may use whole; several
@@ -124,10 +159,10 @@
 	if (!fleet->is_head || !fleet->zones || !fleet->heard_instances)
 		return 1;
 	zones = (double)fleet->zones_heard / (double)fleet->zones;
-	covered = (double)fleet->heard_covered / (double)fleet->heard_instances;
+	covered = covered_part(fleet);
 	if (covered >= 0.5 || quota_in_window <= 0)
 		return zones;
-	excess = LAG_SHARE * (bounds->overage + bounds->slack / quota_in_window);
+	excess = LAG_SHARE * bucket->spare / quota_in_window;
 	return zones * covered * fmin(1, 2 * excess);
 }
 
@@ -196,6 +231,25 @@
 	return true;
 }
 
+/* Returns the tokens with which a bucket starts at a head that has just become one. Small groups
+ * that were cut off from each other would exceed the bound if each of them admitted a request of an
+ * account at once: those of up to a half of all instances have what is left of the bound, by chance
+ * if that is less than a token. An instance that has just started is alone until it finds another
+ * one, and isn't cut off.
+ */
+static double first_tokens(struct pd_quota *quota, const struct pd_quota_bucket *bucket)
+{
+	const struct pd_quota_fleet *fleet = &quota->fleet;
+	double tokens;
+
+	if (covered_part(fleet) >= 0.5 || !quota->heard_us || !fleet->instances)
+		return FIRST_TOKENS;
+	tokens = 2 * bucket->spare * (double)fleet->heard_covered / (double)fleet->instances;
+	if (tokens < 1)
+		return next_uniform(quota) < tokens;
+	return fmin(FIRST_TOKENS, tokens);
+}
+
 static bool has_credit(const struct pd_quota *quota, int64_t now_us)
 {
 	return quota->widened_us && now_us - quota->widened_us < CREDIT_US;
@@ -204,7 +258,7 @@
 /* Sets the tokens of a new bucket: the whole burst at a follower, whose head knows better, and at a
  * head as far as it has seen the use for long enough.
  */
-static void fill_first(const struct pd_quota *quota, struct pd_quota_bucket *bucket, int64_t now_us)
+static void fill_first(struct pd_quota *quota, struct pd_quota_bucket *bucket, int64_t now_us)
 {
 	double rate = rate_of(quota, bucket);
 
@@ -213,7 +267,8 @@
 	if (!quota->fleet.is_head)
 		return;
 	bucket->tokens =
-		fmin(bucket->tokens, FIRST_TOKENS + rate * elapsed_s(quota->head_since_us, now_us));
+		fmin(bucket->tokens,
+		     first_tokens(quota, bucket) + rate * elapsed_s(quota->head_since_us, now_us));
 	if (has_credit(quota, now_us))
 		bucket->credit = rate * RECENT_US / PD_USEC_PER_SEC;
 }
@@ -249,6 +304,7 @@
 	if (limit) {
 		bucket->rate_per_s = limit->rate_per_s;
 		bucket->burst = limit->burst;
+		bucket->spare = limit->spare;
 	}
 	bucket->active_us = now_us;
 	fill_first(quota, bucket, now_us);
@@ -818,10 +874,25 @@
 	update(quota, bucket, now_us);
 	bucket->rate_per_s = limit ? limit->rate_per_s : 0;
 	bucket->burst = limit ? limit->burst : 0;
+	bucket->spare = limit ? limit->spare : 0;
 	bucket->tokens = was_limited ? fmin(bucket->tokens, capacity_of(quota, bucket))
 				     : capacity_of(quota, bucket);
 }
 
+static struct pd_quota_limit limit_of(const struct pd_quota_bounds *bounds,
+				      const struct pd_account *account)
+{
+	double rate = pd_quota_enforced_rate(bounds, account->rate_per_s, account->burst);
+
+	return (struct pd_quota_limit){
+		.hash = account->hash,
+		.rate_per_s = rate,
+		.burst = account->burst,
+		.spare = allowed_excess(bounds, account->rate_per_s, account->burst) -
+			 (rate - account->rate_per_s) * bounds->window_s,
+	};
+}
+
 void pd_quota_set_limits(struct pd_quota *quota, const struct pd_account *accounts, size_t count_,
 			 int64_t now_us)
 {
@@ -832,9 +903,7 @@
 		return;
 	}
 	for (size_t i = 0; i < count_; i++)
-		limits[i] = (struct pd_quota_limit){.hash = accounts[i].hash,
-						    .rate_per_s = accounts[i].rate_per_s,
-						    .burst = accounts[i].burst};
+		limits[i] = limit_of(&quota->bounds, &accounts[i]);
 	qsort(limits, count_, sizeof(*limits), compare_limits);
 	pthread_mutex_lock(&quota->lock);
 	free(quota->limits);
@@ -870,7 +939,7 @@
 			bucket->tokens = fmin(bucket->tokens, news_tokens(bucket, now_us));
 		if (bucket->solo_us && bucket->silence_us == quota->heard_us)
 			bucket->tokens = fmin(bucket->tokens, bucket->solo_tokens);
-		bucket->tokens = fmin(bucket->tokens, FIRST_TOKENS);
+		bucket->tokens = fmin(bucket->tokens, first_tokens(quota, bucket));
 		bucket->credit = 0;
 		bucket->low = false;
 	}
--- a/ingress/quota.h
+++ b/ingress/quota.h
@@ -146,8 +146,9 @@
 /**
  * struct pd_quota_bucket - state of one account that is in use
  * @hash: hash of its name
- * @rate_per_s: rate of its quota; 0 for no limit
+ * @rate_per_s: rate that its quota is enforced with; 0 for no limit
  * @burst: burst of its quota
+ * @spare: number of requests by which rate and burst stay below the bound of a window
  * @tokens: number of tokens at @updated_us; negative for a debt
  * @updated_us: time of @tokens
  * @credit: tokens of the time before this head heard of it, for the use of that time
@@ -175,6 +176,7 @@
 	uint64_t hash;
 	double rate_per_s;
 	double burst;
+	double spare;
 	double tokens;
 	int64_t updated_us;
 	double credit;
@@ -240,6 +242,21 @@
 	int64_t pruned_us;
 };
 
+/**
+ * pd_quota_enforced_rate() - rate that the quota of an account is enforced with
+ * @bounds: how far the quota may be exceeded
+ * @rate_per_s: rate of the quota; 0 for no limit
+ * @burst: burst of the quota
+ *
+ * A request that is refused although the bound of the window allows it is a loss. The rate is
+ * therefore raised by what the bound allows beyond rate and burst, less a reserve for the requests
+ * that run before the instances hear of each other's use, and for failures.
+ *
+ * Return: the rate; at least @rate_per_s.
+ */
+double pd_quota_enforced_rate(const struct pd_quota_bounds *bounds, double rate_per_s,
+			      double burst);
+
 /* @seed is a random number other than 0. */
 void pd_quota_init(struct pd_quota *quota, const struct pd_quota_bounds *bounds, uint64_t seed);
 void pd_quota_finish(struct pd_quota *quota);
