--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -51,6 +51,7 @@
  */
 #define FAILURE_FACTOR	  2.0
 #define FAILURE_MARGIN	  0.03
+#define OUTAGE_SHARE	  0.5 /* of the requests to a zone that fail in an outage */
 #define REJECTIONS_MIN	  8
 #define REJECTION_SHARE	  0.5
 #define REJECTION_OLD_MAX 0.1
@@ -480,11 +481,34 @@
 	return true;
 }
 
+/* Whether most requests to the new version in one zone fail. */
+static bool has_outage(const struct pd_rollout_evidence *evidence)
+{
+	bool outage = false;
+
+	for (size_t i = 0; i < evidence->count && !outage; i++) {
+		uint32_t total = 0, failed = 0;
+
+		for (size_t j = 0; j < evidence->count; j++) {
+			const struct pd_rollout_counts *counts =
+				&evidence->strata[j].sides[PD_ROLLOUT_NEW];
+
+			if (evidence->strata[j].zone != evidence->strata[i].zone)
+				continue;
+			total += count_results(counts);
+			failed += counts->failed;
+		}
+		outage = share_of(failed, total) >= OUTAGE_SHARE;
+	}
+	return outage;
+}
+
 void pd_rollout_compare(struct pd_rollout_evidence *evidence, const struct pd_rollout_scope *scope,
 			struct pd_rollout_verdict *verdict)
 {
 	const struct thresholds *thresholds = scope->part ? &part_thresholds : &service_thresholds;
 	struct comparison comparison, route;
+	const char *doubt;
 
 	memset(verdict, 0, sizeof(*verdict));
 	if (zones_differ(evidence))
@@ -500,14 +524,19 @@
 		verdict->route = evidence->strata[i].route;
 		comparison = route;
 	}
-	verdict->doubtful = !verdict->reason &&
-			    find_objection(&comparison, scope->latency_too, &doubt_thresholds);
-	if (scope->zones > 1 &&
+	doubt = verdict->reason
+			? verdict->reason
+			: find_objection(&comparison, scope->latency_too, &doubt_thresholds);
+	/* Without a zone that has an outage, failures may have fallen on one zone by chance. */
+	if (doubt && scope->zones > 1 &&
 	    (count_zones(evidence, &verdict->route) < 2 ||
 	     !holds_without_each_zone(evidence, &verdict->route, scope->latency_too))) {
 		verdict->reason = NULL;
-		verdict->doubtful = false;
+		if (comparison.failed[PD_ROLLOUT_NEW] < doubt_thresholds.failures_min ||
+		    has_outage(evidence))
+			doubt = NULL;
 	}
+	verdict->doubtful = doubt && !verdict->reason;
 	verdict->bad = verdict->reason != NULL;
 	describe(&comparison, verdict);
 }
--- a/ingress/rollout_evidence.c
+++ b/ingress/rollout_evidence.c
@@ -114,15 +114,6 @@
 	}
 }
 
-void pd_rollout_evidence_reset(struct pd_rollout_evidence *evidence)
-{
-	evidence->requests = 0;
-	memset(evidence->sent, 0, sizeof(evidence->sent));
-	memset(evidence->ended, 0, sizeof(evidence->ended));
-	for (size_t i = 0; i < evidence->count; i++)
-		memset(evidence->strata[i].sides, 0, sizeof(evidence->strata[i].sides));
-}
-
 void pd_rollout_evidence_merge_zones(struct pd_rollout_evidence *evidence)
 {
 	size_t count = 0;
@@ -164,6 +155,7 @@
 	for (size_t i = 0; i < ledger->count; i++)
 		pd_rollout_evidence_finish(&ledger->origins[i].evidence);
 	free(ledger->origins);
+	pd_rollout_evidence_finish(&ledger->sum);
 	memset(ledger, 0, sizeof(*ledger));
 }
 
@@ -191,11 +183,26 @@
 	return origin;
 }
 
-void pd_rollout_ledger_sum(const struct pd_rollout_ledger *ledger, struct pd_rollout_evidence *sum)
+/* Adds to the sum what the counts of a process exceed earlier ones by. */
+static void add_difference(struct pd_rollout_ledger *ledger,
+			   const struct pd_rollout_evidence *evidence,
+			   const struct pd_rollout_evidence *earlier)
 {
-	pd_rollout_evidence_reset(sum);
-	for (size_t i = 0; i < ledger->count; i++)
-		pd_rollout_evidence_add(sum, &ledger->origins[i].evidence);
+	struct pd_rollout_evidence difference = {0};
+
+	pd_rollout_evidence_add(&difference, evidence);
+	pd_rollout_evidence_subtract(&difference, earlier,
+				     1U << PD_ROLLOUT_OLD | 1U << PD_ROLLOUT_NEW);
+	pd_rollout_evidence_add(&ledger->sum, &difference);
+	pd_rollout_evidence_finish(&difference);
+}
+
+void pd_rollout_ledger_set(struct pd_rollout_ledger *ledger, struct pd_rollout_origin *origin,
+			   const struct pd_rollout_evidence *evidence)
+{
+	add_difference(ledger, evidence, &origin->evidence);
+	pd_rollout_evidence_finish(&origin->evidence);
+	pd_rollout_evidence_add(&origin->evidence, evidence);
 }
 
 size_t pd_rollout_ledger_drained(const struct pd_rollout_ledger *ledger, int64_t max_age_us,
@@ -212,8 +219,10 @@
 	return drained;
 }
 
-/* Raises a count to the next item of a payload; returns whether it was lower. */
-static bool read_count(struct pd_datagram_reader *reader, uint32_t *count)
+/* Raises a count to the next item of a payload, and the sum by the same; returns whether it was
+ * lower.
+ */
+static bool read_count(struct pd_datagram_reader *reader, uint32_t *count, uint32_t *sum)
 {
 	uint64_t value = pd_datagram_get_uint(reader);
 
@@ -221,24 +230,26 @@
 		reader->failed = true;
 	if (reader->failed || value <= *count)
 		return false;
+	*sum += (uint32_t)value - *count;
 	*count = (uint32_t)value;
 	return true;
 }
 
 static void read_state(struct pd_rollout_origin *origin, struct pd_datagram_reader *reader,
-		       bool follower, int64_t now_us)
+		       struct pd_rollout_evidence *sum, bool follower, int64_t now_us)
 {
 	struct pd_rollout_gauges gauges = {0};
 	struct pd_rollout_evidence *evidence = &origin->evidence;
-	bool changed = read_count(reader, &evidence->requests);
+	bool changed = read_count(reader, &evidence->requests, &sum->requests);
+	uint32_t unused = 0;
 
 	for (int side = 0; side < PD_ROLLOUT_SIDES; side++) {
-		changed |= read_count(reader, &evidence->sent[side]);
-		changed |= read_count(reader, &evidence->ended[side]);
+		changed |= read_count(reader, &evidence->sent[side], &sum->sent[side]);
+		changed |= read_count(reader, &evidence->ended[side], &sum->ended[side]);
 	}
 	gauges.sequence = pd_datagram_get_uint(reader);
 	gauges.full = pd_datagram_get_uint(reader) != 0;
-	read_count(reader, &gauges.old_in_flight);
+	read_count(reader, &gauges.old_in_flight, &unused);
 	if (reader->failed)
 		return;
 	origin->changed |= changed;
@@ -249,13 +260,14 @@
 	origin->follower = follower;
 }
 
-static bool read_counts(struct pd_datagram_reader *reader, struct pd_rollout_counts *counts)
+static bool read_counts(struct pd_datagram_reader *reader, struct pd_rollout_counts *counts,
+			struct pd_rollout_counts *sum)
 {
-	bool changed = read_count(reader, &counts->ok);
+	bool changed = read_count(reader, &counts->ok, &sum->ok);
 	uint64_t bins;
 
-	changed |= read_count(reader, &counts->failed);
-	changed |= read_count(reader, &counts->rejected);
+	changed |= read_count(reader, &counts->failed, &sum->failed);
+	changed |= read_count(reader, &counts->rejected, &sum->rejected);
 	bins = pd_datagram_get_uint(reader);
 	for (uint64_t i = 0; i < bins && !reader->failed; i++) {
 		uint64_t bin = pd_datagram_get_uint(reader);
@@ -263,15 +275,15 @@
 		if (bin >= PD_ROLLOUT_BINS)
 			reader->failed = true;
 		else
-			changed |= read_count(reader, &counts->latency[bin]);
+			changed |= read_count(reader, &counts->latency[bin], &sum->latency[bin]);
 	}
 	return changed;
 }
 
-static void read_stratum(struct pd_rollout_origin *origin, struct pd_datagram_reader *reader)
+static void read_stratum(struct pd_rollout_origin *origin, struct pd_datagram_reader *reader,
+			 struct pd_rollout_evidence *sum)
 {
-	struct pd_rollout_counts ignored = {0};
-	struct pd_rollout_stratum *stratum;
+	struct pd_rollout_stratum ignored = {0}, ignored_sum = {0}, *stratum, *total;
 	struct pd_str text = pd_datagram_get_str(reader);
 	uint64_t zone = pd_datagram_get_uint(reader);
 	struct pd_name route = {0};
@@ -281,34 +293,44 @@
 	if (reader->failed)
 		return;
 	stratum = pd_rollout_evidence_stratum(&origin->evidence, &route, zone);
+	total = pd_rollout_evidence_stratum(sum, &route, zone);
+	if (!stratum || !total) {
+		stratum = &ignored;
+		total = &ignored_sum;
+	}
 	for (int side = 0; side < PD_ROLLOUT_SIDES; side++)
-		origin->changed |= read_counts(reader, stratum ? &stratum->sides[side] : &ignored);
+		origin->changed |= read_counts(reader, &stratum->sides[side], &total->sides[side]);
 }
 
 bool pd_rollout_ledger_read(struct pd_rollout_ledger *ledger, struct pd_datagram_reader *reader,
 			    bool follower, uint64_t own, int64_t now_us)
 {
+	struct pd_rollout_evidence scratch_sum = {0};
 	struct pd_rollout_origin scratch = {0};
 
 	while (!reader->failed && !pd_datagram_reader_at_end(reader)) {
 		uint64_t kind = pd_datagram_get_uint(reader);
 		uint64_t id = pd_datagram_get_uint(reader);
+		struct pd_rollout_evidence *sum = &ledger->sum;
 		struct pd_rollout_origin *origin = NULL;
 
 		if (reader->failed)
 			break;
 		if (id != own)
 			origin = pd_rollout_ledger_origin(ledger, id);
-		if (!origin)
+		if (!origin) {
 			origin = &scratch;
+			sum = &scratch_sum;
+		}
 		if (kind == RECORD_STATE)
-			read_state(origin, reader, follower, now_us);
+			read_state(origin, reader, sum, follower, now_us);
 		else if (kind == RECORD_STRATUM)
-			read_stratum(origin, reader);
+			read_stratum(origin, reader, sum);
 		else
 			reader->failed = true;
 	}
 	pd_rollout_evidence_finish(&scratch.evidence);
+	pd_rollout_evidence_finish(&scratch_sum);
 	return !reader->failed;
 }
 
--- a/ingress/rollout_evidence.h
+++ b/ingress/rollout_evidence.h
@@ -81,8 +81,6 @@
 /* Subtracts the counts of an earlier copy, for the sides in @sides (a bit for each). */
 void pd_rollout_evidence_subtract(struct pd_rollout_evidence *evidence,
 				  const struct pd_rollout_evidence *earlier, unsigned int sides);
-/* Sets all counts to 0 and keeps the order of the entries. */
-void pd_rollout_evidence_reset(struct pd_rollout_evidence *evidence);
 /* Merges the entries of each route. */
 void pd_rollout_evidence_merge_zones(struct pd_rollout_evidence *evidence);
 
@@ -120,10 +118,16 @@
 	struct pd_rollout_evidence evidence;
 };
 
-/** struct pd_rollout_ledger - evidence of all instances; zeroed when empty */
+/**
+ * struct pd_rollout_ledger - evidence of all instances; zeroed when empty
+ * @origins: what is known of each process
+ * @count: number of entries in @origins
+ * @sum: sum of all counts, whose entries keep their order
+ */
 struct pd_rollout_ledger {
 	struct pd_rollout_origin *origins;
 	size_t count;
+	struct pd_rollout_evidence sum;
 };
 
 void pd_rollout_ledger_finish(struct pd_rollout_ledger *ledger);
@@ -131,8 +135,9 @@
  * runs out.
  */
 struct pd_rollout_origin *pd_rollout_ledger_origin(struct pd_rollout_ledger *ledger, uint64_t id);
-/* Sums up all counts. @sum keeps the order of its entries between calls. */
-void pd_rollout_ledger_sum(const struct pd_rollout_ledger *ledger, struct pd_rollout_evidence *sum);
+/* Replaces the counts of a process by higher ones. */
+void pd_rollout_ledger_set(struct pd_rollout_ledger *ledger, struct pd_rollout_origin *origin,
+			   const struct pd_rollout_evidence *evidence);
 /* Returns the number of followers that were heard within @max_age_us and send nothing to the old
  * version any more.
  */
--- a/ingress/rollout_exchange.c
+++ b/ingress/rollout_exchange.c
@@ -37,7 +37,6 @@
 {
 	pd_rollout_finish(&tracked->rollout);
 	pd_rollout_ledger_finish(&tracked->ledger);
-	pd_rollout_evidence_finish(&tracked->sum);
 	free(tracked);
 }
 
@@ -105,8 +104,9 @@
 	       tracked->order.service.text, tracked->order.target.text,
 	       pd_rollout_state_name(tracked->order.state),
 	       own ? rollout->verdict.reason : "another_head",
-	       (now_us - tracked->order.started_us) / PD_USEC_PER_MSEC, tracked->sum.requests,
-	       tracked->sum.sent[PD_ROLLOUT_NEW], own ? rollout->verdict.figures : "");
+	       (now_us - tracked->order.started_us) / PD_USEC_PER_MSEC,
+	       tracked->ledger.sum.requests, tracked->ledger.sum.sent[PD_ROLLOUT_NEW],
+	       own ? rollout->verdict.figures : "");
 }
 
 /* Takes over what is known of a tracked order from the store. */
@@ -181,8 +181,8 @@
 	own->gauges.full = view->full;
 	own->gauges.old_in_flight = view->old_in_flight;
 	own->heard_us = now_us;
-	pd_rollout_evidence_finish(&own->evidence);
-	own->evidence = evidence;
+	pd_rollout_ledger_set(&tracked->ledger, own, &evidence);
+	pd_rollout_evidence_finish(&evidence);
 	return own;
 }
 
@@ -410,7 +410,7 @@
 		.duration_us = tracked->order.duration_ms * PD_USEC_PER_MSEC,
 		.share = exchange->share,
 		.slack = exchange->slack,
-		.evidence = &tracked->sum,
+		.evidence = &tracked->ledger.sum,
 		.target_ready = view->target_ready,
 		.same_version = view->same_version,
 		.connected = settled && instances.zones_heard == other_zones &&
@@ -435,9 +435,9 @@
 		       " target_ready=%d connected=%d drained=%d",
 		       tracked->order.service.text, tracked->order.target.text,
 		       pd_rollout_phase_name(rollout->phase), exchange->share / 2,
-		       input->age_us / PD_USEC_PER_MSEC, tracked->sum.requests,
-		       tracked->sum.sent[PD_ROLLOUT_NEW], input->target_ready, input->connected,
-		       input->drained);
+		       input->age_us / PD_USEC_PER_MSEC, tracked->ledger.sum.requests,
+		       tracked->ledger.sum.sent[PD_ROLLOUT_NEW], input->target_ready,
+		       input->connected, input->drained);
 	}
 	if (pd_rollout_is_final(rollout->decided) && rollout->decided != tracked->decision_logged)
 		pd_log(PD_LOG_INFO, "rollout_decision",
@@ -445,8 +445,9 @@
 		       " requests=%" PRIu32 " new_sent=%" PRIu32 " drained=%d %s",
 		       tracked->order.service.text, tracked->order.target.text,
 		       pd_rollout_state_name(rollout->decided), rollout->verdict.reason,
-		       input->age_us / PD_USEC_PER_MSEC, tracked->sum.requests,
-		       tracked->sum.sent[PD_ROLLOUT_NEW], input->drained, rollout->verdict.figures);
+		       input->age_us / PD_USEC_PER_MSEC, tracked->ledger.sum.requests,
+		       tracked->ledger.sum.sent[PD_ROLLOUT_NEW], input->drained,
+		       rollout->verdict.figures);
 	tracked->decision_logged = rollout->decided;
 }
 
@@ -483,7 +484,6 @@
 {
 	struct pd_rollout_input input;
 
-	pd_rollout_ledger_sum(&tracked->ledger, &tracked->sum);
 	fill_input(exchange, cluster, tracked, view, now_us, &input);
 	pd_rollout_update(&tracked->rollout, &input, now_us);
 	log_phase(exchange, tracked, &input);
--- a/ingress/rollout_exchange.h
+++ b/ingress/rollout_exchange.h
@@ -47,7 +47,6 @@
  * @order: the order
  * @rollout: its state, if this instance is a head
  * @ledger: evidence that was received, and that of this process
- * @sum: sum of the evidence in @ledger
  * @heads: statements of the other heads
  * @head_count: number of entries in @heads
  * @exposure_sender: number of the process that sent the last permission
@@ -66,7 +65,6 @@
 	struct pd_rollout_order order;
 	struct pd_rollout rollout;
 	struct pd_rollout_ledger ledger;
-	struct pd_rollout_evidence sum;
 	struct pd_rollout_head heads[PD_CLUSTER_HEADS_MAX];
 	size_t head_count;
 	uint64_t exposure_sender;
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -106,7 +106,6 @@
 struct head {
 	struct pd_rollout rollout;
 	struct pd_rollout_ledger ledger;
-	struct pd_rollout_evidence sum;
 	int64_t since_us, repeat_us, heard_us[HEADS];
 	struct message stated[HEADS];
 };
@@ -385,7 +384,7 @@
 					   .duration_us = DURATION_US,
 					   .share = SHARE,
 					   .slack = SLACK,
-					   .evidence = &head->sum,
+					   .evidence = &head->ledger.sum,
 					   .target_ready = true,
 					   .connected = settled && !store_is_down(),
 					   .others_full_us = INT64_MAX};
@@ -436,10 +435,8 @@
 	struct pd_rollout_input input;
 	enum pd_rollout_call call;
 
-	pd_rollout_evidence_finish(&own->evidence);
-	pd_rollout_evidence_add(&own->evidence, &sim.origins[index].evidence);
+	pd_rollout_ledger_set(&head->ledger, own, &sim.origins[index].evidence);
 	own->gauges = sim.origins[index].gauges;
-	pd_rollout_ledger_sum(&head->ledger, &head->sum);
 	fill_input(head, index, &input);
 	if (!store_is_down() && draw() < 0.3)
 		pd_rollout_observe(&head->rollout, sim.state, sim.revision);
@@ -460,7 +457,6 @@
 
 	pd_rollout_finish(&head->rollout);
 	pd_rollout_ledger_finish(&head->ledger);
-	pd_rollout_evidence_finish(&head->sum);
 	memset(head, 0, sizeof(*head));
 	pd_rollout_init(&head->rollout);
 	pd_rollout_observe(&head->rollout, sim.state, sim.revision);
