Quota: a new head states waits by the whole rate

Callers saw a Retry-After of up to 20 minutes: a head that has just become one covers 1 of 130 instances, and divided by the rate of that part.

--- a/ingress/quota.c
+++ b/ingress/quota.c
@@ -545,6 +545,17 @@
 	return after_us;
 }
 
+/* Returns the rate by which clients return to a head. One that has just become a head hears of the
+ * others within RECENT_US, so that the small part that it has until then says little of the time
+ * after: a wait by the part of 1 of 130 instances was 1,227 s. */
+static double return_rate(const struct pd_quota *quota, const struct pd_quota_bucket *bucket,
+			  int64_t now_us)
+{
+	bool is_new = quota->fleet.is_head && now_us - quota->head_since_us < RECENT_US;
+
+	return fmax(is_new ? bucket->rate_per_s : rate_of(quota, bucket), 1e-6);
+}
+
 /* Returns the time to wait of a refused request. Other instances may promise the same tokens until
  * they hear of each other, so that up to a quarter is added at random, and at least the time of one
  * token. */
@@ -552,14 +563,14 @@
 			      int64_t now_us)
 {
 	bool follows_news = !quota->fleet.is_head && bucket->low;
-	double rate = follows_news ? bucket->news.rate_per_s : rate_of(quota, bucket);
+	double rate = follows_news ? fmax(bucket->news.rate_per_s, 1e-6)
+				   : return_rate(quota, bucket, now_us);
 	int64_t wait_us, spread_us;
 
 	if (is_silent(quota, now_us)) {
 		wait_us = SILENT_WAIT_US;
 		spread_us = SILENT_WAIT_US / 2;
 	} else {
-		rate = fmax(rate, 1e-6);
 		wait_us = promise(bucket, tokens, rate, 1, now_us) - now_us;
 		spread_us = token_wait_us(1, rate);
 		if (spread_us < wait_us / 4)
@@ -834,7 +845,7 @@
 	merged.refused = larger(report->refused, use->report.refused);
 	add_demand(bucket, new_requests(use, &merged), now_us);
 	if (use->heard_us && merged.refused > use->report.refused && bucket->rate_per_s > 0)
-		promise(bucket, bucket->tokens, fmax(rate_of(quota, bucket), 1e-6),
+		promise(bucket, bucket->tokens, return_rate(quota, bucket, now_us),
 			(double)(merged.refused - use->report.refused), now_us);
 	if (merged.used > use->report.used || merged.returned > use->report.returned) {
 		charge_report(quota, bucket, use, &merged, now_us);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -637,6 +637,28 @@
 }
 END_TEST
 
+START_TEST(new_head_states_no_long_waits)
+{
+	/* Guards against waits by the rate of the few instances that a head covers at first. */
+	const struct pd_quota_fleet follower = {.zones = 1, .instances = 130};
+	struct pd_quota_fleet head = alone;
+
+	head.instances = head.heard_instances = 130;
+	head.heard_covered = 1;
+	pd_quota_set_fleet(&quota, &follower, now);
+	pd_quota_set_fleet(&quota, &head, now);
+	now += PD_USEC_PER_SEC / 10;
+	pd_quota_set_fleet(&quota, &head, now);
+	send_all();
+	ck_assert_int_le(pd_quota_admit(&quota, &account, now).wait_us, 2 * PD_USEC_PER_SEC);
+	/* A head that stays alone has only its part. */
+	now += 3 * PD_USEC_PER_SEC;
+	pd_quota_set_fleet(&quota, &head, now);
+	send_all();
+	ck_assert_int_gt(pd_quota_admit(&quota, &account, now).wait_us, 10 * PD_USEC_PER_SEC);
+}
+END_TEST
+
 START_TEST(suspended_instance_relies_on_nothing)
 {
 	/* Guards against a full bucket of an instance that continues after a suspension. */
@@ -760,6 +782,7 @@
 		grants_expire,
 		late_answers_are_given_back,
 		only_a_head_that_knows_decides,
+		new_head_states_no_long_waits,
 		suspended_instance_relies_on_nothing,
 		rate_is_raised_as_far_as_the_bound_allows,
 		idle_accounts_cost_nothing,
