--- a/src/counters.c
+++ b/src/counters.c
@@ -28,7 +28,8 @@
 
 uint64_t pd_count_get(enum pd_counter counter)
 {
-	/* The thread sanitizer reports a load of Concurrency Kit, a plain volatile read, as a race. */
+	/* The thread sanitizer reports a load of Concurrency Kit, a plain volatile read, as a race.
+	 */
 	return ck_pr_faa_64(&values[counter], 0);
 }
 
