Read-through: exact check of the followers' sum; one name for the least rate

Cause: the bound in the fuzz target was looser than what the code computes, and 1e-6 stood twice in quota.c.

--- a/fuzz/datagram.c
+++ b/fuzz/datagram.c
@@ -78,12 +78,17 @@
 static void check_conclusions(struct pd_cluster *cluster, struct pd_directory *directory,
 			      size_t received, int64_t now_us)
 {
+	size_t followers = cluster->follower_count;
 	struct pd_cluster_view view;
 
+	/* Each follower states how many follow it. */
+	for (size_t i = 0; i < cluster->follower_count; i++) {
+		check(cluster->followers[i].followers <= PD_CLUSTER_FOLLOWERS_MAX);
+		followers += cluster->followers[i].followers;
+	}
 	pd_cluster_view(cluster, now_us, &view);
 	check(cluster->follower_count <= received && cluster->head_count <= received);
-	/* Each follower states how many follow it. */
-	check(view.followers <= cluster->follower_count * (1 + PD_CLUSTER_FOLLOWERS_MAX));
+	check(view.followers == followers);
 	check(!view.zones_heard); /* no other zone is listed */
 	check(view.zone_covered >= 1 + view.followers);
 	check(pd_directory_config_confirmed_us(directory) <= last_ping_us(cluster));
--- a/ingress/quota.c
+++ b/ingress/quota.c
@@ -54,6 +54,8 @@
 /* An account that isn't in use for this long has a full bucket again at any usual limit. */
 #define IDLE_US	 (30 * PD_USEC_PER_SEC)
 #define PRUNE_US PD_USEC_PER_SEC
+/* A rate that times to return are divided by is at least this. */
+#define RATE_MIN_PER_S 1e-6
 /* Longest time to wait that a client is told. */
 #define WAIT_MAX_US (3600 * PD_USEC_PER_SEC)
 /* The part of it that is due to other clients, of which some don't come back after so long. */
@@ -553,7 +555,7 @@
 {
 	bool is_new = quota->fleet.is_head && now_us - quota->head_since_us < RECENT_US;
 
-	return fmax(is_new ? bucket->rate_per_s : rate_of(quota, bucket), 1e-6);
+	return fmax(is_new ? bucket->rate_per_s : rate_of(quota, bucket), RATE_MIN_PER_S);
 }
 
 /* Returns the time to wait of a refused request. Other instances may promise the same tokens until
@@ -563,7 +565,7 @@
 			      int64_t now_us)
 {
 	bool follows_news = !quota->fleet.is_head && bucket->low;
-	double rate = follows_news ? fmax(bucket->news.rate_per_s, 1e-6)
+	double rate = follows_news ? fmax(bucket->news.rate_per_s, RATE_MIN_PER_S)
 				   : return_rate(quota, bucket, now_us);
 	int64_t wait_us, spread_us;
 
