Counters: a value is set by an atomic exchange

The thread sanitizer reported that pd_count_get(), which made an atomic addition of 0, races with the store of pd_count_set() by pd_registry_install(). On the machines that we build for, the store is atomic; the sanitizer sees a plain volatile write (ck_pr_md_store). Reads were suppressed by name, stores are not, and a suppression would hide other stores. pd_count_set() is now an exchange, which the sanitizer knows as atomic; it runs once for each configuration, so that its cost doesn't matter.

--- a/src/counters.c
+++ b/src/counters.c
@@ -23,7 +23,10 @@
 
 void pd_count_set(enum pd_counter counter, uint64_t value)
 {
-	ck_pr_store_64(&values[counter], value);
+	/* An exchange, because the thread sanitizer takes a store of Concurrency Kit for a plain
+	 * write, which races with the atomic reads.
+	 */
+	(void)ck_pr_fas_64(&values[counter], value);
 }
 
 uint64_t pd_count_get(enum pd_counter counter)
