Serving: the first requests with keys let an instance prove its configuration

Cause: the first list is stale and proves nothing; the next proof comes when the instance watches the store or gets a PONG, and if its source has no proof yet, the next PING is 0.5 s later. Ruled out: current lists at each start, which cost a call for each of 130 instances; longer waits, which make short queries late. Now the first request with a key asks for a current list (at most one each 300 ms) and waits for a quarter of its latency objective, and PINGs follow each other after 100 ms until there is a proof.

Script revocation_start: 503 for all four requests before, served or refused by the current configuration now.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -17,7 +17,12 @@
 
 /* Two PINGs may be lost before a follower is no longer counted. */
 #define PING_INTERVAL_US (500 * PD_USEC_PER_MSEC)
-#define HEAD_INTERVAL_US (250 * PD_USEC_PER_MSEC)
+/* Interval and number of the first PINGs to a source while this instance has no proof of its
+ * configuration: when all instances restart, their source gets its own proof some 100 ms later.
+ */
+#define FIRST_PING_INTERVAL_US (100 * PD_USEC_PER_MSEC)
+#define FIRST_PINGS	       6
+#define HEAD_INTERVAL_US       (250 * PD_USEC_PER_MSEC)
 /* Instances of a zone without a known head that are asked for it at each interval. */
 #define HEAD_QUERIES 2
 /* REDIRECTs that are followed for each zone and interval: each query leads to the source of an
@@ -764,6 +769,7 @@
 
 void pd_cluster_tick(struct pd_cluster *cluster, int64_t now_us)
 {
+	bool is_confirmed = pd_directory_config_confirmed_us(cluster->parts.directory) != 0;
 	bool ping, announce;
 
 	pthread_mutex_lock(&cluster->lock);
@@ -771,7 +777,9 @@
 	ping = cluster->has_source && now_us >= cluster->next_ping_us;
 	announce = !cluster->has_source && now_us >= cluster->next_head_us;
 	if (ping) {
-		cluster->next_ping_us = now_us + PING_INTERVAL_US;
+		cluster->next_ping_us = now_us + (is_confirmed || cluster->ping_count >= FIRST_PINGS
+							  ? PING_INTERVAL_US
+							  : FIRST_PING_INTERVAL_US);
 		cluster->pings[cluster->ping_count++ % PD_CLUSTER_PINGS_MAX] = now_us;
 	}
 	if (announce) {
--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -27,6 +27,7 @@
 	pthread_mutex_init(&directory->snapshot.lock, NULL);
 	pd_os_cond_init(&directory->changed);
 	pd_os_cond_init(&directory->joined);
+	pd_os_cond_init(&directory->first_confirmed);
 }
 
 void pd_directory_finish(struct pd_directory *directory)
@@ -38,6 +39,7 @@
 	pd_buf_finish(&directory->snapshot.frames);
 	pd_crashes_finish(&directory->crashes);
 	pthread_cond_destroy(&directory->joined);
+	pthread_cond_destroy(&directory->first_confirmed);
 	pthread_cond_destroy(&directory->changed);
 	pthread_mutex_destroy(&directory->snapshot.lock);
 	pthread_mutex_destroy(&directory->lock);
@@ -328,11 +330,27 @@
 void pd_directory_confirm_config(struct pd_directory *directory, int64_t confirmed_us)
 {
 	pthread_mutex_lock(&directory->lock);
+	if (!directory->config_confirmed_us)
+		pthread_cond_broadcast(&directory->first_confirmed);
 	if (confirmed_us > directory->config_confirmed_us)
 		directory->config_confirmed_us = confirmed_us;
 	pthread_mutex_unlock(&directory->lock);
 }
 
+bool pd_directory_wait_for_first_proof(struct pd_directory *directory, int64_t wait_us)
+{
+	int64_t until = pd_os_now_us() + wait_us;
+	bool confirmed;
+
+	pthread_mutex_lock(&directory->lock);
+	while (!directory->config_confirmed_us &&
+	       pd_os_cond_wait_until(&directory->first_confirmed, &directory->lock, until))
+		;
+	confirmed = directory->config_confirmed_us != 0;
+	pthread_mutex_unlock(&directory->lock);
+	return confirmed;
+}
+
 int64_t pd_directory_config_confirmed_us(struct pd_directory *directory)
 {
 	int64_t confirmed_us;
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -67,6 +67,7 @@
  * @lock: guards all fields below
  * @changed: signalled when a change is logged or the state of the store changes
  * @joined: signalled when an instance starts to follow this one
+ * @first_confirmed: signalled when @config_confirmed_us is set for the first time
  * @log: ring buffer of changes
  * @next_change: sequence number of the next change; change n is stored in
  *	log[n % PD_DIRECTORY_LOG_SIZE]
@@ -107,6 +108,7 @@
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
 	pthread_cond_t joined;
+	pthread_cond_t first_confirmed;
 	struct pd_change log[PD_DIRECTORY_LOG_SIZE];
 	uint64_t next_change;
 	uint64_t entries_end;
@@ -181,6 +183,8 @@
 void pd_directory_confirm_config(struct pd_directory *directory, int64_t confirmed_us);
 /* Returns the time of the newest proof; 0 if there is none. */
 int64_t pd_directory_config_confirmed_us(struct pd_directory *directory);
+/* Waits for @wait_us microseconds or until there is a proof; false if there is still none. */
+bool pd_directory_wait_for_first_proof(struct pd_directory *directory, int64_t wait_us);
 /* Returns the version of the current configuration; 0 if there is none. */
 uint64_t pd_directory_config_version(struct pd_directory *directory);
 /* Returns the hash of the contents of the current configuration; 0 if there is none. */
--- a/ingress/policy.c
+++ b/ingress/policy.c
@@ -64,6 +64,11 @@
 	return arrived_us + (wait_us > min_wait_us ? wait_us : min_wait_us);
 }
 
+int64_t pd_policy_proof_wait_us(const struct pd_route *route)
+{
+	return objective_us(route) / 4;
+}
+
 int64_t pd_policy_deadline(const struct pd_route *route, int64_t arrived_us,
 			   bool has_client_deadline, uint64_t client_ms)
 {
--- a/ingress/policy.h
+++ b/ingress/policy.h
@@ -50,6 +50,15 @@
  */
 int64_t pd_policy_cutoff(const struct pd_route *route, int64_t arrived_us, int64_t network_us);
 
+/**
+ * pd_policy_proof_wait_us() - time for which a request waits for the first proof of a configuration
+ * @route: route of the request
+ *
+ * Return: the time in microseconds; a request that is refused after it can still be served within
+ * the latency objective elsewhere.
+ */
+int64_t pd_policy_proof_wait_us(const struct pd_route *route);
+
 /**
  * pd_policy_deadline() - time by which the final response to a request must be sent
  * @route: route of the request, whose timeout applies
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -865,6 +865,38 @@
 	return written;
 }
 
+/* Reads the configuration, and before it the time at which it was proven to be the newest one: the
+ * configuration that is in force then is at least as recent.
+ */
+static void read_config(struct request *request)
+{
+	request->confirmed_us = pd_directory_config_confirmed_us(&request->ingress->directory);
+	request->catalog = pd_registry_catalog(&request->ingress->registry);
+}
+
+/* Lets an instance that has just started prove its configuration when the first requests with keys
+ * arrive, and waits for a part of the latency objective: the proof takes one call to the store, and
+ * a client that is refused has to connect to another instance, which may have just started, too.
+ */
+static void wait_for_first_proof(struct request *request)
+{
+	struct pd_ingress *ingress = request->ingress;
+	const struct pd_route *route;
+
+	if (!ingress->settings.revocation_ms || request->confirmed_us || !request->catalog ||
+	    !request->catalog->has_accounts || !request->fields.api_key.len)
+		return;
+	route = pd_catalog_find_route(request->catalog, request->fields.host,
+				      strip_query(pd_http_message_target(&request->client->msg)));
+	if (!route || route->allow_anonymous)
+		return;
+	pd_sync_request_proof(&ingress->sync);
+	if (!pd_directory_wait_for_first_proof(&ingress->directory, pd_policy_proof_wait_us(route)))
+		return;
+	pd_catalog_release(request->catalog);
+	read_config(request);
+}
+
 bool pd_serve_request(struct pd_ingress *ingress, struct pd_client *client)
 {
 	struct request request = {.ingress = ingress, .client = client};
@@ -872,9 +904,8 @@
 
 	pd_platform_read_request(&client->msg, &request.fields);
 	request.relayed = pd_relay_read_request(&client->msg, &request.relay_fields);
-	/* Read before the configuration: the one that is in force then is at least as recent. */
-	request.confirmed_us = pd_directory_config_confirmed_us(&ingress->directory);
-	request.catalog = pd_registry_catalog(&ingress->registry);
+	read_config(&request);
+	wait_for_first_proof(&request);
 	request.close = !client->msg.keep_alive;
 	written = serve_or_refuse(&request);
 	pd_catalog_release(request.catalog);
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -35,6 +35,8 @@
  */
 #define BATCH_PAUSE_MIN_US (120 * PD_USEC_PER_MSEC)
 #define BATCH_PAUSE_MAX_US (700 * PD_USEC_PER_MSEC)
+/* Interval of lists for the first proof, which normally takes less than 100 ms. */
+#define PROOF_REQUEST_INTERVAL_US (300 * PD_USEC_PER_MSEC)
 /* A watch that returns changes in less than this time has returned early. */
 #define EARLY_RETURN_US (1500 * PD_USEC_PER_MSEC)
 /* Backoff after failed calls. Every call is billed, but the instance must serve normally within
@@ -154,6 +156,46 @@
 		pd_log(PD_LOG_DEBUG, "renewal_pending", "kind=%s", pd_object_kind_name(task->kind));
 }
 
+void pd_sync_request_proof(struct pd_sync *sync)
+{
+	int64_t now = pd_os_boot_us();
+	bool due;
+
+	pthread_mutex_lock(&sync->lock);
+	due = !sync->proof_requested_us ||
+	      now - sync->proof_requested_us >= PROOF_REQUEST_INTERVAL_US;
+	if (due) {
+		sync->proof_requested = true;
+		sync->proof_requested_us = now;
+		pthread_cond_broadcast(&sync->changed);
+	}
+	pthread_mutex_unlock(&sync->lock);
+	for (size_t i = 0; due && i < sync->task_count; i++) {
+		if (sync->tasks[i].kind == PD_OBJECT_CONFIG)
+			wake(&sync->tasks[i]);
+	}
+}
+
+/* Whether the first proof was requested from the task for the configuration. */
+static bool is_proof_requested_locked(const struct pd_sync_task *task)
+{
+	return task->kind == PD_OBJECT_CONFIG && task->sync->proof_requested;
+}
+
+/* Returns whether the first proof was requested, and marks it as begun. */
+static bool begin_requested_proof(struct pd_sync_task *task)
+{
+	bool requested;
+
+	pthread_mutex_lock(&task->sync->lock);
+	requested = is_proof_requested_locked(task);
+	/* The first list is stale, and proves nothing. */
+	if (requested && task->listed_before)
+		task->sync->proof_requested = false;
+	pthread_mutex_unlock(&task->sync->lock);
+	return requested;
+}
+
 void pd_sync_restart_watches(struct pd_sync *sync)
 {
 	for (size_t i = 0; i < sync->task_count; i++) {
@@ -804,7 +846,10 @@
 static enum pd_code fetch_changes(struct pd_sync_task *task, bool was_inactive,
 				  struct pd_error *err)
 {
-	if (is_listed(task) && !should_skip_events(task, was_inactive) && !should_prove_now(task)) {
+	bool proof_requested = begin_requested_proof(task);
+
+	if (!proof_requested && is_listed(task) && !should_skip_events(task, was_inactive) &&
+	    !should_prove_now(task)) {
 		task->events_skipped = false;
 		return watch_once(task, err);
 	}
@@ -823,8 +868,9 @@
 	bool waited = false;
 
 	pthread_mutex_lock(&sync->lock);
-	while (sync->mode == PD_SYNC_PAUSED || (sync->mode == PD_SYNC_STARTING && task->listed) ||
-	       is_left_to_source(task)) {
+	while (!is_proof_requested_locked(task) &&
+	       (sync->mode == PD_SYNC_PAUSED || (sync->mode == PD_SYNC_STARTING && task->listed) ||
+		is_left_to_source(task))) {
 		/* The list becomes outdated, because changes are received from another instance. */
 		if (sync->mode == PD_SYNC_PAUSED)
 			task->listed = false;
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -88,6 +88,8 @@
  * @restored: the store was restored from a copy since the start
  * @proof_wait_ms: time for which a watch of the configuration waits while clients have accounts, in
  *	milliseconds; 0 if no proof that the configuration is the newest one is needed
+ * @proof_requested: the first proof was requested, and not begun yet
+ * @proof_requested_us: time of the last request of it, in microseconds of pd_os_boot_us()
  * @renewal_postponed: the renewal of watches was postponed, because another response is due
  * @tasks: one task for each kind of object
  * @task_count: number of tasks in use; the last one is for roll-outs
@@ -110,6 +112,8 @@
 	uint64_t revision;
 	bool restored;
 	uint32_t proof_wait_ms;
+	bool proof_requested;
+	int64_t proof_requested_us;
 	bool renewal_postponed;
 	struct pd_sync_task tasks[PD_SYNC_TASK_COUNT];
 	size_t task_count;
@@ -130,6 +134,11 @@
  * that were withdrawn can be refused after @revocation_ms. To be called before the start.
  */
 void pd_sync_prove_config(struct pd_sync *sync, uint32_t revocation_ms);
+/* Lets the configuration be listed now, also by an instance that is starting or follows another
+ * one, because a request needs the first proof that the configuration is the newest one. Does
+ * nothing if one was requested a moment ago, since each list is billed.
+ */
+void pd_sync_request_proof(struct pd_sync *sync);
 enum pd_code pd_sync_start(struct pd_sync *sync, struct pd_error *err);
 void pd_sync_set_address(struct pd_sync *sync, const struct sockaddr_in *address);
 void pd_sync_get_address(struct pd_sync *sync, struct sockaddr_in *address);
