Membership: in a large zone, only the first in rank watch the store at once

Cause: when a source can't reach the store, each follower checks the store by itself and, if it reaches it, lists and watches all kinds at once, although its source or a neighbour reaches it some 100 ms later; when a zone's partition ended, all 43 instances did. Ruled out: a longer backoff, which would also delay the one instance that has to take over.

Now the three instances below the head take over as before. The others wait for 0.3 to 0.7 s by rank, and then try other sources before they watch the store. Zones of four or fewer are as before.

The stand-in takes 12 instances.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -38,6 +38,15 @@
 #define SOURCE_RETRY_US (4000 * PD_USEC_PER_MSEC)
 /* Interval at which an instance tries to reach the store itself while its source can't reach it. */
 #define DIRECT_CHECK_INTERVAL_US (1000 * PD_USEC_PER_MSEC)
+/* In a large zone, only the highest-ranked instances watch the store as soon as they reach it and
+ * their source doesn't: the others wait, longer the lower their rank, until the source reaches it
+ * again or one of the first can be followed. Without that, each of 43 instances listed and watched
+ * all kinds when a partition of their zone ended, and each of these calls is billed.
+ */
+#define FIRST_SUCCESSORS      3
+#define TAKEOVER_DELAY_US     (300 * PD_USEC_PER_MSEC)
+#define TAKEOVER_STEP_US      (100 * PD_USEC_PER_MSEC)
+#define TAKEOVER_DELAY_MAX_US (700 * PD_USEC_PER_MSEC)
 /* An outage of the store that is longer than this may let entries expire. The store drops an entry
  * that isn't renewed for three heartbeats of 1.2 s, and the last renewal may be one heartbeat older
  * than the outage. Removals needn't be held after shorter outages.
@@ -83,6 +92,16 @@
 	return pd_str_compare(pd_name_str(a), pd_name_str(b)) < 0;
 }
 
+int64_t pd_membership_takeover_delay_us(size_t rank)
+{
+	int64_t delay_us;
+
+	if (rank <= FIRST_SUCCESSORS)
+		return 0;
+	delay_us = TAKEOVER_DELAY_US + (int64_t)(rank - FIRST_SUCCESSORS - 1) * TAKEOVER_STEP_US;
+	return delay_us < TAKEOVER_DELAY_MAX_US ? delay_us : TAKEOVER_DELAY_MAX_US;
+}
+
 /* Returns the time of the next attempt to connect to the source with that name, as kept in a
  * previous list of sources; 0 if it wasn't in that list.
  */
@@ -414,6 +433,8 @@
  *	pd_os_boot_us(); 0 while it can
  * @next_check_us: time of the next attempt to reach the store directly, while the source can't, in
  *	microseconds of pd_os_boot_us()
+ * @reached_us: time at which this instance has reached the store directly since @store_lost_us, in
+ *	microseconds of pd_os_boot_us(); 0 if it hasn't
  * @next_list_us: time of the next list of the instances, in microseconds of pd_os_boot_us()
  */
 struct session {
@@ -425,6 +446,7 @@
 	int64_t config_held_us;
 	int64_t store_lost_us;
 	int64_t next_check_us;
+	int64_t reached_us;
 	int64_t next_list_us;
 };
 
@@ -482,6 +504,7 @@
 	} else if (!session->store_lost_us) {
 		pd_directory_set_store_reachable(membership->directory, false, false);
 		session->store_lost_us = now;
+		session->reached_us = 0;
 		/* A random delay spreads the calls of the source's followers. */
 		session->next_check_us =
 			now +
@@ -518,23 +541,37 @@
 		register_self(membership);
 }
 
-/* While the source can't reach the store, tries to reach it directly when that is due. Returns true
- * on success; this instance then watches the store itself.
- */
-static bool try_store_directly(struct pd_membership *membership, struct session *session)
+/* Tries to reach the store directly when that is due, while the source can't reach it. */
+static void check_store_directly(struct pd_membership *membership, struct session *session)
 {
 	int64_t now = pd_os_boot_us();
 	struct pd_error err;
 
-	if (!session->store_lost_us || now < session->next_check_us)
-		return false;
+	if (!session->store_lost_us || session->reached_us || now < session->next_check_us)
+		return;
 	session->next_check_us = now + DIRECT_CHECK_INTERVAL_US;
-	if (list_instances(membership, &err) != PD_OK) {
+	if (list_instances(membership, &err) == PD_OK)
+		session->reached_us = now;
+	else
 		handle_store_unreachable(membership, &err);
+}
+
+/* Returns true if this instance leaves its source, because it reaches the store and the source
+ * doesn't. Among the first in rank, it watches the store itself; otherwise, other sources are tried
+ * first.
+ */
+static bool take_over_when_due(struct pd_membership *membership, struct session *session)
+{
+	int64_t delay_us = pd_membership_takeover_delay_us(membership->source_count);
+
+	check_store_directly(membership, session);
+	if (!session->store_lost_us || !session->reached_us ||
+	    pd_os_boot_us() - session->reached_us < delay_us)
 		return false;
+	if (!delay_us) {
+		pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
+		handle_store_reachable(membership);
 	}
-	pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
-	handle_store_reachable(membership);
 	return true;
 }
 
@@ -594,7 +631,7 @@
 			set_source(membership, &session->address);
 		}
 		apply_config_when_due(membership, session);
-		if (try_store_directly(membership, session))
+		if (take_over_when_due(membership, session))
 			return "source_lost_store";
 		refresh_instances(membership, session);
 		first = false;
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -24,13 +24,13 @@
 #include "platform_upstream.h"
 #include "slow_link.h"
 
-#define INSTANCES_MAX	 4
+#define INSTANCES_MAX	 12
 #define UNREACHABLE_PORT 9 /* nothing listens there */
 #define UPSTREAMS_MAX	 32
 /* Ports of the instances: below those that the kernel assigns, a range for each deployment. */
 #define PORT_MIN	 16000
-#define PORT_RANGES	 500
-#define PORTS_PER_RANGE	 32
+#define PORT_RANGES	 250
+#define PORTS_PER_RANGE	 64
 #define WORDS_MAX	 16
 #define OUTPUT_MAX_BYTES 4096
 #define HEAD_MAX_BYTES	 65536
@@ -1381,20 +1381,37 @@
 		append_output("below");
 }
 
-/* logged TEXT: prints the number of log lines of the selected instance that contain TEXT */
-static void do_logged(char **words, int count)
+/* Returns the number of log lines of an instance that contain @text. */
+static int count_logged(const struct instance *instance, const char *text)
 {
 	char line[2048], path[288];
 	int found = 0;
 	FILE *file;
 
-	(void)count;
-	snprintf(path, sizeof(path), "%s.log", deployment.selected->settings);
+	snprintf(path, sizeof(path), "%s.log", instance->settings);
 	file = fopen(path, "r");
 	while (file && fgets(line, sizeof(line), file))
-		found += strstr(line, words[1]) != NULL;
+		found += strstr(line, text) != NULL;
 	if (file)
 		fclose(file);
+	return found;
+}
+
+/* logged TEXT: prints the number of log lines of the selected instance that contain TEXT */
+static void do_logged(char **words, int count)
+{
+	(void)count;
+	append_output("%d", count_logged(deployment.selected, words[1]));
+}
+
+/* logged_all TEXT: prints the number of log lines of all instances that contain TEXT */
+static void do_logged_all(char **words, int count)
+{
+	int found = 0;
+
+	(void)count;
+	for (size_t i = 0; i < deployment.instance_count; i++)
+		found += count_logged(&deployment.instances[i], words[1]);
 	append_output("%d", found);
 }
 
@@ -1486,6 +1503,7 @@
 	{"runs_total", 1, do_runs_total},
 	{"arrivals_reset", 2, do_arrivals_reset},
 	{"logged", 2, do_logged},
+	{"logged_all", 2, do_logged_all},
 	{"endless", 2, do_endless},
 	{"memory", 2, do_memory},
 };
--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -343,6 +343,27 @@
 }
 END_TEST
 
+/* Guards against a herd at the store after an outage (every instance of a zone takes over at once),
+ * and against a delay by which the end of a drain or a new configuration is noticed too late: with
+ * the 1.9 s in which a source notices that it lost the store, 0.3 s until its heartbeat and 0.5 s
+ * until the first check, it stays below 5 s.
+ */
+START_TEST(only_the_first_in_rank_take_over_at_once)
+{
+	const int64_t noticed_us = (1900 + 300 + 500) * PD_USEC_PER_MSEC;
+	int64_t before_us = 0;
+
+	for (size_t rank = 0; rank <= PD_MEMBERSHIP_SOURCES_MAX; rank++) {
+		int64_t delay_us = pd_membership_takeover_delay_us(rank);
+
+		ck_assert_int_eq(delay_us == 0, rank <= 3);
+		ck_assert_int_ge(delay_us, before_us);
+		ck_assert_int_lt(noticed_us + delay_us, 4000 * PD_USEC_PER_MSEC);
+		before_us = delay_us;
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -360,6 +381,7 @@
 		rank_is_strict_total_order,
 		highest_ranked_sources_of_a_large_zone_are_kept,
 		all_larger_instances_of_a_large_zone_are_relays,
+		only_the_first_in_rank_take_over_at_once,
 	};
 
 	return suite_run("decisions", tests, sizeof(tests) / sizeof(tests[0]));
