Roll-outs: a later revision settles a write of unknown result

Cause: after a write of unknown result, a head reads the object until a read succeeds, and doesn't begin the full phase meanwhile. The other heads ran full phases that none of them could complete, and used up the bound. Ruled out: evidence (no doubt in the traces).

Change: pd_rollout_observe() of a later revision ends the need to read. The write was conditional on an earlier revision, so that it has been executed or won't be. The new test fails without the change.

--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -964,6 +964,10 @@
 		return;
 	rollout->revision = revision;
 	rollout->state = state;
+	/* A write whose result isn't known was conditional on an earlier revision: it has been
+	 * executed, or won't be.
+	 */
+	rollout->must_read = false;
 }
 
 enum pd_rollout_call pd_rollout_next_call(struct pd_rollout *rollout, int64_t now_us)
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -236,7 +236,9 @@
 
 void pd_rollout_init(struct pd_rollout *rollout);
 void pd_rollout_finish(struct pd_rollout *rollout);
-/* Takes over the state of the object at a revision, from the store. */
+/* Takes over the state of the object at a revision, from the store. If that is later than the known
+ * one, a write of unknown result needn't be read any more.
+ */
 void pd_rollout_observe(struct pd_rollout *rollout, enum pd_rollout_state state, uint64_t revision);
 /* Decides by the input; changes nothing. */
 enum pd_rollout_action pd_rollout_decide(struct pd_rollout *rollout,
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -671,11 +671,45 @@
 }
 END_TEST
 
+START_TEST(later_revision_settles_unknown_write)
+{
+	/* Guards against a head that can't begin the full phase, because it still reads whether its
+	 * write was executed, although the watch has shown a later revision: the write is
+	 * conditional on an earlier one.
+	 */
+	struct pd_rollout rollout;
+	struct pd_rollout_evidence evidence = {0};
+	struct pd_rollout_input input = {.duration_us = DURATION_US,
+					 .share = SHARE,
+					 .slack = SLACK,
+					 .evidence = &evidence,
+					 .target_ready = true,
+					 .connected = true};
+	int64_t now_us = START_US;
+
+	pd_rollout_init(&rollout);
+	pd_rollout_observe(&rollout, PD_ROLLOUT_NONE, 7);
+	pd_rollout_update(&rollout, &input, now_us);
+	now_us += PD_USEC_PER_SEC;
+	pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(pd_rollout_next_call(&rollout, now_us), PD_ROLLOUT_CALL_WRITE);
+	pd_rollout_end_write(&rollout, PD_UNKNOWN_OUTCOME, now_us);
+	pd_rollout_observe(&rollout, PD_ROLLOUT_RUNNING, 8);
+	now_us += 2 * PD_USEC_PER_SEC;
+	ck_assert_int_eq(pd_rollout_next_call(&rollout, now_us), PD_ROLLOUT_NO_CALL);
+	input.age_us = DURATION_US - PD_USEC_PER_SEC;
+	pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(rollout.phase, PD_ROLLOUT_FULL);
+	pd_rollout_finish(&rollout);
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *tests[] = {
-		few_results_decide_nothing, good_versions_complete_and_bad_ones_are_rolled_back,
-		lost_and_late_messages_change_no_outcome, interleavings_have_one_outcome};
+	const TTest *tests[] = {few_results_decide_nothing, later_revision_settles_unknown_write,
+				good_versions_complete_and_bad_ones_are_rolled_back,
+				lost_and_late_messages_change_no_outcome,
+				interleavings_have_one_outcome};
 
 	return suite_run("rollout", tests, sizeof(tests) / sizeof(tests[0]));
 }
