Roll-outs: a head that can't complete joins the full phase of the others

Cause: a head that has started during an order stays in the canary phase for 3.5 s, until it has all evidence, and so does one whose last call to the store is without a result. Ruled out: waiting for the settled head, because the bound doesn't grow by waiting and a restart during the phase has the same effect.

Change: such a head follows the others into the full phase and leaves it with them. It doesn't complete the order itself, and promises the rest of the phase only once its zone has no requests in flight to the old version, or after the time for them. The exposure doesn't rise: the length of the phase is computed as if all requests go to the new version.

--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -784,6 +784,20 @@
 	       exposure_time_us(rollout, input) >= needed_us;
 }
 
+/* Whether this head follows the others into their full phase, although it can't complete the order
+ * itself: it has just started, or its last call to the store is without a result. They can't
+ * complete it without this head, and their phase is as long as the bound allows if all requests go
+ * to the new version. What is left of a phase that this head has left is shorter than the
+ * difference of the heads.
+ */
+static bool may_join(const struct pd_rollout *rollout, const struct pd_rollout_input *input)
+{
+	int64_t needed_us =
+		rollout->full_since_us ? HEADS_DIFFER_US + WRITE_LEFT_US : WRITE_LEFT_US;
+
+	return input->target_ready && input->another_full && input->another_full_us >= needed_us;
+}
+
 static enum pd_rollout_action give_up(const char *reason, struct pd_rollout_verdict *verdict)
 {
 	verdict->reason = reason;
@@ -824,7 +838,7 @@
 		if (verdict->samples && !verdict->doubtful &&
 		    is_full_enough(rollout, input, now_us) && is_old_unused(rollout, input, now_us))
 			return PD_ROLLOUT_COMPLETE;
-	} else if (may_advance(rollout, input)) {
+	} else if (may_advance(rollout, input) || may_join(rollout, input)) {
 		return PD_ROLLOUT_ADVANCE;
 	}
 	return decide_at_end(input, verdict);
@@ -840,6 +854,7 @@
 		       int64_t now_us)
 {
 	int64_t length_us = full_length_us(rollout, input) + DRAIN_US + WRITE_US;
+	bool joined = !may_advance(rollout, input);
 	double age_s = (double)input->age_us / PD_USEC_PER_SEC;
 
 	rollout->full_length_us = full_length_us(rollout, input);
@@ -851,7 +866,8 @@
 		length_us = input->duration_us - GIVE_UP_US - input->age_us;
 	if (!is_late(input) && length_us > exposure_time_us(rollout, input))
 		length_us = exposure_time_us(rollout, input);
-	rollout->full_until_us = now_us + length_us;
+	rollout->joined = joined;
+	rollout->full_until_us = now_us + (joined ? input->another_full_us : length_us);
 	rollout->full_since_us = now_us;
 	set_phase(rollout, PD_ROLLOUT_FULL, now_us);
 }
@@ -914,11 +930,6 @@
 			set_phase(rollout, PD_ROLLOUT_HALTED, now_us);
 		return;
 	}
-	/* A head that has started meanwhile has results of the other heads' full phase. */
-	if (input->another_full && !rollout->full_since_us) {
-		rollout->full_since_us = now_us;
-		rollout->full_until_us = now_us;
-	}
 	move_window(rollout, input, now_us);
 	update_rate(rollout, input, now_us);
 	switch (pd_rollout_decide(rollout, input, now_us, &verdict)) {
@@ -938,6 +949,11 @@
 		set_phase(rollout, PD_ROLLOUT_HALTED, now_us);
 		break;
 	}
+	/* A head that hasn't joined has results of the other heads' full phase. */
+	if (input->another_full && !rollout->full_since_us) {
+		rollout->full_since_us = now_us;
+		rollout->full_until_us = now_us;
+	}
 	if (!input->same_version)
 		end_full_when_due(rollout, input, now_us);
 	if (rollout->phase == PD_ROLLOUT_CANARY &&
@@ -970,6 +986,14 @@
 	rollout->must_read = false;
 }
 
+int64_t pd_rollout_full_left_us(const struct pd_rollout *rollout, bool drained, int64_t now_us)
+{
+	if (rollout->phase != PD_ROLLOUT_FULL || rollout->full_until_us <= now_us ||
+	    (rollout->joined && !drained && now_us - rollout->phase_since_us < DRAIN_US))
+		return 0;
+	return rollout->full_until_us - now_us;
+}
+
 enum pd_rollout_call pd_rollout_next_call(struct pd_rollout *rollout, int64_t now_us)
 {
 	enum pd_rollout_state next = PD_ROLLOUT_RUNNING;
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -93,6 +93,7 @@
  * @same_version: the service's traffic goes to the ordered version already
  * @connected: the heads of all other zones are heard, and the store is reachable
  * @another_full: another head is in the full phase
+ * @another_full_us: longest time for which one of them stays in it at least; 0 if none does
  * @others_full_us: time for which all other heads stay in the full phase at least; 0 if one isn't
  *in it
  * @drained: no instance sends requests to the old version, and none is in flight there
@@ -110,6 +111,7 @@
 	bool same_version;
 	bool connected;
 	bool another_full;
+	int64_t another_full_us;
 	int64_t others_full_us;
 	bool drained;
 	bool halted;
@@ -183,6 +185,7 @@
  * @full_since_us: time at which the last full phase began; 0 if there was none
  * @full_length_us: time from its start until the outcome may be written
  * @full_until_us: time at which it ends if no outcome is known; other heads rely on it
+ * @joined: this head has joined the full phase of the others, see may_join()
  * @per_s: requests per second to the service now
  * @burst_per_s: the same, of a shorter time
  * @rate_us: time of the last update of @per_s
@@ -214,6 +217,7 @@
 	int64_t full_since_us;
 	int64_t full_length_us;
 	int64_t full_until_us;
+	bool joined;
 	double per_s;
 	double burst_per_s;
 	int64_t rate_us;
@@ -247,6 +251,11 @@
 /* Decides and sets the phase; call it every 50 ms. */
 void pd_rollout_update(struct pd_rollout *rollout, const struct pd_rollout_input *input,
 		       int64_t now_us);
+/* Returns the time for which this head stays in the full phase at least; 0 if it isn't in it, or if
+ * its zone may still have requests in flight to the old version from before it has joined. @drained
+ * as in the input, of this head's zone only.
+ */
+int64_t pd_rollout_full_left_us(const struct pd_rollout *rollout, bool drained, int64_t now_us);
 /* Returns the call to the store that is due. The caller reports its result by one of the functions
  * below before it asks again.
  */
--- a/ingress/rollout_exchange.c
+++ b/ingress/rollout_exchange.c
@@ -209,14 +209,6 @@
 	return true;
 }
 
-/* Returns the time for which this head stays in the full phase at least. */
-static uint64_t full_left_us(const struct pd_rollout *rollout, int64_t now_us)
-{
-	return rollout->phase == PD_ROLLOUT_FULL && rollout->full_until_us > now_us
-		       ? (uint64_t)(rollout->full_until_us - now_us)
-		       : 0;
-}
-
 /* Begins a payload of evidence. */
 static void begin_evidence(const struct pd_rollout_tracked *tracked, bool is_head, int64_t now_us,
 			   struct pd_buf *payload)
@@ -232,7 +224,8 @@
 	pd_datagram_put_uint(payload, (uint64_t)rollout->phase);
 	pd_datagram_put_uint(payload, (uint64_t)rollout->decided);
 	pd_datagram_put_uint(payload, (uint64_t)rollout->state);
-	pd_datagram_put_uint(payload, full_left_us(rollout, now_us));
+	pd_datagram_put_uint(payload,
+			     (uint64_t)pd_rollout_full_left_us(rollout, tracked->drained, now_us));
 	pd_datagram_put_uint(payload, tracked->drained);
 }
 
@@ -386,6 +379,8 @@
 		if (head->full_until_us - now_us < input->others_full_us)
 			input->others_full_us = head->full_until_us - now_us;
 		input->another_full |= head->phase == PD_ROLLOUT_FULL;
+		if (head->full_until_us - now_us > input->another_full_us)
+			input->another_full_us = head->full_until_us - now_us;
 		input->drained = input->drained && head->drained;
 		input->rank +=
 			pd_str_compare(pd_name_str(&head->name), pd_name_str(&cluster->name)) < 0;
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -399,8 +399,11 @@
 		input->connected &= sim.now_us - head->heard_us[i] <= HEARD_US;
 		if (stated->full_until_us - sim.now_us < input->others_full_us)
 			input->others_full_us = stated->full_until_us - sim.now_us;
-		input->another_full |= stated->phase == PD_ROLLOUT_FULL &&
-				       sim.now_us - head->heard_us[i] <= HEARD_US;
+		if (sim.now_us - head->heard_us[i] <= HEARD_US) {
+			input->another_full |= stated->phase == PD_ROLLOUT_FULL;
+			if (stated->full_until_us - sim.now_us > input->another_full_us)
+				input->another_full_us = stated->full_until_us - sim.now_us;
+		}
 		input->drained &= stated->drained;
 		input->rank += i < index;
 	}
@@ -408,15 +411,16 @@
 
 static void send_statement(const struct head *head, int index)
 {
-	struct message message = {.from = index,
-				  .statement = true,
-				  .drained = zone_is_drained(head, index),
-				  .phase = head->rollout.phase,
-				  .full_until_us = head->rollout.phase == PD_ROLLOUT_FULL
-							   ? head->rollout.full_until_us
-							   : 0,
-				  .decided = head->rollout.decided,
-				  .state = head->rollout.state};
+	bool drained = zone_is_drained(head, index);
+	struct message message = {
+		.from = index,
+		.statement = true,
+		.drained = drained,
+		.phase = head->rollout.phase,
+		.full_until_us =
+			sim.now_us + pd_rollout_full_left_us(&head->rollout, drained, sim.now_us),
+		.decided = head->rollout.decided,
+		.state = head->rollout.state};
 
 	for (size_t i = 0; i < head->ledger.count; i++)
 		write_origin(&head->ledger.origins[i], &message.records);
@@ -704,9 +708,51 @@
 }
 END_TEST
 
+START_TEST(started_head_joins_full_phase)
+{
+	/* Guards against full phases that no head can complete, because one that has started during
+	 * the order stays in the canary phase until it has all evidence, and against a promise of
+	 * it while its zone still has requests in flight to the old version.
+	 */
+	struct pd_rollout rollout;
+	struct pd_rollout_evidence evidence = {0};
+	struct pd_rollout_input input = {.age_us = DURATION_US - 2 * PD_USEC_PER_SEC,
+					 .duration_us = DURATION_US,
+					 .share = SHARE,
+					 .slack = SLACK,
+					 .evidence = &evidence,
+					 .target_ready = true};
+	int64_t now_us = START_US;
+
+	pd_rollout_init(&rollout);
+	pd_rollout_observe(&rollout, PD_ROLLOUT_RUNNING, 8);
+	pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(rollout.phase, PD_ROLLOUT_CANARY);
+	input.another_full = true;
+	input.another_full_us = PD_USEC_PER_SEC;
+	pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(rollout.phase, PD_ROLLOUT_FULL);
+	ck_assert_int_eq(pd_rollout_full_left_us(&rollout, false, now_us), 0);
+	ck_assert_int_eq(pd_rollout_full_left_us(&rollout, true, now_us), PD_USEC_PER_SEC);
+	now_us += PD_USEC_PER_SEC / 2;
+	ck_assert_int_eq(pd_rollout_full_left_us(&rollout, false, now_us), PD_USEC_PER_SEC / 2);
+	/* It leaves the phase with the others, and doesn't join the rest of it again. */
+	now_us += PD_USEC_PER_SEC;
+	input.age_us += PD_USEC_PER_SEC * 3 / 2;
+	input.another_full_us = PD_USEC_PER_SEC / 5;
+	for (int i = 0; i < 2; i++)
+		pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(rollout.phase, PD_ROLLOUT_CANARY);
+	ck_assert_int_eq(rollout.decided, PD_ROLLOUT_RUNNING);
+	pd_rollout_finish(&rollout);
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *tests[] = {few_results_decide_nothing, later_revision_settles_unknown_write,
+	const TTest *tests[] = {few_results_decide_nothing,
+				later_revision_settles_unknown_write,
+				started_head_joins_full_phase,
 				good_versions_complete_and_bad_ones_are_rolled_back,
 				lost_and_late_messages_change_no_outcome,
 				interleavings_have_one_outcome};
