Roll-outs: the full phase lasts until the order is completed

Cause: the full phase ended at the time that was computed at its begin, although the order was decided and a write was under way that the store could execute later. Requests then went to the old version and were cut off by it, and the next phase took a second more. Heads also ended their phases at different times (up to 0.6 s), so that none could complete the order after the first had ended it.

Change: the phase is extended, as far as the bound allows, to the end of the other heads' phase, and while the order is decided but not completed; after the deadline the bound is over, and it goes on until then. "completed" isn't written while another head may send requests to the old version.

--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -31,6 +31,12 @@
 /* Difference of the heads' full phases: of their begin, and of the requests that each one counts.
  */
 #define HEADS_DIFFER_US (200 * PD_USEC_PER_MSEC)
+/* Shorter differences of the ends of their phases may be the time that a statement takes. */
+#define HEADS_ALIGN_US (50 * PD_USEC_PER_MSEC)
+/* While the order isn't completed although that is decided, the full phase lasts this much longer
+ * at least: a call without a response takes 400 ms, and the statements 200 ms.
+ */
+#define EXTEND_US (600 * PD_USEC_PER_MSEC)
 /* A head begins the full phase up to this much earlier if another one has begun. */
 #define FOLLOW_US (500 * PD_USEC_PER_MSEC)
 /* Without a reason to wait, an order that can't be completed is rolled back this long before its
@@ -894,6 +900,29 @@
 	copy_evidence(&rollout->recent_base, input->evidence);
 }
 
+/* Extends the full phase as far as the bound allows: to the end of the other heads' phase, and
+ * while the order isn't completed although that is decided, because a write may be executed late. A
+ * head that has joined relies on the others, which know all requests.
+ */
+static void extend_full(struct pd_rollout *rollout, const struct pd_rollout_input *input,
+			int64_t now_us)
+{
+	int64_t left_us = rollout->full_until_us - now_us, allowed_us = FULL_MAX_US, wanted_us = 0;
+
+	if (rollout->phase != PD_ROLLOUT_FULL)
+		return;
+	if (input->another_full_us > left_us + HEADS_ALIGN_US)
+		wanted_us = input->another_full_us;
+	if (rollout->decided == PD_ROLLOUT_COMPLETED && wanted_us < EXTEND_US)
+		wanted_us = EXTEND_US;
+	if (!is_late(input) && !rollout->joined)
+		allowed_us = exposure_time_us(rollout, input);
+	if (wanted_us > allowed_us)
+		wanted_us = allowed_us;
+	if (wanted_us > left_us)
+		rollout->full_until_us = now_us + wanted_us;
+}
+
 /* Ends a full phase whose outcome wasn't written in time, or that can't be decided. It isn't ended
  * earlier, because another head may be writing that the order is completed.
  */
@@ -954,6 +983,8 @@
 		rollout->full_since_us = now_us;
 		rollout->full_until_us = now_us;
 	}
+	rollout->old_unused = input->same_version || is_old_unused(rollout, input, now_us);
+	extend_full(rollout, input, now_us);
 	if (!input->same_version)
 		end_full_when_due(rollout, input, now_us);
 	if (rollout->phase == PD_ROLLOUT_CANARY &&
@@ -1009,7 +1040,8 @@
 	/* The status is "running" before it has an outcome. */
 	if (rollout->state == PD_ROLLOUT_RUNNING)
 		next = rollout->decided;
-	if (next == rollout->state || !rollout->revision)
+	if (next == rollout->state || !rollout->revision ||
+	    (next == PD_ROLLOUT_COMPLETED && !rollout->old_unused))
 		return PD_ROLLOUT_NO_CALL;
 	rollout->writing = true;
 	rollout->written = next;
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -186,6 +186,7 @@
  * @full_length_us: time from its start until the outcome may be written
  * @full_until_us: time at which it ends if no outcome is known; other heads rely on it
  * @joined: this head has joined the full phase of the others, see may_join()
+ * @old_unused: the old version isn't needed now, so that the order may be completed
  * @per_s: requests per second to the service now
  * @burst_per_s: the same, of a shorter time
  * @rate_us: time of the last update of @per_s
@@ -218,6 +219,7 @@
 	int64_t full_length_us;
 	int64_t full_until_us;
 	bool joined;
+	bool old_unused;
 	double per_s;
 	double burst_per_s;
 	int64_t rate_us;
