--- a/ingress/registry_version.c
+++ b/ingress/registry_version.c
@@ -170,6 +170,19 @@
 	pd_rollout_evidence_finish(&rollout->evidence);
 }
 
+/* Logs the number of requests that this process has chosen the former target for. Requests that
+ * arrive there beyond that sum over all instances were sent after the change.
+ */
+static void log_replaced(const struct pd_service *service, const struct pd_rollout_order *order)
+{
+	const struct pd_service_rollout *rollout = &service->rollout;
+
+	pd_log(PD_LOG_INFO, "rollout_replaced",
+	       "service=%s version=%s before=%s before_sent=%" PRIu32, service->name.text,
+	       order ? order->target.text : "-", rollout->target.text,
+	       rollout->evidence.sent[PD_ROLLOUT_NEW]);
+}
+
 static void set_order(struct pd_registry *registry, struct pd_service *service,
 		      const struct pd_rollout_order *order)
 {
@@ -179,6 +192,8 @@
 
 	if (!order && !rollout->ordered)
 		return;
+	if (was_running && !same)
+		log_replaced(service, order);
 	rollout->ordered = order != NULL;
 	if (order) {
 		rollout->target = order->target;
