Roll-outs: a head that has started doubts results of a full phase

Cause: a head that starts during or after the full phase of the others gets evidence in which most results of the new version are of that phase, and compares them with the old version's as if they were of the same time.

Change: a head without all evidence assumes a full phase if the order is old enough for one, and its windows begin when it has all evidence. In a full phase of its own, all evidence counts as before. The new test fails without the change.

--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -799,7 +799,7 @@
 static bool may_join(const struct pd_rollout *rollout, const struct pd_rollout_input *input)
 {
 	int64_t needed_us =
-		rollout->full_since_us ? HEADS_DIFFER_US + WRITE_LEFT_US : WRITE_LEFT_US;
+		rollout->full_length_us ? HEADS_DIFFER_US + WRITE_LEFT_US : WRITE_LEFT_US;
 
 	return input->target_ready && input->another_full && input->another_full_us >= needed_us;
 }
@@ -886,7 +886,7 @@
 
 	/* Results of a full phase don't compare with those of the old version after it. */
 	if (rollout->phase != PD_ROLLOUT_FULL && rollout->full_since_us &&
-	    now_us - rollout->full_until_us < FULL_RESULTS_US) {
+	    (!input->settled || now_us - rollout->full_until_us < FULL_RESULTS_US)) {
 		rollout->window_us = now_us;
 		copy_evidence(&rollout->recent_base, input->evidence);
 		copy_evidence(&rollout->earlier_base, input->evidence);
@@ -959,6 +959,15 @@
 			set_phase(rollout, PD_ROLLOUT_HALTED, now_us);
 		return;
 	}
+	/* A head that hasn't been in the other heads' full phase gets results of it, and so may one
+	 * that has started when there may have been one.
+	 */
+	if (!rollout->full_since_us &&
+	    (input->another_full ||
+	     (!input->settled && input->age_us >= canary_end_us(rollout, input) - FOLLOW_US))) {
+		rollout->full_since_us = now_us;
+		rollout->full_until_us = now_us;
+	}
 	move_window(rollout, input, now_us);
 	update_rate(rollout, input, now_us);
 	switch (pd_rollout_decide(rollout, input, now_us, &verdict)) {
@@ -978,11 +987,6 @@
 		set_phase(rollout, PD_ROLLOUT_HALTED, now_us);
 		break;
 	}
-	/* A head that hasn't joined has results of the other heads' full phase. */
-	if (input->another_full && !rollout->full_since_us) {
-		rollout->full_since_us = now_us;
-		rollout->full_until_us = now_us;
-	}
 	rollout->old_unused = input->same_version || is_old_unused(rollout, input, now_us);
 	extend_full(rollout, input, now_us);
 	if (!input->same_version)
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -91,7 +91,9 @@
  * @evidence: results since the order began, over all instances
  * @target_ready: an upstream of the new version can take requests and isn't cold
  * @same_version: the service's traffic goes to the ordered version already
- * @connected: the heads of all other zones are heard, and the store is reachable
+ * @settled: this head has been one for long enough to have all evidence
+ * @connected: it has all evidence, the heads of all other zones are heard, and the store is
+ *reachable
  * @another_full: another head is in the full phase
  * @another_full_us: longest time for which one of them stays in it at least; 0 if none does
  * @others_full_us: time for which all other heads stay in the full phase at least; 0 if one isn't
@@ -109,6 +111,7 @@
 	const struct pd_rollout_evidence *evidence;
 	bool target_ready;
 	bool same_version;
+	bool settled;
 	bool connected;
 	bool another_full;
 	int64_t another_full_us;
--- a/ingress/rollout_exchange.c
+++ b/ingress/rollout_exchange.c
@@ -409,6 +409,7 @@
 		.evidence = &tracked->ledger.sum,
 		.target_ready = view->target_ready,
 		.same_version = view->same_version,
+		.settled = settled,
 		.connected = settled && instances.zones_heard == other_zones &&
 			     count_zones(tracked, &cluster->zone, now_us) == other_zones &&
 			     pd_directory_is_store_reachable(exchange->directory),
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -386,6 +386,7 @@
 					   .slack = SLACK,
 					   .evidence = &head->ledger.sum,
 					   .target_ready = true,
+					   .settled = settled,
 					   .connected = settled && !store_is_down(),
 					   .others_full_us = INT64_MAX};
 	input->drained = zone_is_drained(head, index);
@@ -795,9 +796,42 @@
 }
 END_TEST
 
+START_TEST(started_head_doubts_results_of_full_phase)
+{
+	/* Guards against a good version that is rolled back by a head that has started after the
+	 * full phase of the others: the results of the new version are then of another time, here
+	 * of a burst, than those of the old one. A head that has all evidence decides by the same
+	 * results of the canary phase.
+	 */
+	for (int settled = 0; settled < 2; settled++) {
+		struct pd_rollout rollout;
+		struct pd_rollout_evidence evidence = {
+			.requests = 400, .sent = {350, 50}, .ended = {350, 50}};
+		struct pd_rollout_input input = {.age_us = DURATION_US - PD_USEC_PER_SEC,
+						 .duration_us = DURATION_US,
+						 .share = SHARE,
+						 .slack = SLACK,
+						 .evidence = &evidence,
+						 .target_ready = true,
+						 .settled = settled};
+
+		add_results(&evidence, 1, PD_ROLLOUT_OLD, 350, 0, 20000);
+		add_results(&evidence, 1, PD_ROLLOUT_NEW, 50, 0, 60000);
+		pd_rollout_init(&rollout);
+		pd_rollout_observe(&rollout, PD_ROLLOUT_RUNNING, 8);
+		pd_rollout_update(&rollout, &input, START_US);
+		ck_assert_int_eq(rollout.decided,
+				 settled ? PD_ROLLOUT_ROLLED_BACK : PD_ROLLOUT_RUNNING);
+		pd_rollout_finish(&rollout);
+		pd_rollout_evidence_finish(&evidence);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *tests[] = {few_results_decide_nothing,
+				started_head_doubts_results_of_full_phase,
 				full_phase_lasts_until_completed,
 				later_revision_settles_unknown_write,
 				started_head_joins_full_phase,
