Roll-outs: the full phase waits for the end of a burst

Cause: in a burst, the bound that is left allows a full phase of 0.6 s.

Change: while there is time, the phase begins only if the bound allows that time, too. The new test fails without the change (full phase at 9.0 s, within the burst).

--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -779,6 +779,12 @@
 {
 	int64_t needed_us = full_min_us(rollout) + WRITE_US;
 
+	/* While there is time to wait for more of the bound, or the end of a burst, the phase has
+	 * to last until requests to the old version have ended and all heads know that.
+	 */
+	if (input->age_us + needed_us + DRAIN_US + HEADS_DIFFER_US <
+	    input->duration_us - GIVE_UP_US)
+		needed_us += DRAIN_US;
 	if (!input->connected || !input->target_ready || rollout->must_read || rollout->writing)
 		return false;
 	if (is_late(input))
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -828,9 +828,46 @@
 }
 END_TEST
 
+START_TEST(full_phase_waits_for_end_of_burst)
+{
+	/* Guards against a full phase that begins in a burst and is over before all heads know that
+	 * requests to the old version have ended, because the bound doesn't allow more: it then
+	 * begins after the burst, but not so late that the outcome is.
+	 */
+	struct pd_rollout rollout;
+	struct pd_rollout_evidence evidence = {.requests = 240, .sent = {228, 12}};
+	struct pd_rollout_input input = {.age_us = DURATION_US / 2,
+					 .duration_us = DURATION_US,
+					 .share = SHARE,
+					 .slack = SLACK,
+					 .evidence = &evidence,
+					 .target_ready = true,
+					 .settled = true,
+					 .connected = true};
+	int64_t full_age_us = 0;
+
+	pd_rollout_init(&rollout);
+	pd_rollout_observe(&rollout, PD_ROLLOUT_RUNNING, 8);
+	for (; input.age_us < DURATION_US && !full_age_us; input.age_us += TICK_US) {
+		bool burst = input.age_us < DURATION_US * 5 / 6;
+
+		pd_rollout_update(&rollout, &input, START_US + input.age_us);
+		if (rollout.phase == PD_ROLLOUT_FULL)
+			full_age_us = input.age_us;
+		evidence.requests += burst ? 5 : 2;
+		evidence.sent[PD_ROLLOUT_OLD] += burst ? 5 : 2;
+		evidence.sent[PD_ROLLOUT_NEW] += input.age_us % (8 * TICK_US) == 0;
+	}
+	ck_assert_int_gt(full_age_us, DURATION_US * 5 / 6);
+	ck_assert_int_lt(full_age_us, DURATION_US - PD_USEC_PER_SEC);
+	pd_rollout_finish(&rollout);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *tests[] = {few_results_decide_nothing,
+				full_phase_waits_for_end_of_burst,
 				started_head_doubts_results_of_full_phase,
 				full_phase_lasts_until_completed,
 				later_revision_settles_unknown_write,
