Roll-outs: orders aren't asked for while the store refuses all other calls

Cause: each kind of object has a task of its own that retries a failed call after 0.2 to 1.2 s. The task for orders of roll-outs is a fifth one, so that an instance that is alone makes a quarter more calls while the store fails, refused ones included, and these are billed.

Change: the task for orders waits while the last call of each of the other tasks failed, and goes on as soon as one succeeds. The list and the watch of an instance that is alone and reaches the store remain: without them, a version could get requests that no order permits.

--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -241,6 +241,20 @@
 	       !task->listed && pd_os_now_us() < task->sync->orders_from_us;
 }
 
+/* Whether the orders of roll-outs wait until another task reaches the store: the last calls of all
+ * others failed, and refused calls are billed.
+ */
+static bool waits_for_store(const struct pd_sync_task *task)
+{
+	for (size_t i = 0; i < PD_SYNC_TASK_COUNT; i++) {
+		const struct pd_sync_task *other = &task->sync->tasks[i];
+
+		if (other->kind != PD_OBJECT_ROLLOUTS && !other->failing)
+			return false;
+	}
+	return task->kind == PD_OBJECT_ROLLOUTS;
+}
+
 bool pd_sync_is_current(struct pd_sync *sync)
 {
 	bool current;
@@ -546,10 +560,22 @@
 		pd_directory_advance(task->sync->directory, task->sync->upstream_list, at);
 }
 
+static void set_failing(struct pd_sync_task *task, bool failing)
+{
+	struct pd_sync *sync = task->sync;
+
+	pthread_mutex_lock(&sync->lock);
+	if (task->failing && !failing)
+		pthread_cond_broadcast(&sync->changed);
+	task->failing = failing;
+	pthread_mutex_unlock(&sync->lock);
+}
+
 /* Records a successful call. */
 static void handle_success(struct pd_sync_task *task)
 {
 	task->failures = 0;
+	set_failing(task, false);
 	if (!task->unreachable_since_us)
 		return;
 	pd_log(PD_LOG_INFO, "store_regained", "kind=%s lost_ms=%" PRId64,
@@ -578,6 +604,7 @@
 /* Records a failed call and waits for the backoff delay. */
 static void handle_failure(struct pd_sync_task *task, const struct pd_error *err)
 {
+	set_failing(task, true);
 	if (!task->unreachable_since_us) {
 		task->unreachable_since_us = pd_os_boot_us();
 		pd_log(PD_LOG_WARNING, "store_lost", "kind=%s revision=%" PRIu64 " code=%s",
@@ -824,7 +851,7 @@
 
 	pthread_mutex_lock(&sync->lock);
 	while (sync->mode == PD_SYNC_PAUSED || (sync->mode == PD_SYNC_STARTING && task->listed) ||
-	       is_left_to_source(task)) {
+	       is_left_to_source(task) || waits_for_store(task)) {
 		/* The list becomes outdated, because changes are received from another instance. */
 		if (sync->mode == PD_SYNC_PAUSED)
 			task->listed = false;
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -42,6 +42,7 @@
  * @revision: revision of the store up to which changes were applied; means nothing once another
  *	&pd_sync.era was reported
  * @cover: what the watch has certainly not missed; guarded by &pd_sync.lock
+ * @failing: its last call failed
  * @unreachable_since_us: time since which this task's calls to the store fail, in microseconds of
  *	pd_os_boot_us(); 0 while they succeed
  * @failures: number of consecutive failed calls
@@ -62,6 +63,7 @@
 	bool listed_before;
 	uint64_t revision;
 	struct pd_watch_cover cover;
+	bool failing;
 	int64_t unreachable_since_us;
 	uint32_t failures;
 	uint32_t early_returns;
@@ -80,7 +82,7 @@
  * @directory: directory to which changes are applied
  * @lock: guards @address, @mode, @era, @revision, @restored, @unreadable and the members of the
  *tasks that refer to it
- * @changed: signalled when @mode is set
+ * @changed: signalled when @mode is set, and when a call succeeds after one that failed
  * @address: address of the store
  * @mode: how changes are received
  * @era: number of the store's history, see &pd_store.era; 0 if unknown
--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -409,6 +409,7 @@
 	sscanf(query_argument(target, "after"), "%127[^&]", after);
 	pthread_mutex_lock(&store->lock);
 	store->request_count++;
+	store->order_request_count += !strcmp(kind, "rollouts");
 	if (store->mode == PLATFORM_STORE_BUSY ||
 	    (store->mode == PLATFORM_STORE_FIRST_PAGES && *after))
 		status = 503;
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -67,6 +67,7 @@
  * @oldest_revision: watches that start at an earlier revision get status 410
  * @mode: how the store handles requests
  * @request_count: number of requests received
+ * @order_request_count: number of those for orders of roll-outs
  * @watch_count: number of watches started
  * @lost_statuses: number of next writes of a status that get no response
  * @late_statuses: number of next writes of a status that are executed two seconds later, if their
@@ -95,6 +96,7 @@
 	uint64_t oldest_revision;
 	enum platform_store_mode mode;
 	uint32_t request_count;
+	uint32_t order_request_count;
 	uint32_t watch_count;
 	uint32_t lost_statuses;
 	uint32_t late_statuses;
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -595,6 +595,17 @@
 	append_output("%s %s", state, version);
 }
 
+/* order_calls: prints the number of calls to the store for orders since the last time */
+static void do_order_calls(char **words, int count)
+{
+	(void)words;
+	(void)count;
+	pthread_mutex_lock(&deployment.store.lock);
+	append_output("%u", deployment.store.order_request_count);
+	deployment.store.order_request_count = 0;
+	pthread_mutex_unlock(&deployment.store.lock);
+}
+
 /* Returns the number of requests that the upstreams of a version, or all, have received. */
 static uint32_t count_arrivals(const char *version)
 {
@@ -1494,6 +1505,7 @@
 	{"unorder", 2, do_order},
 	{"statuses", 3, do_statuses},
 	{"outcome", 2, do_outcome},
+	{"order_calls", 1, do_order_calls},
 	{"exposed", 2, do_exposed},
 	{"exposure", 4, do_exposure},
 	{"sent_late", 2, do_sent_late},
