Roll-outs: two failures make a version doubtful

Cause: in a run with real processes beside load, the service got 24 requests in the full phase in place of about 45, and a version that fails above ten requests per second failed 2 of them, where the old version had failed none of 322 (chance 0.0046). A version was in doubt only from 3 failures on, so that it was completed; its upstreams got 104 of 427 requests until the deadline, 92 are allowed.

Change: two failures are enough for doubt, if their chance is below 0.005 as before. Doubt only delays the outcome until more results are known.

--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -221,7 +221,7 @@
 static const struct thresholds part_thresholds = {3, 0.00005, 5, 3.8};
 static const struct thresholds zone_thresholds = {2, 0.05, 2, 1.6};
 /* A version that may be worse isn't completed before that is clear. */
-static const struct thresholds doubt_thresholds = {3, 0.005, 5, 2.5};
+static const struct thresholds doubt_thresholds = {2, 0.005, 5, 2.5};
 
 /**
  * struct comparison - results of both versions, over some strata
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -676,6 +676,31 @@
 }
 END_TEST
 
+START_TEST(two_failures_make_a_version_doubtful)
+{
+	/* Guards against a bad version that is completed after a full phase with few requests: a
+	 * version that fails under load only has had 2 failures of 24 there.
+	 */
+	static const struct {
+		uint32_t new, new_failed;
+		bool doubtful;
+	} cases[] = {{24, 2, true}, {24, 1, false}, {60, 2, false}};
+	const struct pd_rollout_scope scope = {.latency_too = true, .zones = 1};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct pd_rollout_evidence evidence = {0};
+		struct pd_rollout_verdict verdict;
+
+		add_results(&evidence, 1, PD_ROLLOUT_OLD, 322, 0, 20000);
+		add_results(&evidence, 1, PD_ROLLOUT_NEW, cases[i].new, cases[i].new_failed, 20000);
+		pd_rollout_compare(&evidence, &scope, &verdict);
+		ck_assert_msg(verdict.doubtful == cases[i].doubtful && !verdict.bad, "case %zu: %s",
+			      i, verdict.figures);
+		pd_rollout_evidence_finish(&evidence);
+	}
+}
+END_TEST
+
 START_TEST(later_revision_settles_unknown_write)
 {
 	/* Guards against a head that can't begin the full phase, because it still reads whether its
@@ -867,6 +892,7 @@
 int main(void)
 {
 	const TTest *tests[] = {few_results_decide_nothing,
+				two_failures_make_a_version_doubtful,
 				full_phase_waits_for_end_of_burst,
 				started_head_doubts_results_of_full_phase,
 				full_phase_lasts_until_completed,
