Roll-outs: orders and the comparison of versions have files of their own

ingress/rollout.c had 1,110 lines with three responsibilities. Moved without a change: orders and sets to rollout_order.c, the comparison of versions to rollout_compare.c (two of its functions are called from outside and have the prefix now).

--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -18,13 +18,13 @@
 #include <stdint.h>
 
 #include "error.h"
+#include "rollout_compare.h"
 #include "rollout_evidence.h"
 #include "str.h"
 
 #define PD_ROLLOUT_OBJECT_MAX_BYTES 255
 #define PD_ROLLOUT_DURATION_MAX_MS  86400000
 #define PD_ROLLOUTS_MAX		    64
-#define PD_ROLLOUT_FIGURES_BYTES    320
 
 /** enum pd_rollout_state - state of an order by its status; the values are part of the feed. */
 enum pd_rollout_state {
@@ -130,44 +130,6 @@
 	PD_ROLLOUT_ROLL_BACK,
 };
 
-/**
- * struct pd_rollout_verdict - comparison of the two versions
- * @bad: the new version is worse
- * @doubtful: it may be worse, which more results will show
- * @reason: why, for the log
- * @route: route that shows it; empty for all
- * @samples: number of responses of the new version
- * @figures: figures of the comparison as key=value pairs, for the log
- */
-struct pd_rollout_verdict {
-	bool bad;
-	bool doubtful;
-	const char *reason;
-	struct pd_name route;
-	uint32_t samples;
-	char figures[PD_ROLLOUT_FIGURES_BYTES];
-};
-
-/**
- * struct pd_rollout_scope - what a comparison covers
- * @latency_too: latencies and rejections, too
- * @part: one of some parts of the results, of which one may differ by chance
- * @zones: number of zones with results of the new version, if the versions had their results at
- *	different times, so that a fault of one zone may affect one version only: then the new
- *	version has to be worse in more than one of them; 1 otherwise
- */
-struct pd_rollout_scope {
-	bool latency_too;
-	bool part;
-	size_t zones;
-};
-
-/* Compares the versions. Merges the zones of @evidence if most results of the new version have no
- * counterpart in their zone.
- */
-void pd_rollout_compare(struct pd_rollout_evidence *evidence, const struct pd_rollout_scope *scope,
-			struct pd_rollout_verdict *verdict);
-
 /**
  * struct pd_rollout - a running order at a head
  * @started_us: time of the first update; 0 before it
