--- a/ingress/rollout.c
+++ b/ingress/rollout.c
@@ -31,6 +31,12 @@
 /* Difference of the heads' full phases: of their begin, and of the requests that each one counts.
  */
 #define HEADS_DIFFER_US (200 * PD_USEC_PER_MSEC)
+/* Shorter differences of the ends of their phases may be the time that a statement takes. */
+#define HEADS_ALIGN_US (50 * PD_USEC_PER_MSEC)
+/* While the order isn't completed although that is decided, the full phase lasts this much longer
+ * at least: a call without a response takes 400 ms, and the statements 200 ms.
+ */
+#define EXTEND_US (600 * PD_USEC_PER_MSEC)
 /* A head begins the full phase up to this much earlier if another one has begun. */
 #define FOLLOW_US (500 * PD_USEC_PER_MSEC)
 /* Without a reason to wait, an order that can't be completed is rolled back this long before its
@@ -46,19 +52,6 @@
 /* Requests whose results aren't known yet: evidence is up to this old, and a few more. */
 #define EVIDENCE_AGE_S	 0.15
 #define EXPOSURE_RESERVE 4
-/* The new version fails if its rate of failures is higher by this factor and share, and the
- * difference isn't chance, see struct thresholds.
- */
-#define FAILURE_FACTOR	  2.0
-#define FAILURE_MARGIN	  0.03
-#define OUTAGE_SHARE	  0.5 /* of the requests to a zone that fail in an outage */
-#define REJECTIONS_MIN	  8
-#define REJECTION_SHARE	  0.5
-#define REJECTION_OLD_MAX 0.1
-/* It is slow if its median latency is higher by this factor, which machines of different speeds
- * (0.8 to 1.3) and slow phases of one machine don't reach, and the difference isn't chance.
- */
-#define SLOW_FACTOR 2.2
 /* In the full phase, requests without a response count as slow if they are more than this factor
  * times the expected number, this many more, and this share of all. Requests to one zone that is
  * unreachable are fewer.
@@ -88,459 +81,6 @@
 #define FIRST_CALL_US	      (300 * PD_USEC_PER_MSEC)
 #define RUNNING_RANK_DELAY_US (1000 * PD_USEC_PER_MSEC)
 
-const char *pd_rollout_state_name(enum pd_rollout_state state)
-{
-	switch (state) {
-	case PD_ROLLOUT_NONE:
-		return "none";
-	case PD_ROLLOUT_RUNNING:
-		return "running";
-	case PD_ROLLOUT_COMPLETED:
-		return "completed";
-	case PD_ROLLOUT_ROLLED_BACK:
-		return "rolled_back";
-	}
-	return "unlisted";
-}
-
-const char *pd_rollout_phase_name(enum pd_rollout_phase phase)
-{
-	switch (phase) {
-	case PD_ROLLOUT_HALTED:
-		return "halted";
-	case PD_ROLLOUT_CANARY:
-		return "canary";
-	case PD_ROLLOUT_FULL:
-		return "full";
-	}
-	return "unlisted";
-}
-
-bool pd_rollout_is_final(enum pd_rollout_state state)
-{
-	return state == PD_ROLLOUT_COMPLETED || state == PD_ROLLOUT_ROLLED_BACK;
-}
-
-bool pd_rollout_same_order(const struct pd_rollout_order *a, const struct pd_rollout_order *b)
-{
-	return pd_name_equal(&a->service, &b->service) && pd_name_equal(&a->target, &b->target);
-}
-
-const struct pd_rollout_order *pd_rollout_set_find(const struct pd_rollout_set *set,
-						   const struct pd_name *service)
-{
-	for (size_t i = 0; i < set->count; i++) {
-		if (pd_name_equal(&set->orders[i].service, service))
-			return &set->orders[i];
-	}
-	return NULL;
-}
-
-void pd_rollout_set_encode(const struct pd_rollout_set *set, int64_t now_us, struct pd_buf *out)
-{
-	pd_datagram_put_uint(out, set->count);
-	for (size_t i = 0; i < set->count; i++) {
-		const struct pd_rollout_order *order = &set->orders[i];
-
-		pd_datagram_put_str(out, (struct pd_str){order->object, order->object_len});
-		pd_datagram_put_str(out, pd_name_str(&order->service));
-		pd_datagram_put_str(out, pd_name_str(&order->target));
-		pd_datagram_put_uint(out, order->duration_ms);
-		pd_datagram_put_uint(out, (uint64_t)order->state);
-		pd_datagram_put_uint(out, order->revision);
-		pd_datagram_put_uint(out, (uint64_t)(now_us - order->started_us));
-	}
-}
-
-static bool decode_order(struct pd_datagram_reader *reader, int64_t now_us,
-			 struct pd_rollout_order *order)
-{
-	struct pd_str object = pd_datagram_get_str(reader);
-	uint64_t duration_ms, state, age_us;
-
-	if (reader->failed || !object.len || object.len > sizeof(order->object) ||
-	    !pd_name_set(&order->service, pd_datagram_get_str(reader)) ||
-	    !pd_name_set(&order->target, pd_datagram_get_str(reader)))
-		return false;
-	memcpy(order->object, object.data, object.len);
-	order->object_len = (uint8_t)object.len;
-	duration_ms = pd_datagram_get_uint(reader);
-	state = pd_datagram_get_uint(reader);
-	order->revision = pd_datagram_get_uint(reader);
-	age_us = pd_datagram_get_uint(reader);
-	if (reader->failed || duration_ms > PD_ROLLOUT_DURATION_MAX_MS ||
-	    state > PD_ROLLOUT_ROLLED_BACK || age_us > INT64_MAX / 2)
-		return false;
-	order->duration_ms = (uint32_t)duration_ms;
-	order->state = (enum pd_rollout_state)state;
-	order->started_us = now_us - (int64_t)age_us;
-	return true;
-}
-
-bool pd_rollout_set_decode(struct pd_str text, int64_t now_us, struct pd_rollout_set *set)
-{
-	struct pd_datagram_reader reader;
-	uint64_t count;
-
-	memset(set, 0, sizeof(*set));
-	pd_datagram_reader_init(&reader, text);
-	count = pd_datagram_get_uint(&reader);
-	if (reader.failed || count > PD_ROLLOUTS_MAX)
-		return false;
-	for (; set->count < count; set->count++) {
-		if (!decode_order(&reader, now_us, &set->orders[set->count]))
-			return false;
-	}
-	return pd_datagram_reader_at_end(&reader);
-}
-
-/**
- * struct thresholds - from when on a difference isn't chance
- * @failures_min: number of failures
- * @chance_max: probability of as many failures if both versions fail alike
- * @latencies_min: number of latencies
- * @deviations: standard deviations by which the ranks of the latencies differ
- */
-struct thresholds {
-	uint32_t failures_min;
-	double chance_max;
-	uint32_t latencies_min;
-	double deviations;
-};
-
-/* A comparison is made every 50 ms, but of counts that are mostly the same; of one route among
- * some, it has to be clearer. Without the worst zone, it only has to point in the same direction.
- */
-static const struct thresholds service_thresholds = {3, 0.0002, 5, 3.5};
-static const struct thresholds part_thresholds = {3, 0.00005, 5, 3.8};
-static const struct thresholds zone_thresholds = {2, 0.05, 2, 1.6};
-/* A version that may be worse isn't completed before that is clear. */
-static const struct thresholds doubt_thresholds = {3, 0.005, 5, 2.5};
-
-/**
- * struct comparison - results of both versions, over some strata
- * @total: number of results
- * @failed: failures
- * @rejected: rejections
- * @rank_sum: sum over the strata of how much the ranks of the new version's latencies exceed those
- *	that are expected if the versions don't differ
- * @rank_variance: variance of @rank_sum
- * @ratio_sum: logarithm of the ratio of the medians, weighted by @latencies
- * @latencies: number of latencies of the new version that have a counterpart
- */
-struct comparison {
-	uint32_t total[PD_ROLLOUT_SIDES];
-	uint32_t failed[PD_ROLLOUT_SIDES];
-	uint32_t rejected[PD_ROLLOUT_SIDES];
-	double rank_sum;
-	double rank_variance;
-	double ratio_sum;
-	uint32_t latencies;
-};
-
-static uint32_t count_latencies(const struct pd_rollout_counts *counts)
-{
-	uint32_t count = 0;
-
-	for (size_t i = 0; i < PD_ROLLOUT_BINS; i++)
-		count += counts->latency[i];
-	return count;
-}
-
-static double median_latency_us(const struct pd_rollout_counts *counts, uint32_t count)
-{
-	uint32_t below = 0;
-	size_t bin = 0;
-
-	while (bin < PD_ROLLOUT_BINS - 1 && 2 * (below + counts->latency[bin]) < count)
-		below += counts->latency[bin++];
-	return pd_rollout_bin_latency_us(bin);
-}
-
-static double mean_latency_us(const struct pd_rollout_evidence *evidence, enum pd_rollout_side side)
-{
-	double sum = 0, count = 0;
-
-	for (size_t i = 0; i < evidence->count; i++) {
-		const struct pd_rollout_counts *counts = &evidence->strata[i].sides[side];
-
-		for (size_t bin = 0; bin < PD_ROLLOUT_BINS; bin++) {
-			sum += counts->latency[bin] * pd_rollout_bin_latency_us(bin);
-			count += counts->latency[bin];
-		}
-	}
-	return count > 0 ? sum / count : 0;
-}
-
-/* Adds the latencies of one stratum: the rank sum test with ties. */
-static void add_latencies(struct comparison *comparison, const struct pd_rollout_counts *old,
-			  const struct pd_rollout_counts *new)
-{
-	double old_count = count_latencies(old), new_count = count_latencies(new);
-	double all = old_count + new_count, below = 0, ranks = 0, ties = 0;
-
-	if (old_count < 1 || new_count < 1)
-		return;
-	for (size_t i = 0; i < PD_ROLLOUT_BINS; i++) {
-		double tied = (double)old->latency[i] + new->latency[i];
-
-		ranks += new->latency[i] * (below + (tied + 1) / 2);
-		ties += tied * tied * tied - tied;
-		below += tied;
-	}
-	/* Weighted by the inverse of the stratum's size, so that the strata count alike. */
-	comparison->rank_sum += (ranks - new_count * (all + 1) / 2) / (all + 1);
-	if (all > 1)
-		comparison->rank_variance += old_count * new_count / 12 *
-					     (all + 1 - ties / (all * (all - 1))) /
-					     ((all + 1) * (all + 1));
-	comparison->ratio_sum += new_count * log(median_latency_us(new, (uint32_t)new_count) /
-						 median_latency_us(old, (uint32_t)old_count));
-	comparison->latencies += (uint32_t)new_count;
-}
-
-static uint32_t count_results(const struct pd_rollout_counts *counts)
-{
-	return counts->ok + counts->failed;
-}
-
-/* Sums up the strata of a route, or all if @route is empty, without those of a zone, unless that is
- * 0.
- */
-static void sum_up(const struct pd_rollout_evidence *evidence, const struct pd_name *route,
-		   uint64_t without_zone, struct comparison *comparison)
-{
-	memset(comparison, 0, sizeof(*comparison));
-	for (size_t i = 0; i < evidence->count; i++) {
-		const struct pd_rollout_stratum *stratum = &evidence->strata[i];
-
-		if ((route->len && !pd_name_equal(&stratum->route, route)) ||
-		    (without_zone && stratum->zone == without_zone))
-			continue;
-		for (int side = 0; side < PD_ROLLOUT_SIDES; side++) {
-			comparison->total[side] += count_results(&stratum->sides[side]);
-			comparison->failed[side] += stratum->sides[side].failed;
-			comparison->rejected[side] += stratum->sides[side].rejected;
-		}
-		add_latencies(comparison, &stratum->sides[PD_ROLLOUT_OLD],
-			      &stratum->sides[PD_ROLLOUT_NEW]);
-	}
-}
-
-static double log_choose(double n, double k)
-{
-	int sign;
-
-	return lgamma_r(n + 1, &sign) - lgamma_r(k + 1, &sign) - lgamma_r(n - k + 1, &sign);
-}
-
-/* Returns the probability that at least as many failures fall on the new version if both versions
- * fail alike (Fisher's exact test).
- */
-static double failure_chance(const struct comparison *comparison)
-{
-	double new_total = comparison->total[PD_ROLLOUT_NEW];
-	double all = new_total + comparison->total[PD_ROLLOUT_OLD];
-	double failed =
-		(double)comparison->failed[PD_ROLLOUT_NEW] + comparison->failed[PD_ROLLOUT_OLD];
-	double chance = 0;
-
-	for (double k = comparison->failed[PD_ROLLOUT_NEW]; k <= failed && k <= new_total; k++) {
-		if (new_total - k <= all - failed)
-			chance += exp(log_choose(failed, k) +
-				      log_choose(all - failed, new_total - k) -
-				      log_choose(all, new_total));
-	}
-	return chance;
-}
-
-static double share_of(uint32_t part, uint32_t whole)
-{
-	return whole ? (double)part / whole : 0;
-}
-
-static double latency_factor(const struct comparison *comparison)
-{
-	return comparison->latencies ? exp(comparison->ratio_sum / comparison->latencies) : 0;
-}
-
-static double latency_deviations(const struct comparison *comparison)
-{
-	return comparison->rank_variance > 0
-		       ? comparison->rank_sum / sqrt(comparison->rank_variance)
-		       : 0;
-}
-
-static bool fails_more(const struct comparison *comparison, const struct thresholds *thresholds)
-{
-	double old_rate =
-		share_of(comparison->failed[PD_ROLLOUT_OLD], comparison->total[PD_ROLLOUT_OLD]);
-	double new_rate =
-		share_of(comparison->failed[PD_ROLLOUT_NEW], comparison->total[PD_ROLLOUT_NEW]);
-
-	return comparison->failed[PD_ROLLOUT_NEW] >= thresholds->failures_min &&
-	       new_rate >= old_rate * FAILURE_FACTOR && new_rate >= old_rate + FAILURE_MARGIN &&
-	       failure_chance(comparison) < thresholds->chance_max;
-}
-
-static bool is_slower(const struct comparison *comparison, const struct thresholds *thresholds)
-{
-	return comparison->latencies >= thresholds->latencies_min &&
-	       latency_factor(comparison) >= SLOW_FACTOR &&
-	       latency_deviations(comparison) >= thresholds->deviations;
-}
-
-static bool rejects_more(const struct comparison *comparison)
-{
-	const uint32_t *rejected = comparison->rejected, *total = comparison->total;
-
-	return rejected[PD_ROLLOUT_NEW] >= REJECTIONS_MIN &&
-	       share_of(rejected[PD_ROLLOUT_NEW],
-			rejected[PD_ROLLOUT_NEW] + total[PD_ROLLOUT_NEW]) >= REJECTION_SHARE &&
-	       share_of(rejected[PD_ROLLOUT_OLD],
-			rejected[PD_ROLLOUT_OLD] + total[PD_ROLLOUT_OLD]) <= REJECTION_OLD_MAX;
-}
-
-static const char *find_objection(const struct comparison *comparison, bool latency_too,
-				  const struct thresholds *thresholds)
-{
-	if (fails_more(comparison, thresholds))
-		return "failures";
-	if (latency_too && is_slower(comparison, thresholds))
-		return "latency";
-	return latency_too && rejects_more(comparison) ? "rejections" : NULL;
-}
-
-static void describe(const struct comparison *comparison, struct pd_rollout_verdict *verdict)
-{
-	snprintf(verdict->figures, sizeof(verdict->figures),
-		 "route=%s old=%" PRIu32 " old_failed=%" PRIu32 " old_rejected=%" PRIu32
-		 " new=%" PRIu32 " new_failed=%" PRIu32 " new_rejected=%" PRIu32
-		 " failure_chance=%.2g latency_factor=%.2f deviations=%.1f",
-		 verdict->route.len ? verdict->route.text : "-", comparison->total[PD_ROLLOUT_OLD],
-		 comparison->failed[PD_ROLLOUT_OLD], comparison->rejected[PD_ROLLOUT_OLD],
-		 comparison->total[PD_ROLLOUT_NEW], comparison->failed[PD_ROLLOUT_NEW],
-		 comparison->rejected[PD_ROLLOUT_NEW], failure_chance(comparison),
-		 latency_factor(comparison), latency_deviations(comparison));
-}
-
-/* Whether less than half of the new version's results have results of the old one in their zone. */
-static bool zones_differ(const struct pd_rollout_evidence *evidence)
-{
-	uint32_t matched = 0, all = 0;
-
-	for (size_t i = 0; i < evidence->count; i++) {
-		const struct pd_rollout_counts *sides = evidence->strata[i].sides;
-
-		all += count_results(&sides[PD_ROLLOUT_NEW]);
-		if (count_results(&sides[PD_ROLLOUT_OLD]))
-			matched += count_results(&sides[PD_ROLLOUT_NEW]);
-	}
-	return 2 * matched < all;
-}
-
-/* Whether the new version has results of the route, or of any if it is empty. */
-static bool has_results(const struct pd_rollout_stratum *stratum, const struct pd_name *route)
-{
-	return (!route->len || pd_name_equal(&stratum->route, route)) &&
-	       count_results(&stratum->sides[PD_ROLLOUT_NEW]);
-}
-
-/* Returns the number of zones in which the new version has results of the route. */
-static size_t count_zones(const struct pd_rollout_evidence *evidence, const struct pd_name *route)
-{
-	size_t zones = 0;
-
-	for (size_t i = 0; i < evidence->count; i++) {
-		bool counted = !has_results(&evidence->strata[i], route);
-
-		for (size_t j = 0; j < i && !counted; j++)
-			counted = evidence->strata[j].zone == evidence->strata[i].zone &&
-				  has_results(&evidence->strata[j], route);
-		zones += !counted;
-	}
-	return zones;
-}
-
-/* Whether the new version is also worse without any one of the zones. A fault of one zone would
- * show only there.
- */
-static bool holds_without_each_zone(const struct pd_rollout_evidence *evidence,
-				    const struct pd_name *route, bool latency_too)
-{
-	struct comparison all, comparison;
-
-	sum_up(evidence, route, 0, &all);
-	for (size_t i = 0; i < evidence->count; i++) {
-		sum_up(evidence, route, evidence->strata[i].zone, &comparison);
-		if (comparison.total[PD_ROLLOUT_NEW] &&
-		    comparison.total[PD_ROLLOUT_NEW] < all.total[PD_ROLLOUT_NEW] &&
-		    !find_objection(&comparison, latency_too, &zone_thresholds))
-			return false;
-	}
-	return true;
-}
-
-/* Whether most requests to the new version in one zone fail. */
-static bool has_outage(const struct pd_rollout_evidence *evidence)
-{
-	bool outage = false;
-
-	for (size_t i = 0; i < evidence->count && !outage; i++) {
-		uint32_t total = 0, failed = 0;
-
-		for (size_t j = 0; j < evidence->count; j++) {
-			const struct pd_rollout_counts *counts =
-				&evidence->strata[j].sides[PD_ROLLOUT_NEW];
-
-			if (evidence->strata[j].zone != evidence->strata[i].zone)
-				continue;
-			total += count_results(counts);
-			failed += counts->failed;
-		}
-		outage = share_of(failed, total) >= OUTAGE_SHARE;
-	}
-	return outage;
-}
-
-void pd_rollout_compare(struct pd_rollout_evidence *evidence, const struct pd_rollout_scope *scope,
-			struct pd_rollout_verdict *verdict)
-{
-	const struct thresholds *thresholds = scope->part ? &part_thresholds : &service_thresholds;
-	struct comparison comparison, route;
-	const char *doubt;
-
-	memset(verdict, 0, sizeof(*verdict));
-	if (zones_differ(evidence))
-		pd_rollout_evidence_merge_zones(evidence);
-	sum_up(evidence, &verdict->route, 0, &comparison);
-	verdict->samples = comparison.total[PD_ROLLOUT_NEW];
-	verdict->reason = find_objection(&comparison, scope->latency_too, thresholds);
-	for (size_t i = 0; i < evidence->count && !verdict->reason; i++) {
-		sum_up(evidence, &evidence->strata[i].route, 0, &route);
-		verdict->reason = find_objection(&route, scope->latency_too, &part_thresholds);
-		if (!verdict->reason)
-			continue;
-		verdict->route = evidence->strata[i].route;
-		comparison = route;
-	}
-	doubt = verdict->reason
-			? verdict->reason
-			: find_objection(&comparison, scope->latency_too, &doubt_thresholds);
-	/* Without a zone that has an outage, failures may have fallen on one zone by chance. */
-	if (doubt && scope->zones > 1 &&
-	    (count_zones(evidence, &verdict->route) < 2 ||
-	     !holds_without_each_zone(evidence, &verdict->route, scope->latency_too))) {
-		verdict->reason = NULL;
-		if (comparison.failed[PD_ROLLOUT_NEW] < doubt_thresholds.failures_min ||
-		    has_outage(evidence))
-			doubt = NULL;
-	}
-	verdict->doubtful = doubt && !verdict->reason;
-	verdict->bad = verdict->reason != NULL;
-	describe(&comparison, verdict);
-}
-
 void pd_rollout_init(struct pd_rollout *rollout)
 {
 	memset(rollout, 0, sizeof(*rollout));
@@ -683,7 +223,7 @@
 	double sent =
 		(double)evidence->sent[PD_ROLLOUT_NEW] - rollout->full_base.sent[PD_ROLLOUT_NEW];
 	double pending = (double)evidence->sent[PD_ROLLOUT_NEW] - evidence->ended[PD_ROLLOUT_NEW];
-	double latency_us = mean_latency_us(evidence, PD_ROLLOUT_OLD);
+	double latency_us = pd_rollout_mean_latency_us(evidence, PD_ROLLOUT_OLD);
 	double expected;
 
 	if (latency_us <= 0 || full_s < EVIDENCE_AGE_S)
@@ -710,7 +250,9 @@
 	bool full = rollout->phase == PD_ROLLOUT_FULL;
 	struct pd_rollout_scope scope = {
 		.latency_too = !is_burst(rollout, input, now_us),
-		.zones = rollout->full_since_us ? count_zones(input->evidence, &any_route) : 1,
+		.zones = rollout->full_since_us
+				 ? pd_rollout_count_zones(input->evidence, &any_route)
+				 : 1,
 	};
 	struct pd_rollout_verdict recent;
 
@@ -773,6 +315,12 @@
 {
 	int64_t needed_us = full_min_us(rollout) + WRITE_US;
 
+	/* While there is time to wait for more of the bound, or the end of a burst, the phase has
+	 * to last until requests to the old version have ended and all heads know that.
+	 */
+	if (input->age_us + needed_us + DRAIN_US + HEADS_DIFFER_US <
+	    input->duration_us - GIVE_UP_US)
+		needed_us += DRAIN_US;
 	if (!input->connected || !input->target_ready || rollout->must_read || rollout->writing)
 		return false;
 	if (is_late(input))
@@ -784,6 +332,20 @@
 	       exposure_time_us(rollout, input) >= needed_us;
 }
 
+/* Whether this head follows the others into their full phase, although it can't complete the order
+ * itself: it has just started, or its last call to the store is without a result. They can't
+ * complete it without this head, and their phase is as long as the bound allows if all requests go
+ * to the new version. What is left of a phase that this head has left is shorter than the
+ * difference of the heads.
+ */
+static bool may_join(const struct pd_rollout *rollout, const struct pd_rollout_input *input)
+{
+	int64_t needed_us =
+		rollout->full_length_us ? HEADS_DIFFER_US + WRITE_LEFT_US : WRITE_LEFT_US;
+
+	return input->target_ready && input->another_full && input->another_full_us >= needed_us;
+}
+
 static enum pd_rollout_action give_up(const char *reason, struct pd_rollout_verdict *verdict)
 {
 	verdict->reason = reason;
@@ -824,7 +386,7 @@
 		if (verdict->samples && !verdict->doubtful &&
 		    is_full_enough(rollout, input, now_us) && is_old_unused(rollout, input, now_us))
 			return PD_ROLLOUT_COMPLETE;
-	} else if (may_advance(rollout, input)) {
+	} else if (may_advance(rollout, input) || may_join(rollout, input)) {
 		return PD_ROLLOUT_ADVANCE;
 	}
 	return decide_at_end(input, verdict);
@@ -840,6 +402,7 @@
 		       int64_t now_us)
 {
 	int64_t length_us = full_length_us(rollout, input) + DRAIN_US + WRITE_US;
+	bool joined = !may_advance(rollout, input);
 	double age_s = (double)input->age_us / PD_USEC_PER_SEC;
 
 	rollout->full_length_us = full_length_us(rollout, input);
@@ -851,7 +414,8 @@
 		length_us = input->duration_us - GIVE_UP_US - input->age_us;
 	if (!is_late(input) && length_us > exposure_time_us(rollout, input))
 		length_us = exposure_time_us(rollout, input);
-	rollout->full_until_us = now_us + length_us;
+	rollout->joined = joined;
+	rollout->full_until_us = now_us + (joined ? input->another_full_us : length_us);
 	rollout->full_since_us = now_us;
 	set_phase(rollout, PD_ROLLOUT_FULL, now_us);
 }
@@ -864,7 +428,7 @@
 
 	/* Results of a full phase don't compare with those of the old version after it. */
 	if (rollout->phase != PD_ROLLOUT_FULL && rollout->full_since_us &&
-	    now_us - rollout->full_until_us < FULL_RESULTS_US) {
+	    (!input->settled || now_us - rollout->full_until_us < FULL_RESULTS_US)) {
 		rollout->window_us = now_us;
 		copy_evidence(&rollout->recent_base, input->evidence);
 		copy_evidence(&rollout->earlier_base, input->evidence);
@@ -878,6 +442,29 @@
 	copy_evidence(&rollout->recent_base, input->evidence);
 }
 
+/* Extends the full phase as far as the bound allows: to the end of the other heads' phase, and
+ * while the order isn't completed although that is decided, because a write may be executed late. A
+ * head that has joined relies on the others, which know all requests.
+ */
+static void extend_full(struct pd_rollout *rollout, const struct pd_rollout_input *input,
+			int64_t now_us)
+{
+	int64_t left_us = rollout->full_until_us - now_us, allowed_us = FULL_MAX_US, wanted_us = 0;
+
+	if (rollout->phase != PD_ROLLOUT_FULL)
+		return;
+	if (input->another_full_us > left_us + HEADS_ALIGN_US)
+		wanted_us = input->another_full_us;
+	if (rollout->decided == PD_ROLLOUT_COMPLETED && wanted_us < EXTEND_US)
+		wanted_us = EXTEND_US;
+	if (!is_late(input) && !rollout->joined)
+		allowed_us = exposure_time_us(rollout, input);
+	if (wanted_us > allowed_us)
+		wanted_us = allowed_us;
+	if (wanted_us > left_us)
+		rollout->full_until_us = now_us + wanted_us;
+}
+
 /* Ends a full phase whose outcome wasn't written in time, or that can't be decided. It isn't ended
  * earlier, because another head may be writing that the order is completed.
  */
@@ -914,8 +501,12 @@
 			set_phase(rollout, PD_ROLLOUT_HALTED, now_us);
 		return;
 	}
-	/* A head that has started meanwhile has results of the other heads' full phase. */
-	if (input->another_full && !rollout->full_since_us) {
+	/* A head that hasn't been in the other heads' full phase gets results of it, and so may one
+	 * that has started when there may have been one.
+	 */
+	if (!rollout->full_since_us &&
+	    (input->another_full ||
+	     (!input->settled && input->age_us >= canary_end_us(rollout, input) - FOLLOW_US))) {
 		rollout->full_since_us = now_us;
 		rollout->full_until_us = now_us;
 	}
@@ -938,6 +529,8 @@
 		set_phase(rollout, PD_ROLLOUT_HALTED, now_us);
 		break;
 	}
+	rollout->old_unused = input->same_version || is_old_unused(rollout, input, now_us);
+	extend_full(rollout, input, now_us);
 	if (!input->same_version)
 		end_full_when_due(rollout, input, now_us);
 	if (rollout->phase == PD_ROLLOUT_CANARY &&
@@ -964,6 +557,18 @@
 		return;
 	rollout->revision = revision;
 	rollout->state = state;
+	/* A write whose result isn't known was conditional on an earlier revision: it has been
+	 * executed, or won't be.
+	 */
+	rollout->must_read = false;
+}
+
+int64_t pd_rollout_full_left_us(const struct pd_rollout *rollout, bool drained, int64_t now_us)
+{
+	if (rollout->phase != PD_ROLLOUT_FULL || rollout->full_until_us <= now_us ||
+	    (rollout->joined && !drained && now_us - rollout->phase_since_us < DRAIN_US))
+		return 0;
+	return rollout->full_until_us - now_us;
 }
 
 enum pd_rollout_call pd_rollout_next_call(struct pd_rollout *rollout, int64_t now_us)
@@ -981,7 +586,8 @@
 	/* The status is "running" before it has an outcome. */
 	if (rollout->state == PD_ROLLOUT_RUNNING)
 		next = rollout->decided;
-	if (next == rollout->state || !rollout->revision)
+	if (next == rollout->state || !rollout->revision ||
+	    (next == PD_ROLLOUT_COMPLETED && !rollout->old_unused))
 		return PD_ROLLOUT_NO_CALL;
 	rollout->writing = true;
 	rollout->written = next;
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -18,13 +18,13 @@
 #include <stdint.h>
 
 #include "error.h"
+#include "rollout_compare.h"
 #include "rollout_evidence.h"
 #include "str.h"
 
 #define PD_ROLLOUT_OBJECT_MAX_BYTES 255
 #define PD_ROLLOUT_DURATION_MAX_MS  86400000
 #define PD_ROLLOUTS_MAX		    64
-#define PD_ROLLOUT_FIGURES_BYTES    320
 
 /** enum pd_rollout_state - state of an order by its status; the values are part of the feed. */
 enum pd_rollout_state {
@@ -91,8 +91,11 @@
  * @evidence: results since the order began, over all instances
  * @target_ready: an upstream of the new version can take requests and isn't cold
  * @same_version: the service's traffic goes to the ordered version already
- * @connected: the heads of all other zones are heard, and the store is reachable
+ * @settled: this head has been one for long enough to have all evidence
+ * @connected: it has all evidence, the heads of all other zones are heard, and the store is
+ *reachable
  * @another_full: another head is in the full phase
+ * @another_full_us: longest time for which one of them stays in it at least; 0 if none does
  * @others_full_us: time for which all other heads stay in the full phase at least; 0 if one isn't
  *in it
  * @drained: no instance sends requests to the old version, and none is in flight there
@@ -108,8 +111,10 @@
 	const struct pd_rollout_evidence *evidence;
 	bool target_ready;
 	bool same_version;
+	bool settled;
 	bool connected;
 	bool another_full;
+	int64_t another_full_us;
 	int64_t others_full_us;
 	bool drained;
 	bool halted;
@@ -125,44 +130,6 @@
 	PD_ROLLOUT_ROLL_BACK,
 };
 
-/**
- * struct pd_rollout_verdict - comparison of the two versions
- * @bad: the new version is worse
- * @doubtful: it may be worse, which more results will show
- * @reason: why, for the log
- * @route: route that shows it; empty for all
- * @samples: number of responses of the new version
- * @figures: figures of the comparison as key=value pairs, for the log
- */
-struct pd_rollout_verdict {
-	bool bad;
-	bool doubtful;
-	const char *reason;
-	struct pd_name route;
-	uint32_t samples;
-	char figures[PD_ROLLOUT_FIGURES_BYTES];
-};
-
-/**
- * struct pd_rollout_scope - what a comparison covers
- * @latency_too: latencies and rejections, too
- * @part: one of some parts of the results, of which one may differ by chance
- * @zones: number of zones with results of the new version, if the versions had their results at
- *	different times, so that a fault of one zone may affect one version only: then the new
- *	version has to be worse in more than one of them; 1 otherwise
- */
-struct pd_rollout_scope {
-	bool latency_too;
-	bool part;
-	size_t zones;
-};
-
-/* Compares the versions. Merges the zones of @evidence if most results of the new version have no
- * counterpart in their zone.
- */
-void pd_rollout_compare(struct pd_rollout_evidence *evidence, const struct pd_rollout_scope *scope,
-			struct pd_rollout_verdict *verdict);
-
 /**
  * struct pd_rollout - a running order at a head
  * @started_us: time of the first update; 0 before it
@@ -183,6 +150,8 @@
  * @full_since_us: time at which the last full phase began; 0 if there was none
  * @full_length_us: time from its start until the outcome may be written
  * @full_until_us: time at which it ends if no outcome is known; other heads rely on it
+ * @joined: this head has joined the full phase of the others, see may_join()
+ * @old_unused: the old version isn't needed now, so that the order may be completed
  * @per_s: requests per second to the service now
  * @burst_per_s: the same, of a shorter time
  * @rate_us: time of the last update of @per_s
@@ -214,6 +183,8 @@
 	int64_t full_since_us;
 	int64_t full_length_us;
 	int64_t full_until_us;
+	bool joined;
+	bool old_unused;
 	double per_s;
 	double burst_per_s;
 	int64_t rate_us;
@@ -236,7 +207,9 @@
 
 void pd_rollout_init(struct pd_rollout *rollout);
 void pd_rollout_finish(struct pd_rollout *rollout);
-/* Takes over the state of the object at a revision, from the store. */
+/* Takes over the state of the object at a revision, from the store. If that is later than the known
+ * one, a write of unknown result needn't be read any more.
+ */
 void pd_rollout_observe(struct pd_rollout *rollout, enum pd_rollout_state state, uint64_t revision);
 /* Decides by the input; changes nothing. */
 enum pd_rollout_action pd_rollout_decide(struct pd_rollout *rollout,
@@ -245,6 +218,11 @@
 /* Decides and sets the phase; call it every 50 ms. */
 void pd_rollout_update(struct pd_rollout *rollout, const struct pd_rollout_input *input,
 		       int64_t now_us);
+/* Returns the time for which this head stays in the full phase at least; 0 if it isn't in it, or if
+ * its zone may still have requests in flight to the old version from before it has joined. @drained
+ * as in the input, of this head's zone only.
+ */
+int64_t pd_rollout_full_left_us(const struct pd_rollout *rollout, bool drained, int64_t now_us);
 /* Returns the call to the store that is due. The caller reports its result by one of the functions
  * below before it asks again.
  */
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -386,6 +386,7 @@
 					   .slack = SLACK,
 					   .evidence = &head->ledger.sum,
 					   .target_ready = true,
+					   .settled = settled,
 					   .connected = settled && !store_is_down(),
 					   .others_full_us = INT64_MAX};
 	input->drained = zone_is_drained(head, index);
@@ -399,8 +400,11 @@
 		input->connected &= sim.now_us - head->heard_us[i] <= HEARD_US;
 		if (stated->full_until_us - sim.now_us < input->others_full_us)
 			input->others_full_us = stated->full_until_us - sim.now_us;
-		input->another_full |= stated->phase == PD_ROLLOUT_FULL &&
-				       sim.now_us - head->heard_us[i] <= HEARD_US;
+		if (sim.now_us - head->heard_us[i] <= HEARD_US) {
+			input->another_full |= stated->phase == PD_ROLLOUT_FULL;
+			if (stated->full_until_us - sim.now_us > input->another_full_us)
+				input->another_full_us = stated->full_until_us - sim.now_us;
+		}
 		input->drained &= stated->drained;
 		input->rank += i < index;
 	}
@@ -408,15 +412,16 @@
 
 static void send_statement(const struct head *head, int index)
 {
-	struct message message = {.from = index,
-				  .statement = true,
-				  .drained = zone_is_drained(head, index),
-				  .phase = head->rollout.phase,
-				  .full_until_us = head->rollout.phase == PD_ROLLOUT_FULL
-							   ? head->rollout.full_until_us
-							   : 0,
-				  .decided = head->rollout.decided,
-				  .state = head->rollout.state};
+	bool drained = zone_is_drained(head, index);
+	struct message message = {
+		.from = index,
+		.statement = true,
+		.drained = drained,
+		.phase = head->rollout.phase,
+		.full_until_us =
+			sim.now_us + pd_rollout_full_left_us(&head->rollout, drained, sim.now_us),
+		.decided = head->rollout.decided,
+		.state = head->rollout.state};
 
 	for (size_t i = 0; i < head->ledger.count; i++)
 		write_origin(&head->ledger.origins[i], &message.records);
@@ -671,11 +676,231 @@
 }
 END_TEST
 
+START_TEST(two_failures_make_a_version_doubtful)
+{
+	/* Guards against a bad version that is completed after a full phase with few requests: a
+	 * version that fails under load only has had 2 failures of 24 there.
+	 */
+	static const struct {
+		uint32_t new, new_failed;
+		bool doubtful;
+	} cases[] = {{24, 2, true}, {24, 1, false}, {60, 2, false}};
+	const struct pd_rollout_scope scope = {.latency_too = true, .zones = 1};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct pd_rollout_evidence evidence = {0};
+		struct pd_rollout_verdict verdict;
+
+		add_results(&evidence, 1, PD_ROLLOUT_OLD, 322, 0, 20000);
+		add_results(&evidence, 1, PD_ROLLOUT_NEW, cases[i].new, cases[i].new_failed, 20000);
+		pd_rollout_compare(&evidence, &scope, &verdict);
+		ck_assert_msg(verdict.doubtful == cases[i].doubtful && !verdict.bad, "case %zu: %s",
+			      i, verdict.figures);
+		pd_rollout_evidence_finish(&evidence);
+	}
+}
+END_TEST
+
+START_TEST(later_revision_settles_unknown_write)
+{
+	/* Guards against a head that can't begin the full phase, because it still reads whether its
+	 * write was executed, although the watch has shown a later revision: the write is
+	 * conditional on an earlier one.
+	 */
+	struct pd_rollout rollout;
+	struct pd_rollout_evidence evidence = {0};
+	struct pd_rollout_input input = {.duration_us = DURATION_US,
+					 .share = SHARE,
+					 .slack = SLACK,
+					 .evidence = &evidence,
+					 .target_ready = true,
+					 .connected = true};
+	int64_t now_us = START_US;
+
+	pd_rollout_init(&rollout);
+	pd_rollout_observe(&rollout, PD_ROLLOUT_NONE, 7);
+	pd_rollout_update(&rollout, &input, now_us);
+	now_us += PD_USEC_PER_SEC;
+	pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(pd_rollout_next_call(&rollout, now_us), PD_ROLLOUT_CALL_WRITE);
+	pd_rollout_end_write(&rollout, PD_UNKNOWN_OUTCOME, now_us);
+	pd_rollout_observe(&rollout, PD_ROLLOUT_RUNNING, 8);
+	now_us += 2 * PD_USEC_PER_SEC;
+	ck_assert_int_eq(pd_rollout_next_call(&rollout, now_us), PD_ROLLOUT_NO_CALL);
+	input.age_us = DURATION_US - PD_USEC_PER_SEC;
+	pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(rollout.phase, PD_ROLLOUT_FULL);
+	pd_rollout_finish(&rollout);
+}
+END_TEST
+
+START_TEST(started_head_joins_full_phase)
+{
+	/* Guards against full phases that no head can complete, because one that has started during
+	 * the order stays in the canary phase until it has all evidence, and against a promise of
+	 * it while its zone still has requests in flight to the old version.
+	 */
+	struct pd_rollout rollout;
+	struct pd_rollout_evidence evidence = {0};
+	struct pd_rollout_input input = {.age_us = DURATION_US - 2 * PD_USEC_PER_SEC,
+					 .duration_us = DURATION_US,
+					 .share = SHARE,
+					 .slack = SLACK,
+					 .evidence = &evidence,
+					 .target_ready = true};
+	int64_t now_us = START_US;
+
+	pd_rollout_init(&rollout);
+	pd_rollout_observe(&rollout, PD_ROLLOUT_RUNNING, 8);
+	pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(rollout.phase, PD_ROLLOUT_CANARY);
+	input.another_full = true;
+	input.another_full_us = PD_USEC_PER_SEC;
+	pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(rollout.phase, PD_ROLLOUT_FULL);
+	ck_assert_int_eq(pd_rollout_full_left_us(&rollout, false, now_us), 0);
+	ck_assert_int_eq(pd_rollout_full_left_us(&rollout, true, now_us), PD_USEC_PER_SEC);
+	now_us += PD_USEC_PER_SEC / 2;
+	ck_assert_int_eq(pd_rollout_full_left_us(&rollout, false, now_us), PD_USEC_PER_SEC / 2);
+	/* It leaves the phase with the others, and doesn't join the rest of it again. */
+	now_us += PD_USEC_PER_SEC;
+	input.age_us += PD_USEC_PER_SEC * 3 / 2;
+	input.another_full_us = 0;
+	pd_rollout_update(&rollout, &input, now_us);
+	input.another_full_us = PD_USEC_PER_SEC / 5;
+	pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(rollout.phase, PD_ROLLOUT_CANARY);
+	ck_assert_int_eq(rollout.decided, PD_ROLLOUT_RUNNING);
+	pd_rollout_finish(&rollout);
+}
+END_TEST
+
+START_TEST(full_phase_lasts_until_completed)
+{
+	/* Guards against requests to the old version that are cut off by a write of "completed"
+	 * that the store executes late: after the deadline, the full phase lasts until then. Also
+	 * against a write while another head may send requests to the old version.
+	 */
+	struct pd_rollout rollout;
+	struct pd_rollout_evidence evidence = {
+		.requests = 400, .sent = {380, 20}, .ended = {380, 20}};
+	struct pd_rollout_input input = {.age_us = DURATION_US,
+					 .duration_us = DURATION_US,
+					 .share = SHARE,
+					 .slack = SLACK,
+					 .evidence = &evidence,
+					 .target_ready = true,
+					 .connected = true,
+					 .others_full_us = PD_USEC_PER_SEC,
+					 .drained = true};
+	int64_t now_us = START_US;
+
+	add_results(&evidence, 1, PD_ROLLOUT_OLD, 380, 0, 20000);
+	add_results(&evidence, 1, PD_ROLLOUT_NEW, 20, 0, 20000);
+	pd_rollout_init(&rollout);
+	pd_rollout_observe(&rollout, PD_ROLLOUT_RUNNING, 8);
+	while (now_us < START_US + 6 * PD_USEC_PER_SEC) {
+		pd_rollout_update(&rollout, &input, now_us);
+		ck_assert_int_eq(rollout.phase, PD_ROLLOUT_FULL);
+		now_us += TICK_US;
+		input.age_us += TICK_US;
+		evidence.requests += 2;
+		evidence.sent[PD_ROLLOUT_NEW] += 2;
+		evidence.ended[PD_ROLLOUT_NEW] += 2;
+		add_results(&evidence, 1, PD_ROLLOUT_NEW, 2, 0, 20000);
+	}
+	ck_assert_int_eq(rollout.decided, PD_ROLLOUT_COMPLETED);
+	input.others_full_us = 0;
+	pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(pd_rollout_next_call(&rollout, now_us), PD_ROLLOUT_NO_CALL);
+	input.others_full_us = PD_USEC_PER_SEC;
+	pd_rollout_update(&rollout, &input, now_us);
+	ck_assert_int_eq(pd_rollout_next_call(&rollout, now_us), PD_ROLLOUT_CALL_WRITE);
+	pd_rollout_finish(&rollout);
+	pd_rollout_evidence_finish(&evidence);
+}
+END_TEST
+
+START_TEST(started_head_doubts_results_of_full_phase)
+{
+	/* Guards against a good version that is rolled back by a head that has started after the
+	 * full phase of the others: the results of the new version are then of another time, here
+	 * of a burst, than those of the old one. A head that has all evidence decides by the same
+	 * results of the canary phase.
+	 */
+	for (int settled = 0; settled < 2; settled++) {
+		struct pd_rollout rollout;
+		struct pd_rollout_evidence evidence = {
+			.requests = 400, .sent = {350, 50}, .ended = {350, 50}};
+		struct pd_rollout_input input = {.age_us = DURATION_US - PD_USEC_PER_SEC,
+						 .duration_us = DURATION_US,
+						 .share = SHARE,
+						 .slack = SLACK,
+						 .evidence = &evidence,
+						 .target_ready = true,
+						 .settled = settled};
+
+		add_results(&evidence, 1, PD_ROLLOUT_OLD, 350, 0, 20000);
+		add_results(&evidence, 1, PD_ROLLOUT_NEW, 50, 0, 60000);
+		pd_rollout_init(&rollout);
+		pd_rollout_observe(&rollout, PD_ROLLOUT_RUNNING, 8);
+		pd_rollout_update(&rollout, &input, START_US);
+		ck_assert_int_eq(rollout.decided,
+				 settled ? PD_ROLLOUT_ROLLED_BACK : PD_ROLLOUT_RUNNING);
+		pd_rollout_finish(&rollout);
+		pd_rollout_evidence_finish(&evidence);
+	}
+}
+END_TEST
+
+START_TEST(full_phase_waits_for_end_of_burst)
+{
+	/* Guards against a full phase that begins in a burst and is over before all heads know that
+	 * requests to the old version have ended, because the bound doesn't allow more: it then
+	 * begins after the burst, but not so late that the outcome is.
+	 */
+	struct pd_rollout rollout;
+	struct pd_rollout_evidence evidence = {.requests = 240, .sent = {228, 12}};
+	struct pd_rollout_input input = {.age_us = DURATION_US / 2,
+					 .duration_us = DURATION_US,
+					 .share = SHARE,
+					 .slack = SLACK,
+					 .evidence = &evidence,
+					 .target_ready = true,
+					 .settled = true,
+					 .connected = true};
+	int64_t full_age_us = 0;
+
+	pd_rollout_init(&rollout);
+	pd_rollout_observe(&rollout, PD_ROLLOUT_RUNNING, 8);
+	for (; input.age_us < DURATION_US && !full_age_us; input.age_us += TICK_US) {
+		bool burst = input.age_us < DURATION_US * 5 / 6;
+
+		pd_rollout_update(&rollout, &input, START_US + input.age_us);
+		if (rollout.phase == PD_ROLLOUT_FULL)
+			full_age_us = input.age_us;
+		evidence.requests += burst ? 5 : 2;
+		evidence.sent[PD_ROLLOUT_OLD] += burst ? 5 : 2;
+		evidence.sent[PD_ROLLOUT_NEW] += input.age_us % (8 * TICK_US) == 0;
+	}
+	ck_assert_int_gt(full_age_us, DURATION_US * 5 / 6);
+	ck_assert_int_lt(full_age_us, DURATION_US - PD_USEC_PER_SEC);
+	pd_rollout_finish(&rollout);
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *tests[] = {
-		few_results_decide_nothing, good_versions_complete_and_bad_ones_are_rolled_back,
-		lost_and_late_messages_change_no_outcome, interleavings_have_one_outcome};
+	const TTest *tests[] = {few_results_decide_nothing,
+				two_failures_make_a_version_doubtful,
+				full_phase_waits_for_end_of_burst,
+				started_head_doubts_results_of_full_phase,
+				full_phase_lasts_until_completed,
+				later_revision_settles_unknown_write,
+				started_head_joins_full_phase,
+				good_versions_complete_and_bad_ones_are_rolled_back,
+				lost_and_late_messages_change_no_outcome,
+				interleavings_have_one_outcome};
 
 	return suite_run("rollout", tests, sizeof(tests) / sizeof(tests[0]));
 }
