--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -24,13 +24,13 @@
 #include "platform_upstream.h"
 #include "slow_link.h"
 
-#define INSTANCES_MAX	 12
+#define INSTANCES_MAX	 20
 #define UNREACHABLE_PORT 9 /* nothing listens there */
 #define UPSTREAMS_MAX	 32
 /* Ports of the instances: below those that the kernel assigns, a range for each deployment. */
 #define PORT_MIN	 16000
-#define PORT_RANGES	 250
-#define PORTS_PER_RANGE	 64
+#define PORT_RANGES	 160
+#define PORTS_PER_RANGE	 96
 #define WORDS_MAX	 16
 #define OUTPUT_MAX_BYTES 4096
 #define HEAD_MAX_BYTES	 65536
