Explanation: requests that are refused for their key or an unreadable route

Cause: the explanation looked at the number of readable accounts in place of has_accounts, and lacked the checks of the proof and of unreadable routes. It said "sent" for requests that got 401 (a list of accounts without a readable one) or 503 (proof too old, route unreadable).

Ruled out: the explanation can't show a key: it has no parameter for one, and an unknown parameter is refused and not repeated (script explain).

Change: the checks are made in the order of serve.c, with the reasons no_key, key_unconfirmed and route_unreadable.

--- a/ingress/explain.c
+++ b/ingress/explain.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "ingress_private.h"
+#include "key_check.h"
 #include "log.h"
 #include "os.h"
 #include "policy.h"
@@ -223,11 +224,19 @@
 	free(outlooks);
 }
 
+/* Whether a request with a key would be refused because the key may have been withdrawn. */
+static bool is_unconfirmed(struct pd_ingress *ingress)
+{
+	return pd_os_boot_us() >=
+	       pd_key_confirmed_until_us(pd_directory_config_confirmed_us(&ingress->directory),
+					 ingress->settings.revocation_ms);
+}
+
 static void explain_route(struct pd_ingress *ingress, const struct question *question,
 			  const struct pd_catalog *catalog, const struct pd_route *route,
 			  struct pd_buf *out)
 {
-	bool needs_key = catalog->account_count && !route->allow_anonymous;
+	bool needs_key = catalog->has_accounts && !route->allow_anonymous;
 
 	pd_buf_printf(out,
 		      "route name=%.*s prefix=%.*s kind=%s idempotent=%d max_attempts=%u "
@@ -237,6 +246,12 @@
 		      route->max_attempts, route->target_count, needs_key);
 	if (needs_key && !question->has_key)
 		pd_buf_append_str(out, PD_STR("result refused status=401 reason=no_key\n"));
+	else if (needs_key && is_unconfirmed(ingress))
+		pd_buf_append_str(out,
+				  PD_STR("result refused status=503 reason=key_unconfirmed\n"));
+	else if (route->unusable)
+		pd_buf_append_str(out,
+				  PD_STR("result refused status=503 reason=route_unreadable\n"));
 	else if (!pd_ingress_takes(ingress, route))
 		pd_buf_append_str(out, PD_STR("result refused status=503 reason=stopping\n"));
 	else if (explain_relay(ingress, route, out))
