Cluster: a PING is answered however many instances follow its sender

Cause: receive_ping() dropped a PING that states more than 512 followers (PD_CLUSTER_FOLLOWERS_MAX). The number includes followers of followers, so that the former head of a zone of more than 513 instances states more when it begins to follow another one. Without a PONG it has no proof of its configuration: after 4.5 s it refuses all requests with a key by 503, and so do its followers. In zones of up to 367 instances (1,100 in three zones), this needs followers that are counted at two sources at the same time.

A number that is too small divides quotas more, which is safe.

Change: the number is clamped to 512 in place of dropping the PING. test_cluster: the PINGs with 513, 1,100 and 2^64-1 followers got no answer before, all get one now.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -510,8 +510,13 @@
 	pd_datagram_reader_init(&reader, ping->payload);
 	stamp = pd_datagram_get_uint(&reader);
 	followers = pd_datagram_get_uint(&reader);
-	if (reader.failed || followers > PD_CLUSTER_FOLLOWERS_MAX)
+	if (reader.failed)
 		return;
+	/* The sender needs the answer, however many instances follow it. To count too few of them
+	 * divides quotas more, which is safe.
+	 */
+	if (followers > PD_CLUSTER_FOLLOWERS_MAX)
+		followers = PD_CLUSTER_FOLLOWERS_MAX;
 	pthread_mutex_lock(&cluster->lock);
 	record_peer(&cluster->followers, &cluster->follower_count, PD_CLUSTER_FOLLOWERS_MAX, ping,
 		    (uint32_t)followers, now_us);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -693,6 +693,30 @@
 }
 END_TEST
 
+START_TEST(ping_of_an_instance_with_many_followers_is_answered)
+{
+	/* Guards against an instance that gets no proof of its configuration, and refuses all
+	 * requests with a key together with its followers, because more instances follow it than
+	 * are counted: the former head of a large zone that follows a new one, or followers that
+	 * are counted at two sources for a moment.
+	 */
+	static const uint64_t followers[] = {PD_CLUSTER_FOLLOWERS_MAX, PD_CLUSTER_FOLLOWERS_MAX + 1,
+					     1100, UINT64_MAX};
+	struct node *node = open_node("a", "here");
+	struct peer peer = open_peer("p", "here", 7);
+	int64_t now = pd_os_boot_us();
+	struct received pong;
+
+	for (size_t i = 0; i < sizeof(followers) / sizeof(followers[0]); i++) {
+		deliver_ping_of(node, &peer, followers[i], now);
+		ck_assert_msg(receive(&peer, &pong, RECEIVE_WAIT_MS), "followers %zu", i);
+		ck_assert_int_eq(pong.datagram.kind, PD_DATAGRAM_PONG);
+		ck_assert_uint_eq(view(node, now).followers, 1 + PD_CLUSTER_FOLLOWERS_MAX);
+	}
+	close(peer.fd);
+}
+END_TEST
+
 START_TEST(followers_of_followers_are_counted)
 {
 	/* Guards against a head that takes its zone for cut off, since instances that began to
@@ -1045,6 +1069,7 @@
 		heads_agree_on_the_owner_of_an_account,
 		restarted_peers_replace_their_entries,
 		many_peers_do_not_displace_each_other,
+		ping_of_an_instance_with_many_followers_is_answered,
 		followers_of_followers_are_counted,
 		follower_names_its_source_to_heads,
 		head_does_not_count_itself,
