HTTP: an invalid status code ends the exchange without its reason phrase

Cause: http-parser calls on_status() with the first byte after the space that follows the status code. An upstream that sends "HTTP/1.1 000 " and hangs kept its caller until the hedge or the deadline, although no response can follow.

Ruled out: statuses split at each byte, and statuses on used and drained connections, were right (test_exchange).

Change: the status is also checked after each parse, as soon as the space or a fourth digit has arrived. test_exchange, 11 starts of status lines on new and used connections: 6 invalid ones were waited for before, none now; the 5 valid ones are waited for.

--- a/ingress/http.c
+++ b/ingress/http.c
@@ -111,6 +111,18 @@
 	}
 }
 
+/* Whether the status line rules out a valid status code, from the space after the code or a fourth
+ * digit on. http-parser has checked that its characters are digits.
+ */
+static bool has_invalid_status(const struct pd_http_message *msg)
+{
+	if (msg->status_len > STATUS_DIGITS)
+		return true;
+	return msg->status_scan == 2 &&
+	       (msg->status_len != STATUS_DIGITS ||
+		pd_http_status_class(msg->parser.status_code) == PD_HTTP_STATUS_NONE);
+}
+
 /* Checks the status line of a response when its reason phrase begins, which may be empty. */
 static int on_status(http_parser *parser, const char *at, size_t len)
 {
@@ -123,8 +135,7 @@
 		msg->failure = PD_HTTP_MALFORMED;
 		return -1;
 	}
-	if (msg->status_len != STATUS_DIGITS ||
-	    pd_http_status_class(parser->status_code) == PD_HTTP_STATUS_NONE) {
+	if (has_invalid_status(msg)) {
 		msg->failure = PD_HTTP_INVALID_STATUS;
 		return -1;
 	}
@@ -260,6 +271,9 @@
 		scan_status(msg, data, len);
 	if (len)
 		*used = http_parser_execute(&msg->parser, &parser_settings, data, len);
+	/* The sender may hang before the reason phrase, with which on_status() is called. */
+	if (message_state(msg) == PD_HTTP_INCOMPLETE && has_invalid_status(msg))
+		msg->failure = PD_HTTP_INVALID_STATUS;
 	return message_state(msg);
 }
 
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -432,6 +432,47 @@
 }
 END_TEST
 
+START_TEST(invalid_status_needs_no_reason_phrase)
+{
+	/* Guards against a caller that waits until its deadline for an upstream that hangs after an
+	 * invalid status code: the space after it, or a fourth digit, already shows that it is
+	 * none. A valid one isn't refused there.
+	 */
+	static const struct {
+		const char *line;
+		enum pd_exchange_state state;
+	} cases[] = {
+		{"HTTP/1.1 000 ", PD_EXCHANGE_INVALID},
+		{"HTTP/1.1 101 ", PD_EXCHANGE_INVALID},
+		{"HTTP/1.1 600 ", PD_EXCHANGE_INVALID},
+		{"HTTP/1.1 0200", PD_EXCHANGE_INVALID},
+		{"HTTP/1.1 20 ", PD_EXCHANGE_INVALID},
+		{"HTTP/1.1 102 X\r\n\r\nHTTP/1.1 000 ", PD_EXCHANGE_INVALID},
+		{"HTTP/1.1 200 ", PD_EXCHANGE_WAITING},
+		{"HTTP/1.1 599 ", PD_EXCHANGE_WAITING},
+		{"HTTP/1.1 102 ", PD_EXCHANGE_WAITING},
+		{"HTTP/1.1 20", PD_EXCHANGE_WAITING},
+		{"HTTP/1.1  200 ", PD_EXCHANGE_WAITING},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		for (int reused = 0; reused < 2; reused++) {
+			struct pd_exchange exchange;
+			int fd = start_waiting(&exchange, reused);
+			struct pollfd p = {.fd = exchange.conn->fd, .events = POLLIN};
+
+			send_bytes(fd, cases[i].line, strlen(cases[i].line));
+			ck_assert_int_gt(poll(&p, 1, STEP_TIMEOUT_MS), 0);
+			pd_exchange_step(&exchange);
+			ck_assert_msg(exchange.state == cases[i].state, "\"%s\"", cases[i].line);
+			exchange.reusable = false;
+			end(&exchange);
+			close(fd);
+		}
+	}
+}
+END_TEST
+
 START_TEST(valid_statuses_are_interim_or_final)
 {
 	/* Guards against a check of the status that refuses responses: any code from 200 to 599 is
@@ -630,6 +671,7 @@
 		reset_before_the_request_is_proof_that_it_did_not_run,
 		invalid_status_ends_the_exchange,
 		invalid_status_ends_the_exchange_before_the_header,
+		invalid_status_needs_no_reason_phrase,
 		valid_statuses_are_interim_or_final,
 		invalid_status_ends_a_drained_connection,
 		other_versions_and_malformed_status_lines_are_failures,
