Relay: the time that a relayed request states is limited

Cause: a client can forge X-Peridot-Relay. A time of more than 2^63/1000 ms overflowed when serve.c converted it to microseconds, which is undefined; the cut-off of the request was then any time, also one before its arrival.

Ruled out: the field gives no rights: a relayed request needs a valid key like any other (script accounts, accounts_relay), and its deadline is that of the client or route. A stricter reader of the field would let a key pass that an instance of another version relays, so that the format is read as before.

--- a/ingress/relay.c
+++ b/ingress/relay.c
@@ -35,6 +35,9 @@
 	count = sscanf(copy, "%" SCNu64 ",%" SCNu64 ",%u", &fields->wait_ms,
 		       &fields->config_version, &has_accounts);
 	fields->has_accounts = has_accounts == 1;
+	/* A client can forge the field. No route waits for longer. */
+	if (fields->wait_ms > UINT32_MAX)
+		fields->wait_ms = UINT32_MAX;
 	return count >= 2;
 }
 
--- a/ingress/relay.h
+++ b/ingress/relay.h
@@ -19,7 +19,8 @@
 
 /**
  * struct pd_relay_fields - contents of the header field of a relayed request
- * @wait_ms: time to wait for parts, in milliseconds, before those that have arrived are merged
+ * @wait_ms: time to wait for parts, in milliseconds, before those that have arrived are merged; at
+ *	most UINT32_MAX when it was read
  * @config_version: minimum version of the configuration by which the request may be served
  * @has_accounts: that configuration has client accounts. One without accounts would pass the API
  *	key on to upstreams.
--- a/tests/test_accounts.c
+++ b/tests/test_accounts.c
@@ -16,6 +16,7 @@
 #include "log.h"
 #include "objects.h"
 #include "os.h"
+#include "relay.h"
 #include "suite.h"
 
 #define CONFIG_START "{\"version\":%u,\"services\":[{\"name\":\"s\"}],\"routes\":["
@@ -23,6 +24,7 @@
 	"{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/a/\",\"service\":\"s\"},"               \
 	"{\"name\":\"long\",\"host\":\"h\",\"path_prefix\":\"/a/b/\",\"service\":\"gone\"}"
 #define MANY_ACCOUNTS 10000
+#define MANY_KEYS     5 /* of each account */
 /* A quadratic loop over the keys takes minutes; the limit leaves room for sanitizers. */
 #define MANY_MAX_S 5
 
@@ -229,26 +231,32 @@
 
 START_TEST(many_accounts_are_read_in_time)
 {
-	/* Guards against loops over all keys for each key. */
+	/* Guards against loops over all keys for each key, and against tables whose size isn't in
+	 * proportion to the number of keys.
+	 */
 	clock_t start = clock();
 	struct pd_buf text = {0};
 	struct pd_catalog *catalog;
 	char key[32], name[32];
 
-	for (int i = 0; i < MANY_ACCOUNTS; i++)
-		pd_buf_printf(&text, "%c{\"name\":\"account-%d\",\"api_keys\":[\"a%d\",\"b%d\"]}",
-			      i ? ',' : '[', i, i, i);
+	for (int i = 0; i < MANY_ACCOUNTS; i++) {
+		pd_buf_printf(&text, "%c{\"name\":\"account-%d\",\"api_keys\":[", i ? ',' : '[', i);
+		for (int k = 0; k < MANY_KEYS; k++)
+			pd_buf_printf(&text, "%s\"%c%d\"", k ? "," : "", 'a' + k, i);
+		pd_buf_append_str(&text, PD_STR("]}"));
+	}
 	pd_buf_append_str(&text, PD_STR("]"));
 	catalog = read_accounts(text.data);
 	ck_assert_uint_eq(catalog->account_count, MANY_ACCOUNTS);
 	for (int i = 0; i < MANY_ACCOUNTS; i++) {
 		snprintf(name, sizeof(name), "account-%d", i);
-		snprintf(key, sizeof(key), "%c%d", i % 2 ? 'a' : 'b', i);
+		snprintf(key, sizeof(key), "%c%d", 'a' + i % MANY_KEYS, i);
 		ck_assert_str_eq(owner_of(catalog, key), name);
-		snprintf(key, sizeof(key), "c%d", i);
+		snprintf(key, sizeof(key), "%c%d", 'a' + MANY_KEYS, i);
 		ck_assert_str_eq(owner_of(catalog, key), "");
 	}
 	ck_assert_int_lt((clock() - start) / CLOCKS_PER_SEC, MANY_MAX_S);
+	ck_assert_uint_le(catalog->keys.capacity, 4 * MANY_ACCOUNTS * MANY_KEYS);
 	pd_catalog_release(catalog);
 	pd_buf_finish(&text);
 }
@@ -344,6 +352,46 @@
 }
 END_TEST
 
+START_TEST(relay_fields_of_clients_are_limited)
+{
+	/* Guards against a client that claims to be an instance that relays a request, and states a
+	 * time whose conversion to microseconds overflows.
+	 */
+	static const struct {
+		const char *value;
+		uint64_t wait_ms;
+	} cases[] = {
+		{"0,3,1", 0},
+		{"100,3,1", 100},
+		{"4294967295,3,1", UINT32_MAX},
+		{"4294967296,3,1", UINT32_MAX},
+		{"9223372036854775807,3,1", UINT32_MAX},
+		{"18446744073709551615,3,1", UINT32_MAX},
+		{"99999999999999999999,3,1", UINT32_MAX},
+		{"-1,3,1", UINT32_MAX},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct pd_relay_fields fields;
+		struct pd_http_message msg;
+		char text[128];
+		size_t used;
+
+		snprintf(text, sizeof(text),
+			 "GET / HTTP/1.1\r\nHost: h\r\nX-Peridot-Relay: %s\r\n\r\n",
+			 cases[i].value);
+		pd_http_message_init(&msg, PD_HTTP_REQUEST, 1000, 1000);
+		ck_assert_int_eq(pd_http_message_parse(&msg, text, strlen(text), &used),
+				 PD_HTTP_COMPLETE);
+		ck_assert(pd_relay_read_request(&msg, &fields));
+		ck_assert_msg(fields.wait_ms == cases[i].wait_ms, "\"%s\"", cases[i].value);
+		ck_assert_uint_eq(fields.config_version, 3);
+		ck_assert(fields.has_accounts);
+		pd_http_message_finish(&msg);
+	}
+}
+END_TEST
+
 /* Makes a configuration current in which the account "a" has one key. */
 static json_t *put_config(unsigned int version, const char *key)
 {
@@ -421,6 +469,7 @@
 		odd_routes_are_left_out_only_with_accounts,
 		unreadable_parts_never_count_as_missing,
 		only_the_checked_identity_is_written,
+		relay_fields_of_clients_are_limited,
 		proof_ends_before_a_withdrawal_takes_effect,
 		only_the_configuration_in_force_is_covered,
 	};
