Feed: an instance refuses followers that do not rank after it

Cause: the list of instances keeps entries of instances that no longer run. An instance that connects to the address of such an entry may reach another instance, which follows it, or itself. They then follow each other: nobody watches the store, each says that the store is reachable because the other one does, and no change arrives any more.

Ruled out: datagrams. REDIRECTs and datagrams that are passed on are limited (test_cluster), and an instance ignores its own.

Change: the source compares the name in the first message of a follower with its own. Only instances that rank after it may follow, as membership chooses sources; so links never form a circle. Log line follower_refused reason=rank. Command "alias" of the stand-in.

--- a/ingress/feed.c
+++ b/ingress/feed.c
@@ -7,6 +7,7 @@
 #include "counters.h"
 #include "feed_reader.h"
 #include "log.h"
+#include "membership.h"
 
 #define HELLO_TIMEOUT_US (1000 * PD_USEC_PER_MSEC)
 /* A follower of an instance that has just started waits this long for its first heartbeat, which
@@ -21,11 +22,12 @@
 #define UNSENT_MAX_BYTES (16 * 1024)
 #define FOLLOWERS_MAX	 256 /* a zone of the largest deployment has about 100 instances */
 
-void pd_feed_init(struct pd_feed *feed, struct pd_directory *directory,
+void pd_feed_init(struct pd_feed *feed, struct pd_directory *directory, const struct pd_name *name,
 		  const struct pd_address *address)
 {
 	memset(feed, 0, sizeof(*feed));
 	feed->directory = directory;
+	feed->name = *name;
 	feed->address = *address;
 	feed->listener = -1;
 }
@@ -62,6 +64,18 @@
 	return valid;
 }
 
+/* Whether an instance may follow this one. One that doesn't rank after it means another instance,
+ * which had this one's address before: the two could follow each other, and neither would watch the
+ * store.
+ */
+static bool may_follow(const struct pd_feed *feed, const struct pd_name *name)
+{
+	if (pd_membership_ranks_before(&feed->name, name))
+		return true;
+	pd_log(PD_LOG_WARNING, "follower_refused", "instance=%s reason=rank", name->text);
+	return false;
+}
+
 static enum pd_code write_updates(int fd, const struct pd_buf *out, const struct pd_name *follower,
 				  struct pd_error *err)
 {
@@ -109,7 +123,7 @@
 	struct pd_name name;
 
 	free(arg);
-	if (read_hello(follower.fd, &name)) {
+	if (read_hello(follower.fd, &name) && may_follow(follower.feed, &name)) {
 		pd_os_set_io_timeout(follower.fd, SEND_TIMEOUT_US);
 		pd_os_set_unsent_max(follower.fd, UNSENT_MAX_BYTES);
 		pd_log(PD_LOG_INFO, "follower_joined", "instance=%s", name.text);
--- a/ingress/feed.h
+++ b/ingress/feed.h
@@ -18,18 +18,20 @@
 /**
  * struct pd_feed - server for followers
  * @directory: directory that is sent
+ * @name: name of this instance
  * @address: address on which followers connect
  * @listener: listening socket; -1 before the start
  * @thread: thread that accepts connections
  */
 struct pd_feed {
 	struct pd_directory *directory;
+	struct pd_name name;
 	struct pd_address address;
 	int listener;
 	pthread_t thread;
 };
 
-void pd_feed_init(struct pd_feed *feed, struct pd_directory *directory,
+void pd_feed_init(struct pd_feed *feed, struct pd_directory *directory, const struct pd_name *name,
 		  const struct pd_address *address);
 enum pd_code pd_feed_start(struct pd_feed *feed, struct pd_error *err);
 
--- a/ingress/ingress.c
+++ b/ingress/ingress.c
@@ -90,7 +90,7 @@
 	pd_sync_prove_config(&ingress->sync, settings->revocation_ms);
 	pd_membership_init(&ingress->membership, &ingress->directory, &ingress->sync, &self);
 	pd_reporter_init(&ingress->reporter, &ingress->directory, &ingress->sync);
-	pd_feed_init(&ingress->feed, &ingress->directory, &settings->peer);
+	pd_feed_init(&ingress->feed, &ingress->directory, &self.name, &settings->peer);
 	pd_fair_share_init(&ingress->fair_share, pd_os_random_seed() | 1);
 	init_cluster(ingress);
 	pthread_mutex_init(&ingress->lock, NULL);
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -741,6 +741,18 @@
 				     "front", address, "cpu_share", 1.0));
 }
 
+/* alias NAME: registers an instance that no longer runs, whose address the selected one has now */
+static void do_alias(char **words, int count)
+{
+	char address[PD_ADDRESS_TEXT_MAX_BYTES];
+
+	(void)count;
+	pd_address_format(&deployment.selected->peer, address, sizeof(address));
+	platform_store_put(&deployment.store, "instances", words[1],
+			   json_pack("{s:s,s:s,s:s,s:f}", "zone", "here", "address", address,
+				     "front", address, "cpu_share", 1.0));
+}
+
 /* larger ID: registers an instance that is larger than all others and whose requests the upstream
  * of that id answers
  */
@@ -1458,6 +1470,7 @@
 	{"resume", 1, do_signal},
 	{"use", 2, do_use},
 	{"instance", 2, do_instance},
+	{"alias", 2, do_alias},
 	{"larger", 2, do_larger},
 	{"instances", 2, do_instances},
 	{"size", 3, do_size},
