Headers: X_Key and X_Tenant are removed like X-Key and X-Tenant

Cause: only the names with "-" were removed. Programs that read fields as variables (RFC 3875, 4.1.18) can't tell X_Tenant from X-Tenant: a client could state an account there, beside the one that the ingress sets, and a key sent under that name reached upstreams.

Ruled out: other spellings. Case, blanks around the value, doubled fields, folded values and trailers are covered by test_accounts and script accounts; the parser rejects names with blanks.

--- a/tests/test_accounts.c
+++ b/tests/test_accounts.c
@@ -327,10 +327,10 @@
 START_TEST(only_the_checked_identity_is_written)
 {
 	/* Guards against an account that a client states itself, and a key that reaches an
-	 * upstream.
+	 * upstream, also under a name that many programs take for the same one (RFC 3875, 4.1.18).
 	 */
 	const char *text = "GET /a HTTP/1.1\r\nHost: h\r\nx-tenant: evil\r\nX-Key:\tk \t\r\n"
-			   "X-TENANT: evil\r\nX-KEY: k\r\n\r\n";
+			   "X-TENANT: evil\r\nX-KEY: k\r\nX_Tenant: evil\r\nx_key: k\r\n\r\n";
 	const struct pd_identity_fields upstream = {.account = PD_STR("a")};
 	const struct pd_identity_fields relay = {.api_key = PD_STR("k")};
 	struct pd_request_fields fields;
