Load reports: all instances of a zone of up to 1,024 can receive news

Cause: the receivers of news were drawn of the first 256 listed instances of the zone. In a zone of 333 (1,000 instances in three zones), the two larger ones, which select the upstreams for the others, may be listed after them: they got no news, and 8 of the small ones got them in their place.

Ruled out: the table of senders isn't overrun by more senders; the one that was heard longest ago is replaced.

--- a/ingress/load_report.h
+++ b/ingress/load_report.h
@@ -32,8 +32,10 @@
  * news for all of them every 250 ms, at about the same number of datagrams (test_balance).
  */
 #define PD_LOAD_REPORT_RECEIVERS 8
-/* Instances of the zone of which the receivers are drawn, and senders that are remembered. */
-#define PD_LOAD_REPORT_PEERS_MAX 256
+/* Instances of the zone of which the receivers are drawn, and senders that are remembered: all of
+ * the target of 1,000, since the larger ones may be listed last.
+ */
+#define PD_LOAD_REPORT_PEERS_MAX 1024
 
 /**
  * struct pd_load_sender - an instance whose news were received
--- a/tests/test_load_report.c
+++ b/tests/test_load_report.c
@@ -2,9 +2,11 @@
  * DOC: Tests of load reports that instances of a zone pass on to each other, and of the registry's
  * use of the stated speed
  */
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "counters.h"
 #include "load_report.h"
@@ -16,6 +18,8 @@
 
 #define NOW (1000 * PD_USEC_PER_SEC)
 #define MS  PD_USEC_PER_MSEC
+/* Instances of a zone of a deployment with 1,100 instances in three zones. */
+#define ZONE_INSTANCES 367
 
 /**
  * struct instance - an instance of the ingress, as far as these tests need it
@@ -304,6 +308,55 @@
 }
 END_TEST
 
+/* Returns a socket for datagrams and stores its address. */
+static int open_receiver(struct pd_address *address)
+{
+	struct sockaddr_in in = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(in);
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&in, &len), 0);
+	*address = (struct pd_address){.ip = "127.0.0.1", .port = ntohs(in.sin_port)};
+	return fd;
+}
+
+START_TEST(last_instances_of_a_large_zone_receive_news)
+{
+	/* Guards against a large zone in which the larger instances, which select the upstreams,
+	 * get no news, because they are listed after too many others.
+	 */
+	const struct pd_address nobody = {.ip = "127.0.0.1", .port = 9};
+	const struct pd_name zone = a.cluster.zone;
+	struct pd_cluster_list list;
+	struct pd_address address;
+	struct pd_name name;
+	char bytes[PD_DATAGRAM_MAX_BYTES];
+	int fd = open_receiver(&address);
+	size_t count = 0;
+
+	pd_cluster_list_begin(&a.cluster, &list);
+	for (int i = 0; i < ZONE_INSTANCES; i++) {
+		bool large = i >= ZONE_INSTANCES - 2;
+
+		snprintf(bytes, sizeof(bytes), "n%d", i);
+		ck_assert(pd_name_set(&name, pd_str_from(bytes)));
+		pd_cluster_list_add(&list, &name, &zone, large ? &address : &nobody,
+				    large ? 0.5 : 0.1);
+	}
+	pd_cluster_list_use(&a.cluster, &list);
+	a.cluster.address.port = 0;
+	ck_assert_int_eq(pd_cluster_open(&a.cluster, NULL), PD_OK);
+	respond(&a, pick(&a, NOW), 1, 1, NOW);
+	pd_load_report_tick(&a.exchange, &a.cluster, NOW);
+	while (recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT) > 0)
+		count++;
+	ck_assert_uint_eq(count, 2);
+	pd_os_close(&fd);
+}
+END_TEST
+
 START_TEST(full_outbox_fits_into_a_datagram)
 {
 	/* Guards against a datagram that is too large to be sent, by ids of any length. */
@@ -433,6 +486,7 @@
 		pause_is_known_to_the_other_instance,
 		other_zones_own_and_malformed_datagrams_are_ignored,
 		large_instances_receive_news,
+		last_instances_of_a_large_zone_receive_news,
 		full_outbox_fits_into_a_datagram,
 		admission_uses_the_stated_speed,
 		hedges_go_to_free_slots_only,
