--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -481,6 +481,14 @@
 	publish(atoi(words[1]));
 }
 
+/* unpublish: removes the configuration from the store */
+static void do_unpublish(char **words, int count)
+{
+	(void)words;
+	(void)count;
+	platform_store_remove(&deployment.store, "config", "main");
+}
+
 /* storm FIRST LAST MS: publishes the versions from FIRST to LAST, one each MS milliseconds */
 static void do_storm(char **words, int count)
 {
@@ -1449,6 +1457,7 @@
 	{"strict", 1, do_strict},
 	{"quotas", 1, do_quotas},
 	{"publish", 2, do_publish},
+	{"unpublish", 1, do_unpublish},
 	{"storm", 4, do_storm},
 	{"services", 2, do_services},
 	{"store", 2, do_store},
