Cluster: datagrams do not hold up a tick

Cause: the cluster's thread received datagrams until its socket was empty. While more arrive than it can handle, it ran no tick: no PING was sent, so that the proof of the configuration became too old, and no head, quota or permission was announced.

Ruled out: one sender.

Change: receiving ends when a tick is due, and goes on after it. Datagrams that have waited for too long aren't used, as before. test_cluster: of 250 malformed datagrams with a tick due after 50 us, all 250 were received before the tick; now fewer than 200.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -795,19 +795,28 @@
 		pd_rollout_exchange_tick(cluster->parts.rollout, cluster, now_us);
 }
 
-/* Receives all datagrams that have arrived. None of them arrived before the socket was empty last,
- * but when after that isn't known.
+/* Returns the time of the next tick of any part. */
+static int64_t next_tick_us(const struct pd_cluster *cluster)
+{
+	return cluster->next_tick_us < cluster->next_load_us ? cluster->next_tick_us
+							     : cluster->next_load_us;
+}
+
+/* Receives the datagrams that have arrived, until a tick is due: more may arrive meanwhile than can
+ * be handled. None of them arrived before the socket was empty last, but when after that isn't
+ * known.
  */
-static void receive_all(struct pd_cluster *cluster)
+static void receive_arrived(struct pd_cluster *cluster)
 {
 	char bytes[PD_DATAGRAM_MAX_BYTES];
 	struct pd_datagram datagram;
 	struct sockaddr_in from;
+	int64_t now;
 	ssize_t n;
 
-	for (;;) {
+	do {
 		socklen_t len = sizeof(from);
-		int64_t before = pd_os_boot_us(), now;
+		int64_t before = pd_os_boot_us();
 
 		n = recvfrom(cluster->fd, bytes, sizeof(bytes), MSG_DONTWAIT,
 			     (struct sockaddr *)&from, &len);
@@ -828,7 +837,7 @@
 		pd_count(PD_COUNT_datagrams_in);
 		datagram.from = from;
 		pd_cluster_receive(cluster, &datagram, now);
-	}
+	} while (now < next_tick_us(cluster));
 }
 
 /* Runs the tick of load reports, which are sent more often while they are needed. */
@@ -860,11 +869,10 @@
 		tick_load(cluster, now);
 		return;
 	}
-	next = cluster->next_tick_us < cluster->next_load_us ? cluster->next_tick_us
-							     : cluster->next_load_us;
+	next = next_tick_us(cluster);
 	ready = poll(&p, 1, (int)((next - now) / PD_USEC_PER_MSEC) + 1);
 	if (ready > 0)
-		receive_all(cluster);
+		receive_arrived(cluster);
 	else if (!ready)
 		cluster->emptied_us = now;
 }
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -990,6 +990,34 @@
 }
 END_TEST
 
+START_TEST(datagrams_do_not_hold_up_a_tick)
+{
+	/* Guards against an instance that sends no PINGs, and gets no proof of its configuration,
+	 * as long as datagrams arrive faster than they are handled, for instance malformed ones.
+	 * 250 take some hundred microseconds.
+	 */
+	struct node *node = open_node("a", "here");
+	struct peer peer = open_peer("p", "here", 7);
+	struct sockaddr_in to = {.sin_family = AF_INET,
+				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+				 .sin_port = htons(node->address.port)};
+	uint64_t before = pd_count_get(PD_COUNT_datagrams_malformed);
+
+	for (int i = 0; i < 250; i++)
+		ck_assert_int_eq(sendto(peer.fd, "\x05", 1, 0, (struct sockaddr *)&to, sizeof(to)),
+				 1);
+	node->cluster.next_tick_us = pd_os_boot_us() + 50;
+	node->cluster.next_load_us = node->cluster.next_tick_us;
+	pd_cluster_step(&node->cluster);
+	ck_assert_uint_lt(pd_count_get(PD_COUNT_datagrams_malformed), before + 200);
+	/* The others are handled after the tick. */
+	for (int i = 0; i < 50; i++)
+		pd_cluster_step(&node->cluster);
+	ck_assert_uint_eq(pd_count_get(PD_COUNT_datagrams_malformed), before + 250);
+	close(peer.fd);
+}
+END_TEST
+
 START_TEST(address_in_use_is_an_error)
 {
 	/* Guards against an instance that takes itself for connected although it can't receive
@@ -1078,6 +1106,7 @@
 		two_heads_of_a_zone_find_each_other,
 		lists_of_instances_replace_each_other,
 		datagrams_from_before_a_suspension_are_not_counted,
+		datagrams_do_not_hold_up_a_tick,
 		address_in_use_is_an_error,
 		instances_learn_of_each_other_over_loopback,
 	};
