Settings: strict revocation without a time is strict

Cause: read_optional_bounds() took a missing revocation_ms for 0, which means that revocation is not strict: withdrawn keys were accepted without a limit at an instance that had lost the store. A time of up to 500 ms refused all keys for good, and up to 505 ms no watch was sent to prove the configuration.

Ruled out: strict_revocation of another type, and times of another type, are errors (bad_optional_bounds_are_rejected_by_name).

--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -79,7 +79,8 @@
 
 	if (revocation_ms <= PD_KEY_CHECK_MARGIN_MS)
 		return;
-	wait_ms = (revocation_ms - PD_KEY_CHECK_MARGIN_MS) / PROOF_WAIT_DIVISOR;
+	/* 0 would mean that nothing has to be proven. */
+	wait_ms = 1 + (revocation_ms - PD_KEY_CHECK_MARGIN_MS - 1) / PROOF_WAIT_DIVISOR;
 	sync->proof_wait_ms = wait_ms < PROOF_WAIT_MAX_MS ? wait_ms : PROOF_WAIT_MAX_MS;
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -527,6 +527,39 @@
 }
 END_TEST
 
+START_TEST(strict_revocation_needs_a_time)
+{
+	/* Guards against strict revocation that is off, or refuses all keys for good, because of a
+	 * time that is missing or too short.
+	 */
+	static const struct {
+		const char *bounds;
+		uint32_t revocation_ms; /* 0 if the bounds are invalid */
+	} cases[] = {
+		{"{\"strict_revocation\":true}", 5000},
+		{"{\"strict_revocation\":true,\"revocation_ms\":501}", 501},
+		{"{\"strict_revocation\":true,\"revocation_ms\":500}", 0},
+		{"{\"strict_revocation\":true,\"revocation_ms\":0.5}", 0},
+		{"{\"strict_revocation\":true,\"revocation_ms\":0}", 0},
+		{"{\"strict_revocation\":true,\"revocation_ms\":-1}", 0},
+		{"{\"strict_revocation\":true,\"revocation_ms\":null}", 0},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct pd_ingress_settings settings;
+		struct pd_error err = {0};
+		enum pd_code code = read_settings_with(cases[i].bounds, &settings, &err);
+
+		ck_assert_msg(code == (cases[i].revocation_ms ? PD_OK : PD_INVALID), "%s",
+			      cases[i].bounds);
+		if (code == PD_OK)
+			ck_assert_uint_eq(settings.revocation_ms, cases[i].revocation_ms);
+		else
+			ck_assert_ptr_nonnull(strstr(err.text, "platform.bounds.revocation_ms is"));
+	}
+}
+END_TEST
+
 /* Reads a page of objects, or of events, with one odd object between two readable ones; returns
  * the number of its entries that can be used.
  */
@@ -701,6 +734,7 @@
 		heartbeat_round_trip,
 		settings_errors_name_key_or_line,
 		bad_optional_bounds_are_rejected_by_name,
+		strict_revocation_needs_a_time,
 		one_odd_object_does_not_hide_the_others,
 		nested_objects_fit_the_stack_of_a_thread,
 		draining_is_read_from_an_odd_entry,
