--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -8,6 +8,7 @@
  */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <inttypes.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdio.h>
@@ -398,18 +399,37 @@
 		append_output("no JSON");
 }
 
-/* many_accounts COUNT: adds accounts with two keys each, "first-N" and "second-N" */
+/* Returns the keys of an account: "KIND-N" of the first kinds, then random ones of 32 digits. */
+static json_t *make_keys(int account, int count)
+{
+	static const char *const kinds[] = {"first", "second"};
+	json_t *keys = json_array();
+
+	for (int i = 0; i < count; i++) {
+		char key[40];
+
+		if (i < 2)
+			snprintf(key, sizeof(key), "%s-%d", kinds[i], account);
+		else
+			snprintf(key, sizeof(key), "%016" PRIx64 "%016" PRIx64, pd_os_random_seed(),
+				 pd_os_random_seed());
+		json_array_append_new(keys, json_string(key));
+	}
+	return keys;
+}
+
+/* many_accounts COUNT [KEYS]: adds accounts with two keys each, "first-N" and "second-N", or with
+ * KEYS keys, the others of which are random
+ */
 static void do_many_accounts(char **words, int count)
 {
-	(void)count;
 	for (int i = 0; i < atoi(words[1]); i++) {
-		char name[32], first[32], second[32];
+		char name[32];
 
 		snprintf(name, sizeof(name), "account-%d", i);
-		snprintf(first, sizeof(first), "first-%d", i);
-		snprintf(second, sizeof(second), "second-%d", i);
-		json_array_append_new(deployment.accounts, json_pack("{s:s,s:[s,s]}", "name", name,
-								     "api_keys", first, second));
+		json_array_append_new(deployment.accounts,
+				      json_pack("{s:s,s:o}", "name", name, "api_keys",
+						make_keys(i, count > 2 ? atoi(words[2]) : 2)));
 	}
 }
 
