--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -1171,12 +1171,14 @@
  * struct crowd_client - one client of a crowd
  * @instance: instance to which it sends requests
  * @target: path of the requests
+ * @key: API key of the requests; empty for none
  * @number: number of the client
  * @until_us: time at which it ends, in microseconds of pd_os_now_us()
  */
 struct crowd_client {
 	const struct instance *instance;
 	char target[64];
+	char key[64];
 	int number;
 	int64_t until_us;
 };
@@ -1194,8 +1196,9 @@
 			continue;
 		pd_buf_printf(&request,
 			      "GET %s HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: c%d-%d\r\n"
-			      "X-Deadline-Ms: 4000\r\n\r\n",
-			      client->target, client->number, i);
+			      "X-Deadline-Ms: 4000\r\n%s%s%s\r\n",
+			      client->target, client->number, i, client->key[0] ? "X-Key: " : "",
+			      client->key, client->key[0] ? "\r\n" : "");
 		pd_http_message_init(&msg, PD_HTTP_RESPONSE, HEAD_MAX_BYTES, BODY_MAX_BYTES);
 		if (pd_os_write_full(fd, request.data, request.len, NULL) == PD_OK)
 			read_reply(fd, &msg);
@@ -1221,6 +1224,7 @@
 			abort();
 		client->instance = deployment.selected;
 		snprintf(client->target, sizeof(client->target), "%s", words[3]);
+		snprintf(client->key, sizeof(client->key), "%s", deployment.key);
 		client->number = i;
 		client->until_us = pd_os_now_us() + atoi(words[2]) * PD_USEC_PER_MSEC;
 		if (pthread_create(&thread, NULL, run_crowd_client, client))
