--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -8,6 +8,7 @@
  */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <inttypes.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdio.h>
@@ -401,18 +402,37 @@
 		append_output("no JSON");
 }
 
-/* many_accounts COUNT: adds accounts with two keys each, "first-N" and "second-N" */
+/* Returns the keys of an account: "KIND-N" of the first kinds, then random ones of 32 digits. */
+static json_t *make_keys(int account, int count)
+{
+	static const char *const kinds[] = {"first", "second"};
+	json_t *keys = json_array();
+
+	for (int i = 0; i < count; i++) {
+		char key[40];
+
+		if (i < 2)
+			snprintf(key, sizeof(key), "%s-%d", kinds[i], account);
+		else
+			snprintf(key, sizeof(key), "%016" PRIx64 "%016" PRIx64, pd_os_random_seed(),
+				 pd_os_random_seed());
+		json_array_append_new(keys, json_string(key));
+	}
+	return keys;
+}
+
+/* many_accounts COUNT [KEYS]: adds accounts with two keys each, "first-N" and "second-N", or with
+ * KEYS keys, the others of which are random
+ */
 static void do_many_accounts(char **words, int count)
 {
-	(void)count;
 	for (int i = 0; i < atoi(words[1]); i++) {
-		char name[32], first[32], second[32];
+		char name[32];
 
 		snprintf(name, sizeof(name), "account-%d", i);
-		snprintf(first, sizeof(first), "first-%d", i);
-		snprintf(second, sizeof(second), "second-%d", i);
-		json_array_append_new(deployment.accounts, json_pack("{s:s,s:[s,s]}", "name", name,
-								     "api_keys", first, second));
+		json_array_append_new(deployment.accounts,
+				      json_pack("{s:s,s:o}", "name", name, "api_keys",
+						make_keys(i, count > 2 ? atoi(words[2]) : 2)));
 	}
 }
 
@@ -484,6 +504,14 @@
 	publish(atoi(words[1]));
 }
 
+/* unpublish: removes the configuration from the store */
+static void do_unpublish(char **words, int count)
+{
+	(void)words;
+	(void)count;
+	platform_store_remove(&deployment.store, "config", "main");
+}
+
 /* storm FIRST LAST MS: publishes the versions from FIRST to LAST, one each MS milliseconds */
 static void do_storm(char **words, int count)
 {
@@ -763,6 +791,18 @@
 				     "front", address, "cpu_share", 1.0));
 }
 
+/* alias NAME: registers an instance that no longer runs, whose address the selected one has now */
+static void do_alias(char **words, int count)
+{
+	char address[PD_ADDRESS_TEXT_MAX_BYTES];
+
+	(void)count;
+	pd_address_format(&deployment.selected->peer, address, sizeof(address));
+	platform_store_put(&deployment.store, "instances", words[1],
+			   json_pack("{s:s,s:s,s:s,s:f}", "zone", "here", "address", address,
+				     "front", address, "cpu_share", 1.0));
+}
+
 /* larger ID: registers an instance that is larger than all others and whose requests the upstream
  * of that id answers
  */
@@ -1153,12 +1193,14 @@
  * struct crowd_client - one client of a crowd
  * @instance: instance to which it sends requests
  * @target: path of the requests
+ * @key: API key of the requests; empty for none
  * @number: number of the client
  * @until_us: time at which it ends, in microseconds of pd_os_now_us()
  */
 struct crowd_client {
 	const struct instance *instance;
 	char target[64];
+	char key[64];
 	int number;
 	int64_t until_us;
 };
@@ -1176,8 +1218,9 @@
 			continue;
 		pd_buf_printf(&request,
 			      "GET %s HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: c%d-%d\r\n"
-			      "X-Deadline-Ms: 4000\r\n\r\n",
-			      client->target, client->number, i);
+			      "X-Deadline-Ms: 4000\r\n%s%s%s\r\n",
+			      client->target, client->number, i, client->key[0] ? "X-Key: " : "",
+			      client->key, client->key[0] ? "\r\n" : "");
 		pd_http_message_init(&msg, PD_HTTP_RESPONSE, HEAD_MAX_BYTES, BODY_MAX_BYTES);
 		if (pd_os_write_full(fd, request.data, request.len, NULL) == PD_OK)
 			read_reply(fd, &msg);
@@ -1203,6 +1246,7 @@
 			abort();
 		client->instance = deployment.selected;
 		snprintf(client->target, sizeof(client->target), "%s", words[3]);
+		snprintf(client->key, sizeof(client->key), "%s", deployment.key);
 		client->number = i;
 		client->until_us = pd_os_now_us() + atoi(words[2]) * PD_USEC_PER_MSEC;
 		if (pthread_create(&thread, NULL, run_crowd_client, client))
@@ -1513,6 +1557,7 @@
 	{"strict", 1, do_strict},
 	{"quotas", 1, do_quotas},
 	{"publish", 2, do_publish},
+	{"unpublish", 1, do_unpublish},
 	{"storm", 4, do_storm},
 	{"services", 2, do_services},
 	{"store", 2, do_store},
@@ -1536,6 +1581,7 @@
 	{"resume", 1, do_signal},
 	{"use", 2, do_use},
 	{"instance", 2, do_instance},
+	{"alias", 2, do_alias},
 	{"larger", 2, do_larger},
 	{"instances", 2, do_instances},
 	{"size", 3, do_size},
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -693,6 +693,30 @@
 }
 END_TEST
 
+START_TEST(ping_of_an_instance_with_many_followers_is_answered)
+{
+	/* Guards against an instance that gets no proof of its configuration, and refuses all
+	 * requests with a key together with its followers, because more instances follow it than
+	 * are counted: the former head of a large zone that follows a new one, or followers that
+	 * are counted at two sources for a moment.
+	 */
+	static const uint64_t followers[] = {PD_CLUSTER_FOLLOWERS_MAX, PD_CLUSTER_FOLLOWERS_MAX + 1,
+					     1100, UINT64_MAX};
+	struct node *node = open_node("a", "here");
+	struct peer peer = open_peer("p", "here", 7);
+	int64_t now = pd_os_boot_us();
+	struct received pong;
+
+	for (size_t i = 0; i < sizeof(followers) / sizeof(followers[0]); i++) {
+		deliver_ping_of(node, &peer, followers[i], now);
+		ck_assert_msg(receive(&peer, &pong, RECEIVE_WAIT_MS), "followers %zu", i);
+		ck_assert_int_eq(pong.datagram.kind, PD_DATAGRAM_PONG);
+		ck_assert_uint_eq(view(node, now).followers, 1 + PD_CLUSTER_FOLLOWERS_MAX);
+	}
+	close(peer.fd);
+}
+END_TEST
+
 START_TEST(followers_of_followers_are_counted)
 {
 	/* Guards against a head that takes its zone for cut off, since instances that began to
@@ -966,6 +990,34 @@
 }
 END_TEST
 
+START_TEST(datagrams_do_not_hold_up_a_tick)
+{
+	/* Guards against an instance that sends no PINGs, and gets no proof of its configuration,
+	 * as long as datagrams arrive faster than they are handled, for instance malformed ones.
+	 * 250 take some hundred microseconds.
+	 */
+	struct node *node = open_node("a", "here");
+	struct peer peer = open_peer("p", "here", 7);
+	struct sockaddr_in to = {.sin_family = AF_INET,
+				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+				 .sin_port = htons(node->address.port)};
+	uint64_t before = pd_count_get(PD_COUNT_datagrams_malformed);
+
+	for (int i = 0; i < 250; i++)
+		ck_assert_int_eq(sendto(peer.fd, "\x05", 1, 0, (struct sockaddr *)&to, sizeof(to)),
+				 1);
+	node->cluster.next_tick_us = pd_os_boot_us() + 50;
+	node->cluster.next_load_us = node->cluster.next_tick_us;
+	pd_cluster_step(&node->cluster);
+	ck_assert_uint_lt(pd_count_get(PD_COUNT_datagrams_malformed), before + 200);
+	/* The others are handled after the tick. */
+	for (int i = 0; i < 50; i++)
+		pd_cluster_step(&node->cluster);
+	ck_assert_uint_eq(pd_count_get(PD_COUNT_datagrams_malformed), before + 250);
+	close(peer.fd);
+}
+END_TEST
+
 START_TEST(address_in_use_is_an_error)
 {
 	/* Guards against an instance that takes itself for connected although it can't receive
@@ -1045,6 +1097,7 @@
 		heads_agree_on_the_owner_of_an_account,
 		restarted_peers_replace_their_entries,
 		many_peers_do_not_displace_each_other,
+		ping_of_an_instance_with_many_followers_is_answered,
 		followers_of_followers_are_counted,
 		follower_names_its_source_to_heads,
 		head_does_not_count_itself,
@@ -1053,6 +1106,7 @@
 		two_heads_of_a_zone_find_each_other,
 		lists_of_instances_replace_each_other,
 		datagrams_from_before_a_suspension_are_not_counted,
+		datagrams_do_not_hold_up_a_tick,
 		address_in_use_is_an_error,
 		instances_learn_of_each_other_over_loopback,
 	};
