Quota: the log line of a refusal states limit, tokens and owner

Cause: quota_refused stated the account and the wait only, so that a refusal below the limit couldn't be told from a correct one.

A verdict now carries the rate and the tokens that decided, the share that was admitted, and its basis: the owner, or why the owner didn't decide (account not low, source silent, no answer in time, the owner is here and can't decide). An ANSWER has two more items, rate and tokens. The id and the name are cut to 128 bytes each, so that the fields after them fit into the line. No key is logged.

--- a/ingress/quota.c
+++ b/ingress/quota.c
@@ -595,6 +595,33 @@
 	return time_to_return(quota, bucket, tokens, now_us);
 }
 
+/* Returns the rate that tokens_now() adds tokens by. */
+static double rate_now(const struct pd_quota *quota, const struct pd_quota_bucket *bucket,
+		       int64_t now_us)
+{
+	if (is_silent(quota, now_us))
+		return bucket->rate_per_s / fmax(1, (double)quota->fleet.instances);
+	if (!quota->fleet.is_head && bucket->low)
+		return bucket->news.rate_per_s;
+	return rate_of(quota, bucket);
+}
+
+/* Decides on a request by what this instance knows, without the time to wait. */
+static struct pd_quota_verdict verdict_of(struct pd_quota *quota, struct pd_quota_bucket *bucket,
+					  int64_t now_us)
+{
+	struct pd_quota_verdict verdict = {.basis = PD_QUOTA_BASIS_NOT_LOW};
+
+	if (is_silent(quota, now_us))
+		verdict.basis = PD_QUOTA_BASIS_SILENT;
+	/* News that are too old end here. */
+	verdict.tokens = tokens_now(quota, bucket, now_us);
+	verdict.share = share_now(quota, bucket, now_us);
+	verdict.rate_per_s = rate_now(quota, bucket, now_us);
+	verdict.admitted = next_uniform(quota) < verdict.share && verdict.tokens >= 1;
+	return verdict;
+}
+
 struct pd_quota_verdict pd_quota_admit(struct pd_quota *quota, const struct pd_account *account,
 				       int64_t now_us)
 {
@@ -606,17 +633,26 @@
 	pthread_mutex_lock(&quota->lock);
 	bucket = get_bucket(quota, account->hash, now_us);
 	if (bucket && bucket->rate_per_s > 0) {
-		double tokens = tokens_now(quota, bucket, now_us);
-		bool in_share = next_uniform(quota) < share_now(quota, bucket, now_us);
-
-		verdict.admitted = tokens >= 1 && in_share;
+		verdict = verdict_of(quota, bucket, now_us);
 		if (!verdict.admitted)
-			verdict.wait_us = refuse(quota, bucket, fmin(tokens, 0), now_us);
+			verdict.wait_us = refuse(quota, bucket, fmin(verdict.tokens, 0), now_us);
 	}
 	pthread_mutex_unlock(&quota->lock);
 	return verdict;
 }
 
+double pd_quota_limit_per_s(struct pd_quota *quota, const struct pd_account *account)
+{
+	const struct pd_quota_limit *limit;
+	double rate_per_s;
+
+	pthread_mutex_lock(&quota->lock);
+	limit = find_limit(quota, account->hash);
+	rate_per_s = limit ? limit->rate_per_s : 0;
+	pthread_mutex_unlock(&quota->lock);
+	return rate_per_s;
+}
+
 /* Whether few tokens are left, as far as it is known here. A head that has just become one knows
  * little of the use until now: where all instances restart, each of them is a head at first, and
  * their buckets together would allow more than the quota. */
@@ -702,7 +738,11 @@
 static struct pd_quota_verdict decide(struct pd_quota *quota, struct pd_quota_bucket *bucket,
 				      struct pd_quota_use *use, int64_t now_us)
 {
-	struct pd_quota_verdict verdict = {.admitted = bucket->tokens >= 1};
+	struct pd_quota_verdict verdict = {.admitted = bucket->tokens >= 1,
+					   .basis = PD_QUOTA_BASIS_OWNER,
+					   .rate_per_s = rate_of(quota, bucket),
+					   .tokens = bucket->tokens,
+					   .share = 1};
 
 	add_demand(bucket, 1, now_us);
 	if (!verdict.admitted) {
--- a/ingress/quota.h
+++ b/ingress/quota.h
@@ -111,14 +111,32 @@
 	double share;
 };
 
+/** enum pd_quota_basis - who decided on a request, or why the owner of the account didn't. */
+enum pd_quota_basis {
+	PD_QUOTA_BASIS_OWNER, /* the owner decided */
+	PD_QUOTA_BASIS_NOT_LOW, /* not asked: the account isn't low, as far as it is known here */
+	PD_QUOTA_BASIS_SILENT, /* not asked: this instance knows too little of the others */
+	PD_QUOTA_BASIS_UNANSWERED, /* it was asked, and didn't answer in time */
+	PD_QUOTA_BASIS_UNDECIDED, /* this instance is the owner, and couldn't decide */
+};
+
 /**
  * struct pd_quota_verdict - whether a request is admitted
  * @admitted: it is
  * @wait_us: if it isn't, time after which the client may send it again
+ * @basis: who decided; the owner, unless pd_quota_admit() did
+ * @rate_per_s: rate that the decision was made with: the part of the enforced rate that the
+ *	instance that decided may use
+ * @tokens: tokens that it had for the request; negative for a debt
+ * @share: share of the requests that it admitted while there were tokens
  */
 struct pd_quota_verdict {
 	bool admitted;
 	int64_t wait_us;
+	enum pd_quota_basis basis;
+	double rate_per_s;
+	double tokens;
+	double share;
 };
 
 /**
@@ -322,6 +340,10 @@
 struct pd_quota_verdict pd_quota_admit(struct pd_quota *quota, const struct pd_account *account,
 				       int64_t now_us);
 
+/* Returns the rate that the limit of an account is enforced with, over all instances; 0 without a
+ * limit. */
+double pd_quota_limit_per_s(struct pd_quota *quota, const struct pd_account *account);
+
 /**
  * pd_quota_ask() - whether the owner of an account has to be asked
  * @quota: quotas
--- a/ingress/quota_exchange.c
+++ b/ingress/quota_exchange.c
@@ -1,6 +1,7 @@
 #include "quota_exchange.h"
 
 #include <arpa/inet.h>
+#include <inttypes.h>
 #include <math.h>
 #include <string.h>
 
@@ -22,6 +23,10 @@
 #define TOKENS_OFFSET 1e9
 /* Greatest number that is believed, far above what an instance can reach. */
 #define NUMBER_MAX (1ULL << 50)
+#define TOKENS_MAX ((double)NUMBER_MAX / FRACTION - TOKENS_OFFSET)
+
+/* Maximum length of a request's id and of an account's name in a log line. */
+#define LOGGED_MAX_BYTES 128
 
 /* An answer takes less than 1 ms within a zone and about 3 ms between zones. */
 #define ANSWER_TIMEOUT_US (40 * PD_USEC_PER_MSEC)
@@ -35,6 +40,7 @@
  * @sent: it was sent; at most PD_QUOTA_ASKS_MAX of an account are at once, and the others wait
  * @answered: it was answered
  * @verdict: the answer
+ * @owner: name of the instance that gave it
  * @next: next question
  */
 struct pd_quota_question {
@@ -42,6 +48,7 @@
 	bool sent;
 	bool answered;
 	struct pd_quota_verdict verdict;
+	struct pd_name owner;
 	struct pd_quota_question *next;
 };
 
@@ -116,15 +123,25 @@
 	} while (count == REPORTS_IN_PAYLOAD);
 }
 
-static void put_news(struct pd_buf *payload, const struct pd_quota_news *news)
+static void put_tokens(struct pd_buf *payload, double tokens)
 {
-	double tokens = fmax(0, fmin(news->tokens, TOKENS_OFFSET) + TOKENS_OFFSET);
+	double sent = fmax(0, fmin(tokens, TOKENS_OFFSET) + TOKENS_OFFSET);
+
+	pd_datagram_put_uint(payload, (uint64_t)(sent * FRACTION));
+}
+
+static double get_tokens(struct pd_datagram_reader *reader)
+{
+	return (double)pd_datagram_get_uint(reader) / FRACTION - TOKENS_OFFSET;
+}
 
+static void put_news(struct pd_buf *payload, const struct pd_quota_news *news)
+{
 	pd_datagram_put_uint(payload, news->account);
 	pd_datagram_put_uint(payload, news->low);
 	if (!news->low)
 		return;
-	pd_datagram_put_uint(payload, (uint64_t)(tokens * FRACTION));
+	put_tokens(payload, news->tokens);
 	pd_datagram_put_uint(payload, (uint64_t)(news->rate_per_s * FRACTION));
 	pd_datagram_put_uint(payload, (uint64_t)news->promised_us);
 	pd_datagram_put_uint(payload, (uint64_t)(news->share * FRACTION));
@@ -205,21 +222,21 @@
 /* Reads one statement; false if the rest of the payload is malformed. */
 static bool get_news(struct pd_datagram_reader *reader, struct pd_quota_news *news)
 {
-	uint64_t tokens, rate, promised, share;
+	uint64_t rate, promised, share;
 
 	news->account = pd_datagram_get_uint(reader);
 	news->low = pd_datagram_get_uint(reader);
 	if (reader->failed || !news->low)
 		return !reader->failed;
-	tokens = pd_datagram_get_uint(reader);
+	news->tokens = get_tokens(reader);
 	rate = pd_datagram_get_uint(reader);
 	promised = pd_datagram_get_uint(reader);
 	share = pd_datagram_get_uint(reader);
-	news->tokens = (double)tokens / FRACTION - TOKENS_OFFSET;
 	news->rate_per_s = fmax((double)rate, 1) / FRACTION;
 	news->promised_us = (int64_t)promised;
 	news->share = (double)share / FRACTION;
-	return !reader->failed && tokens < NUMBER_MAX && rate < NUMBER_MAX && promised < NUMBER_MAX;
+	return !reader->failed && news->tokens < TOKENS_MAX && rate < NUMBER_MAX &&
+	       promised < NUMBER_MAX;
 }
 
 /* Passes news on to instances that follow this one. */
@@ -338,6 +355,8 @@
 	pd_datagram_put_uint(&payload, message->ask.nonce);
 	pd_datagram_put_uint(&payload, verdict.admitted);
 	pd_datagram_put_uint(&payload, (uint64_t)verdict.wait_us);
+	pd_datagram_put_uint(&payload, (uint64_t)(verdict.rate_per_s * FRACTION));
+	put_tokens(&payload, verdict.tokens);
 	pd_cluster_send(cluster, PD_DATAGRAM_ANSWER, pd_buf_str(&payload), &to);
 	pd_buf_finish(&payload);
 	send_news(exchange, cluster, true, now_us);
@@ -379,31 +398,51 @@
 	return question;
 }
 
+/* Reads the verdict of an answer; false if it is malformed. */
+static bool get_verdict(struct pd_datagram_reader *reader, struct pd_quota_verdict *verdict)
+{
+	uint64_t admitted = pd_datagram_get_uint(reader);
+	uint64_t wait = pd_datagram_get_uint(reader);
+
+	*verdict = (struct pd_quota_verdict){.admitted = admitted,
+					     .wait_us = (int64_t)wait,
+					     .basis = PD_QUOTA_BASIS_OWNER,
+					     .share = 1};
+	if (reader->failed || admitted > 1 || wait >= NUMBER_MAX)
+		return false;
+	if (!pd_datagram_reader_at_end(reader)) {
+		verdict->rate_per_s = (double)pd_datagram_get_uint(reader) / FRACTION;
+		verdict->tokens = get_tokens(reader);
+	}
+	return !reader->failed && verdict->rate_per_s < (double)NUMBER_MAX / FRACTION &&
+	       verdict->tokens < TOKENS_MAX;
+}
+
 static void receive_answer(struct pd_quota_exchange *exchange, const struct pd_datagram *datagram,
 			   int64_t now_us)
 {
 	struct pd_quota_question *question;
+	struct pd_quota_verdict verdict;
 	struct pd_datagram_reader reader;
-	uint64_t account, nonce, admitted, wait;
+	uint64_t account, nonce;
 	bool is_late;
 
 	pd_datagram_reader_init(&reader, datagram->payload);
 	account = pd_datagram_get_uint(&reader);
 	nonce = pd_datagram_get_uint(&reader);
-	admitted = pd_datagram_get_uint(&reader);
-	wait = pd_datagram_get_uint(&reader);
-	if (reader.failed || admitted > 1 || wait >= NUMBER_MAX)
+	if (!get_verdict(&reader, &verdict))
 		return;
 	pthread_mutex_lock(&exchange->lock);
 	question = find_question(exchange, nonce);
 	is_late = !question;
 	if (question && question->ask.account == account && !question->answered) {
 		question->answered = true;
-		question->verdict = (struct pd_quota_verdict){admitted, (int64_t)wait};
+		question->verdict = verdict;
+		question->owner = datagram->sender;
 		pthread_cond_broadcast(&exchange->changed);
 	}
 	pthread_mutex_unlock(&exchange->lock);
-	if (is_late && admitted)
+	if (is_late && verdict.admitted)
 		pd_quota_give_back(&exchange->quota, account, now_us);
 }
 
@@ -449,9 +488,9 @@
 	return question->answered;
 }
 
-/* Asks the owner of an account; false if it doesn't answer in time. */
-static bool ask_owner(struct pd_quota_exchange *exchange, struct pd_cluster *cluster,
-		      struct pd_quota_question *question, int64_t timeout_us)
+/* Asks the owner of an account; returns whether it decided, or why not. */
+static enum pd_quota_basis ask_owner(struct pd_quota_exchange *exchange, struct pd_cluster *cluster,
+				     struct pd_quota_question *question, int64_t timeout_us)
 {
 	int64_t now_us = pd_os_boot_us();
 	struct pd_cluster_view view;
@@ -459,15 +498,19 @@
 
 	pd_count(PD_COUNT_quota_asked);
 	pd_cluster_view(cluster, now_us, &view);
-	if (view.is_head && !pd_cluster_find_owner(cluster, question->ask.account, now_us, &owner))
-		return pd_quota_decide(&exchange->quota, &question->ask, &question->verdict,
-				       now_us);
+	if (view.is_head &&
+	    !pd_cluster_find_owner(cluster, question->ask.account, now_us, &owner)) {
+		question->owner = cluster->name;
+		return pd_quota_decide(&exchange->quota, &question->ask, &question->verdict, now_us)
+			       ? PD_QUOTA_BASIS_OWNER
+			       : PD_QUOTA_BASIS_UNDECIDED;
+	}
 	if (timeout_us > ANSWER_TIMEOUT_US)
 		timeout_us = ANSWER_TIMEOUT_US;
 	if (wait_for_answer(exchange, cluster, question, view.is_head, pd_os_now_us() + timeout_us))
-		return true;
+		return PD_QUOTA_BASIS_OWNER;
 	pd_count(PD_COUNT_quota_unanswered);
-	return false;
+	return PD_QUOTA_BASIS_UNANSWERED;
 }
 
 bool pd_quota_exchange_asks(struct pd_quota_exchange *exchange, const struct pd_account *account)
@@ -477,22 +520,72 @@
 	return pd_quota_ask(&exchange->quota, account, &ask, pd_os_boot_us());
 }
 
-struct pd_quota_verdict pd_quota_exchange_admit(struct pd_quota_exchange *exchange,
-						struct pd_cluster *cluster,
-						const struct pd_account *account,
-						int64_t timeout_us, bool *counted)
+struct pd_quota_decision pd_quota_exchange_admit(struct pd_quota_exchange *exchange,
+						 struct pd_cluster *cluster,
+						 const struct pd_account *account,
+						 int64_t timeout_us)
 {
 	struct pd_quota_question question = {0};
+	struct pd_quota_decision decision = {0};
+	enum pd_quota_basis basis;
 
-	*counted = false;
-	if (!pd_quota_ask(&exchange->quota, account, &question.ask, pd_os_boot_us()) ||
-	    !ask_owner(exchange, cluster, &question, timeout_us))
-		return pd_quota_admit(&exchange->quota, account, pd_os_boot_us());
-	if (question.verdict.admitted) {
+	if (!pd_quota_ask(&exchange->quota, account, &question.ask, pd_os_boot_us())) {
+		decision.verdict = pd_quota_admit(&exchange->quota, account, pd_os_boot_us());
+		return decision;
+	}
+	basis = ask_owner(exchange, cluster, &question, timeout_us);
+	if (basis != PD_QUOTA_BASIS_OWNER) {
+		decision.verdict = pd_quota_admit(&exchange->quota, account, pd_os_boot_us());
+		decision.verdict.basis = basis;
+		return decision;
+	}
+	decision.verdict = question.verdict;
+	decision.owner = question.owner;
+	if (decision.verdict.admitted) {
 		pd_quota_count(&exchange->quota, account, pd_os_boot_us());
-		*counted = true;
+		decision.counted = true;
+	}
+	return decision;
+}
+
+static const char *basis_name(enum pd_quota_basis basis)
+{
+	switch (basis) {
+	case PD_QUOTA_BASIS_OWNER:
+		return "owner";
+	case PD_QUOTA_BASIS_NOT_LOW:
+		return "not_low";
+	case PD_QUOTA_BASIS_SILENT:
+		return "source_silent";
+	case PD_QUOTA_BASIS_UNANSWERED:
+		return "unanswered";
+	case PD_QUOTA_BASIS_UNDECIDED:
+		return "undecided";
 	}
-	return question.verdict;
+	return "unlisted";
+}
+
+/* Returns the start of a text that is chosen by others, so that the fields after it fit into the
+ * line. */
+static struct pd_str clip(struct pd_str s)
+{
+	return (struct pd_str){s.data, s.len < LOGGED_MAX_BYTES ? s.len : LOGGED_MAX_BYTES};
+}
+
+void pd_quota_exchange_log_refusal(struct pd_quota_exchange *exchange,
+				   const struct pd_account *account, struct pd_str request_id,
+				   const struct pd_quota_decision *decision)
+{
+	const struct pd_quota_verdict *verdict = &decision->verdict;
+	bool by_owner = verdict->basis == PD_QUOTA_BASIS_OWNER;
+
+	pd_log(PD_LOG_INFO, "quota_refused",
+	       "id=%.*s account=%.*s wait_ms=%" PRId64
+	       " limit_per_s=%.2f rate_per_s=%.2f tokens=%.2f share=%.2f basis=%s owner=%s",
+	       PD_STR_ARG(clip(request_id)), PD_STR_ARG(clip(account->name)),
+	       verdict->wait_us / PD_USEC_PER_MSEC, pd_quota_limit_per_s(&exchange->quota, account),
+	       verdict->rate_per_s, verdict->tokens, verdict->share, basis_name(verdict->basis),
+	       by_owner ? decision->owner.text : "none");
 }
 
 void pd_quota_exchange_receive(struct pd_quota_exchange *exchange, struct pd_cluster *cluster,
--- a/ingress/quota_exchange.h
+++ b/ingress/quota_exchange.h
@@ -11,7 +11,8 @@
  * the account, the account, the origin of the instance's reports and a nonce. It goes from source
  * to source to a head, and from there to the head that owns the account, which sends the ANSWER to
  * the instance that asked: account, nonce, whether the request is admitted, and otherwise the time
- * to return.
+ * to return; then the rate and the tokens that the owner decided by, which an earlier version
+ * doesn't state.
  */
 #ifndef PD_QUOTA_EXCHANGE_H
 #define PD_QUOTA_EXCHANGE_H
@@ -57,23 +58,39 @@
 /* Sends what is due; called by the thread of the cluster, without its lock. */
 void pd_quota_exchange_tick(struct pd_quota_exchange *exchange, struct pd_cluster *cluster,
 			    int64_t now_us);
+
+/**
+ * struct pd_quota_decision - decision on a request
+ * @verdict: whether it is admitted
+ * @counted: it was counted already: the owner of the account has admitted it
+ * @owner: name of the owner, if that decided
+ */
+struct pd_quota_decision {
+	struct pd_quota_verdict verdict;
+	bool counted;
+	struct pd_name owner;
+};
+
 /**
  * pd_quota_exchange_admit() - whether a request may be sent to upstreams
  * @exchange: exchange
  * @cluster: cluster
  * @account: account of the request
  * @timeout_us: time for which an answer may be waited for
- * @counted: whether the request was counted already: the owner of the account has admitted it
  *
  * Asks the owner of the account while few of its tokens are left; without an answer in time, this
  * instance decides by what it knows. May be called by several threads at once.
  *
- * Return: the verdict.
+ * Return: the decision.
  */
-struct pd_quota_verdict pd_quota_exchange_admit(struct pd_quota_exchange *exchange,
-						struct pd_cluster *cluster,
-						const struct pd_account *account,
-						int64_t timeout_us, bool *counted);
+struct pd_quota_decision pd_quota_exchange_admit(struct pd_quota_exchange *exchange,
+						 struct pd_cluster *cluster,
+						 const struct pd_account *account,
+						 int64_t timeout_us);
+/* Logs a request that was refused, with what the decision is based on. */
+void pd_quota_exchange_log_refusal(struct pd_quota_exchange *exchange,
+				   const struct pd_account *account, struct pd_str request_id,
+				   const struct pd_quota_decision *decision);
 /* Whether the owner of the account would be asked now. */
 bool pd_quota_exchange_asks(struct pd_quota_exchange *exchange, const struct pd_account *account);
 /* Handles a datagram of one of the part's kinds; called by the thread of the cluster. */
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -184,22 +184,22 @@
 static bool is_within_quota(struct request *request, bool *written)
 {
 	struct pd_quota_exchange *exchange = &request->ingress->quota;
-	struct pd_quota_verdict verdict;
+	struct pd_quota_decision decision;
 
 	if (!quota_of(request))
 		return true;
-	verdict = pd_quota_exchange_admit(exchange, &request->ingress->cluster, request->account,
-					  ask_timeout_us(request), &request->counted);
-	if (verdict.admitted)
+	decision = pd_quota_exchange_admit(exchange, &request->ingress->cluster, request->account,
+					   ask_timeout_us(request));
+	request->counted = decision.counted;
+	if (decision.verdict.admitted)
 		return true;
 	pd_count(PD_COUNT_quota_refused);
-	pd_log(PD_LOG_INFO, "quota_refused", "id=%.*s account=%.*s wait_ms=%" PRId64,
-	       PD_STR_ARG(request->fields.request_id), PD_STR_ARG(request->account->name),
-	       verdict.wait_us / PD_USEC_PER_MSEC);
+	pd_quota_exchange_log_refusal(exchange, request->account, request->fields.request_id,
+				      &decision);
 	/* All instances share the quota, so that another one would refuse the request, too. */
 	request->relay_result = PD_RELAY_FINAL;
 	*written = write_refusal(request, HTTP_STATUS_TOO_MANY_REQUESTS, "over the quota",
-				 (uint32_t)(verdict.wait_us / PD_USEC_PER_MSEC) + 1);
+				 (uint32_t)(decision.verdict.wait_us / PD_USEC_PER_MSEC) + 1);
 	return false;
 }
 
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -637,6 +637,37 @@
 }
 END_TEST
 
+START_TEST(verdicts_state_their_basis)
+{
+	/* Guards against a refusal of which the log doesn't tell by which rate and tokens, and why
+	 * not by the owner, it was decided. */
+	struct pd_quota_ask ask = {.account = 7, .origin = 5, .nonce = 1};
+	struct pd_quota_fleet follower = alone;
+	struct pd_quota_verdict verdict;
+
+	ck_assert_double_eq(pd_quota_limit_per_s(&quota, &account), 2);
+	pass(100);
+	ck_assert_int_eq(send_all(), 2);
+	ck_assert(pd_quota_decide(&quota, &ask, &verdict, now));
+	ck_assert(!verdict.admitted && verdict.basis == PD_QUOTA_BASIS_OWNER);
+	ck_assert_double_eq(verdict.tokens, 0);
+	ck_assert_double_eq(verdict.rate_per_s, 2);
+	pass(100);
+	follower.is_head = false;
+	follower.source_heard_us = now;
+	follower.instances = 4;
+	pd_quota_set_fleet(&quota, &follower, now);
+	ck_assert_int_eq(send_all(), 2);
+	verdict = pd_quota_admit(&quota, &account, now);
+	ck_assert(!verdict.admitted && verdict.basis == PD_QUOTA_BASIS_NOT_LOW);
+	ck_assert_double_eq(verdict.rate_per_s, 2);
+	now += PD_USEC_PER_SEC;
+	verdict = pd_quota_admit(&quota, &account, now);
+	ck_assert(!verdict.admitted && verdict.basis == PD_QUOTA_BASIS_SILENT);
+	ck_assert_double_eq(verdict.rate_per_s, 0.5);
+}
+END_TEST
+
 START_TEST(new_head_states_no_long_waits)
 {
 	/* Guards against waits by the rate of the few instances that a head covers at first. */
@@ -782,6 +813,7 @@
 		grants_expire,
 		late_answers_are_given_back,
 		only_a_head_that_knows_decides,
+		verdicts_state_their_basis,
 		new_head_states_no_long_waits,
 		suspended_instance_relies_on_nothing,
 		rate_is_raised_as_far_as_the_bound_allows,
