Feed: an instance that starts gets the rate limits of upstreams from its source

Cause: each instance that restarts learns the limit by a request of its own, although its source knows it.

Change: the entry of an upstream in the feed (format 8) has the limit that the upstream has stated to the source in the last 30 s. An instance that has had no response of the upstream takes it over with no tokens, since its former process may have used the share of this moment. What was taken over isn't passed on, so that a limit that has ended doesn't go from source to source.

Ruled out: the running instances. 16 of the 112 get requests in this test, and 24 to 26 requests are sent in the second in which they learn the limit, 7 more by those that restart later.

--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -1,19 +1,23 @@
 #include "feed_message.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <string.h>
 
 #include "msgpack_check.h"
 #include "os.h"
 
-/* Since 5, messages state revisions of the store; since 7, upstreams have versions. An instance of
- * another version isn't followed: how recent its messages are, or which upstreams may get requests,
- * is unknown.
+/* Since 5, messages state revisions of the store; since 7, upstreams have versions; since 8, they
+ * have the rate limits that the source knows. An instance of another version isn't followed: how
+ * recent its messages are, or which upstreams may get requests, is unknown.
  */
-#define FORMAT_VERSION	     7
+#define FORMAT_VERSION	     8
 #define REVISION_FIELD_COUNT 2
-#define UPSTREAM_FIELD_COUNT (10 + REVISION_FIELD_COUNT)
-#define ARRAY_ITEMS_MAX	     (PD_FEED_ZONES_MAX + REVISION_FIELD_COUNT + 2)
+#define UPSTREAM_FIELD_COUNT (11 + REVISION_FIELD_COUNT)
+/* Limits are sent in millionths, increased by 1; 0 for none. */
+#define LIMIT_UNIT	1e6
+#define LIMIT_MAX_PER_S 1e9
+#define ARRAY_ITEMS_MAX (PD_FEED_ZONES_MAX + REVISION_FIELD_COUNT + 2)
 
 static int append(void *data, const char *bytes, size_t len)
 {
@@ -32,6 +36,14 @@
 	msgpack_pack_uint64(packer, revision.number);
 }
 
+static void pack_limit(msgpack_packer *packer, const struct pd_upstream_entry *entry)
+{
+	double limit_per_s = fmin(entry->limit_per_s, LIMIT_MAX_PER_S);
+
+	msgpack_pack_uint64(packer,
+			    entry->has_limit ? 1 + (uint64_t)(limit_per_s * LIMIT_UNIT) : 0);
+}
+
 static void pack_upstream(msgpack_packer *packer, const struct pd_upstream_entry *entry)
 {
 	pack_str(packer, entry->id_text.len ? entry->id_text : pd_name_str(&entry->id));
@@ -45,6 +57,7 @@
 	msgpack_pack_uint64(packer, entry->sequence);
 	pack_revision(packer, entry->revision);
 	pack_str(packer, pd_name_str(&entry->version));
+	pack_limit(packer, entry);
 }
 
 static size_t field_count(const struct pd_feed_message *msg)
@@ -202,7 +215,7 @@
 
 static bool decode_upstream(const msgpack_object *fields, struct pd_upstream_entry *entry)
 {
-	uint64_t draining, slots, cold, started;
+	uint64_t draining, slots, cold, started, limit;
 	struct pd_str id;
 
 	if (!to_str(&fields[0], &id) || !pd_upstream_entry_set_id(entry, id) ||
@@ -213,8 +226,11 @@
 	    !to_number(&fields[7], INT64_MAX, &started) ||
 	    !to_number(&fields[8], UINT64_MAX, &entry->sequence) ||
 	    !to_revision(&fields[9], &entry->revision) ||
-	    !to_optional_name(&fields[11], &entry->version))
+	    !to_optional_name(&fields[11], &entry->version) ||
+	    !to_number(&fields[12], (uint64_t)(LIMIT_MAX_PER_S * LIMIT_UNIT) + 1, &limit))
 		return false;
+	entry->has_limit = limit > 0;
+	entry->limit_per_s = limit ? (double)(limit - 1) / LIMIT_UNIT : 0;
 	entry->draining = draining != 0;
 	entry->slots = (uint32_t)slots;
 	entry->cold_ms = (int64_t)cold;
--- a/ingress/permit.c
+++ b/ingress/permit.c
@@ -21,6 +21,10 @@
 #define PAUSE_SPREAD_SHARE  0.25
 #define PAUSE_SPREAD_MAX_US (1.0 * PD_USEC_PER_SEC)
 
+/* A limit that wasn't stated for this long may have ended. An instance without a share of it would
+ * notice that by its next probe only. */
+#define LIMIT_PASS_ON_US (30 * PD_USEC_PER_SEC)
+
 const char *pd_block_name(enum pd_block block)
 {
 	switch (block) {
@@ -257,6 +261,27 @@
 	}
 }
 
+bool pd_permit_passes_limit_on_locked(const struct pd_upstream *upstream, int64_t now_us)
+{
+	/* One that was taken over itself may have ended. */
+	return upstream->terms.answered && upstream->terms.rate_limit.active &&
+	       now_us - upstream->terms.limit_stated_us < LIMIT_PASS_ON_US;
+}
+
+void pd_permit_inherit_limit_locked(struct pd_registry *registry, struct pd_upstream *upstream,
+				    double limit_per_s, int64_t now_us)
+{
+	struct pd_rate_limit *limit = &upstream->terms.rate_limit;
+
+	if (limit->active)
+		return;
+	set_rate_limit(registry, upstream, limit, limit_per_s, now_us);
+	/* The process before this one may have used the share of this moment. */
+	limit->tokens = fmin(limit->tokens, 0);
+	upstream->terms.limit_stated_us = now_us;
+	log_limit_change(upstream, 0, now_us);
+}
+
 void pd_permit_update_shares_locked(struct pd_registry *registry)
 {
 	int64_t now = pd_os_boot_us();
--- a/ingress/permit.h
+++ b/ingress/permit.h
@@ -161,6 +161,13 @@
 void pd_permit_record_limit_locked(struct pd_registry *registry, struct pd_upstream *upstream,
 				   const struct pd_directives *directives, int64_t sent_us,
 				   int64_t now_us);
+/* Whether instances that start should know the upstream's rate limit from this one: it has stated
+ * it in a response to this instance lately. */
+bool pd_permit_passes_limit_on_locked(const struct pd_upstream *upstream, int64_t now_us);
+/* Takes over the rate limit that another instance knows, for an upstream of which this instance
+ * knows none: it has just started. */
+void pd_permit_inherit_limit_locked(struct pd_registry *registry, struct pd_upstream *upstream,
+				    double limit_per_s, int64_t now_us);
 /* Computes the shares of this instance in all rate limits again, for other instances. */
 void pd_permit_update_shares_locked(struct pd_registry *registry);
 
--- a/ingress/registry.c
+++ b/ingress/registry.c
@@ -406,6 +406,8 @@
 	entry->sequence = upstream->sequence;
 	entry->revision = upstream->revision;
 	entry->version = upstream->version;
+	entry->has_limit = pd_permit_passes_limit_on_locked(upstream, pd_os_boot_us());
+	entry->limit_per_s = entry->has_limit ? upstream->terms.rate_limit.limit_per_s : 0;
 }
 
 static void set_draining(struct pd_upstream *upstream, bool draining)
@@ -488,6 +490,9 @@
 	if (!upstream)
 		return true;
 	update_upstream(upstream, entry);
+	if (entry->has_limit && !upstream->terms.answered)
+		pd_permit_inherit_limit_locked(registry, upstream, entry->limit_per_s,
+					       pd_os_boot_us());
 	upstream->put_list = registry->last_list;
 	upstream->remove_pending = false;
 	return true;
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -315,6 +315,9 @@
  *	0 if the entry has none
  * @revision: revision of the store at which the entry was written; unknown if the entry has none
  * @version: version of the upstream's software; empty if the entry states none
+ * @has_limit: the instance that sends the entry was told a rate limit by the upstream lately; false
+ *	in the platform's list
+ * @limit_per_s: that limit
  */
 struct pd_upstream_entry {
 	struct pd_name id;
@@ -332,6 +335,8 @@
 	uint64_t sequence;
 	struct pd_revision revision;
 	struct pd_name version;
+	bool has_limit;
+	double limit_per_s;
 };
 
 /* Maximum length of an id, which is sent in the header of each request: a quarter of the size of a
--- a/tests/registry_fleet.c
+++ b/tests/registry_fleet.c
@@ -181,8 +181,23 @@
 	pending_count = kept;
 }
 
-/* Replaces an instance by one that has just started and has listed the instances. */
-static void fleet_restart(size_t instance)
+/* Lets an instance take over the limits that its source knows, as the feed's list has them. */
+static void inherit_limits(size_t instance, size_t source, int64_t now)
+{
+	struct pd_upstream *known, *upstream;
+
+	HASH_FIND(hh, fleet.instances[source].upstreams, "a", 1, known);
+	HASH_FIND(hh, fleet.instances[instance].upstreams, "a", 1, upstream);
+	ck_assert(known && upstream);
+	if (known->terms.rate_limit.active)
+		pd_permit_inherit_limit_locked(&fleet.instances[instance], upstream,
+					       known->terms.rate_limit.limit_per_s, now);
+}
+
+/* Replaces an instance by one that has just started, has listed the instances, and has received the
+ * list of upstreams from its source: instance 7, which doesn't restart and gets requests.
+ */
+static void fleet_restart(size_t instance, int64_t now)
 {
 	struct pd_registry_options options = {.retry_ratio = 0.2, .retry_slack = 100};
 	struct pd_upstream_entry limited = make_entry("a", "here"), other = make_entry("b", "here");
@@ -199,6 +214,7 @@
 	set_instances(&fleet.instances[instance], instance, fleet.count);
 	pd_registry_put(&fleet.instances[instance], &limited, false);
 	pd_registry_put(&fleet.instances[instance], &other, false);
+	inherit_limits(instance, 7, now);
 }
 
 /* Sends the requests of one step of the simulation: three of an instance arrive together. */
@@ -233,7 +249,7 @@
 			fleet.limit_per_s = burst->limit_per_s;
 		fleet_respond(now, latency_us);
 		if (now >= next_restart_us && restarted < fleet.count / 2) {
-			fleet_restart(2 * restarted);
+			fleet_restart(2 * restarted, now);
 			fleet.instances[2 * restarted].random_state = seed * 2000 + restarted;
 			restarted++;
 			next_restart_us += burst->restart_interval_us;
--- a/tests/test_permit.c
+++ b/tests/test_permit.c
@@ -238,6 +238,30 @@
 }
 END_TEST
 
+START_TEST(limit_is_passed_on_while_it_is_stated)
+{
+	/* Guards against an instance that starts and doesn't know a limit that its source knows,
+	 * against one that uses the share that its former process has used, and against a limit
+	 * that has ended and is passed on from instance to instance. */
+	const struct pd_directives directives = {.has_limit = true, .limit_per_s = 2};
+	struct pd_upstream *upstream = put_upstream("a", 9, STARTED_MS);
+
+	pd_permit_inherit_limit_locked(&registry, upstream, 3, NOW_US);
+	ck_assert_int_eq(check(upstream, NOW_US).block, PD_BLOCK_RATE_LIMITED);
+	ck_assert(!pd_permit_passes_limit_on_locked(upstream, NOW_US));
+	record(upstream, directives, NOW_US);
+	pd_permit_record_limit_locked(&registry, upstream, &directives, NOW_US, NOW_US);
+	ck_assert(pd_permit_passes_limit_on_locked(upstream, NOW_US + PD_USEC_PER_SEC));
+	ck_assert(!pd_permit_passes_limit_on_locked(upstream, NOW_US + 31 * PD_USEC_PER_SEC));
+	/* What this instance was told holds. */
+	pd_permit_inherit_limit_locked(&registry, upstream, 3, NOW_US);
+	ck_assert_double_eq(upstream->terms.rate_limit.limit_per_s, 2);
+	pd_permit_record_limit_locked(&registry, upstream, &(struct pd_directives){0},
+				      NOW_US + 1000, NOW_US + 2000);
+	ck_assert(!pd_permit_passes_limit_on_locked(upstream, NOW_US + 2000));
+}
+END_TEST
+
 START_TEST(pause_of_a_relay_is_not_one_of_an_upstream)
 {
 	/* Guards against a larger instance that isn't used for a while because it refused one
@@ -664,6 +688,7 @@
 		leaving_ends_only_with_the_start_of_the_upstream,
 		late_response_of_an_old_start_does_not_bar_the_new_one,
 		pause_lasts_as_long_as_stated,
+		limit_is_passed_on_while_it_is_stated,
 		pause_of_a_relay_is_not_one_of_an_upstream,
 		instances_return_from_a_pause_one_after_the_other,
 		clients_return_from_a_pause_one_after_the_other,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -347,6 +347,8 @@
 	in.upstream.started_unix_ms = 1700000000000;
 	in.upstream.sequence = 7;
 	in.upstream.revision = (struct pd_revision){3, 9000};
+	in.upstream.has_limit = true;
+	in.upstream.limit_per_s = 4.5;
 	pd_feed_message_encode(&in, &frame);
 	ck_assert_int_eq(pd_feed_message_decode(payload(&frame), &out, &err), PD_OK);
 	ck_assert_str_eq(out.upstream.id.text, "i-1");
@@ -356,6 +358,8 @@
 	ck_assert_uint_eq(out.upstream.sequence, 7);
 	ck_assert_uint_eq(out.upstream.revision.era, 3);
 	ck_assert_uint_eq(out.upstream.revision.number, 9000);
+	ck_assert(out.upstream.has_limit);
+	ck_assert_double_eq(out.upstream.limit_per_s, 4.5);
 	pd_feed_message_finish(&out);
 	/* Every truncated frame must be rejected. */
 	for (size_t len = 0; len + 4 < frame.len; len++)
