Quota: followers of a new head state waits by the whole rate

Cause: a head that has just become one has the part of the few instances that it hears, and states waits by the whole rate for 2 s. Its followers used the part that its news state, so that their clients were told to wait for minutes.

Change: for 2 s after a follower has first received news of a head, it states waits by the whole rate, too. Tokens are still added by the stated part, so that no more requests are admitted. There is no change of the messages.

Ruled out: a larger rate in the news. Followers add tokens by it.

Test: followers_of_a_new_head_state_no_long_waits fails before the change.

--- a/ingress/quota.c
+++ b/ingress/quota.c
@@ -575,15 +575,20 @@
 	return after_us;
 }
 
-/* Returns the rate by which clients return to a head. One that has just become a head hears of the
- * others within RECENT_US, so that the small part that it has until then says little of the time
- * after: a wait by the part of 1 of 130 instances was 1,227 s. */
+/* Returns the rate by which clients return. A head that has just become one hears of the others
+ * within RECENT_US, so that the small part that it has until then, and that it states to its
+ * followers, says little of the time after: a wait by the part of 1 of 130 instances was 1,227 s.
+ */
 static double return_rate(const struct pd_quota *quota, const struct pd_quota_bucket *bucket,
 			  int64_t now_us)
 {
-	bool is_new = quota->fleet.is_head && now_us - quota->head_since_us < RECENT_US;
+	bool follows_news = !quota->fleet.is_head && bucket->low;
+	int64_t since_us = follows_news ? quota->news_head_us : quota->head_since_us;
+	double rate = follows_news ? bucket->news.rate_per_s : rate_of(quota, bucket);
 
-	return fmax(is_new ? bucket->rate_per_s : rate_of(quota, bucket), RATE_MIN_PER_S);
+	if ((quota->fleet.is_head || follows_news) && now_us - since_us < RECENT_US)
+		rate = bucket->rate_per_s;
+	return fmax(rate, RATE_MIN_PER_S);
 }
 
 /* Returns the time to wait of a refused request. Other instances may promise the same tokens until
@@ -592,9 +597,7 @@
 static int64_t time_to_return(struct pd_quota *quota, struct pd_quota_bucket *bucket, double tokens,
 			      int64_t now_us)
 {
-	bool follows_news = !quota->fleet.is_head && bucket->low;
-	double rate = follows_news ? fmax(bucket->news.rate_per_s, RATE_MIN_PER_S)
-				   : return_rate(quota, bucket, now_us);
+	double rate = return_rate(quota, bucket, now_us);
 	int64_t wait_us, spread_us;
 
 	if (is_silent(quota, now_us)) {
@@ -952,6 +955,10 @@
 
 	pthread_mutex_lock(&quota->lock);
 	quota->heard_us = now_us;
+	if (!quota->news_head_us || news->head != quota->news_head) {
+		quota->news_head = news->head;
+		quota->news_head_us = now_us;
+	}
 	bucket =
 		news->low ? get_bucket(quota, news->account, now_us) : lookup(quota, news->account);
 	if (bucket && !quota->fleet.is_head && !is_outdated(&bucket->news, news)) {
--- a/ingress/quota.h
+++ b/ingress/quota.h
@@ -284,6 +284,8 @@
  * @head_since_us: time since which this instance is a head
  * @widened_us: time at which this instance became a head, or this head began to hear more of the
  *	other instances; &pd_quota_bucket.credit may be used for a while after it
+ * @news_head: head whose news were last received
+ * @news_head_us: time at which its news were first received; 0 before the first news
  * @news_due: the followers have to be told of a change at once
  * @reports_us: time at which reports were last taken
  * @pruned_us: time at which buckets that aren't in use were last removed
@@ -304,6 +306,8 @@
 	int64_t heard_us;
 	int64_t head_since_us;
 	int64_t widened_us;
+	uint64_t news_head;
+	int64_t news_head_us;
 	bool news_due;
 	int64_t reports_us;
 	int64_t pruned_us;
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -722,6 +722,38 @@
 }
 END_TEST
 
+/* Returns the time to wait at a follower that hears from its head that an account is in debt and
+ * that the head's part of the rate is a hundredth. */
+static int64_t wait_by_news(uint64_t head, uint64_t sequence)
+{
+	const struct pd_quota_news news = {.head = head,
+					   .sequence = sequence,
+					   .account = 7,
+					   .low = true,
+					   .tokens = -1,
+					   .rate_per_s = 0.02,
+					   .share = 1};
+	const struct pd_quota_fleet follower = {
+		.zones = 1, .instances = 130, .source_heard_us = now};
+
+	pd_quota_set_fleet(&quota, &follower, now);
+	pd_quota_receive_news(&quota, &news, now);
+	return pd_quota_admit(&quota, &account, now).wait_us;
+}
+
+START_TEST(followers_of_a_new_head_state_no_long_waits)
+{
+	/* Guards against waits by the rate of the few instances that the source of this instance
+	 * covers while it has just become a head. */
+	ck_assert_int_le(wait_by_news(5, 1), 2 * PD_USEC_PER_SEC);
+	now += 3 * PD_USEC_PER_SEC;
+	/* A head that stays alone has only its part. */
+	ck_assert_int_gt(wait_by_news(5, 2), 50 * PD_USEC_PER_SEC);
+	now += 300 * PD_USEC_PER_SEC;
+	ck_assert_int_le(wait_by_news(6, 1), 2 * PD_USEC_PER_SEC);
+}
+END_TEST
+
 START_TEST(suspended_instance_relies_on_nothing)
 {
 	/* Guards against a full bucket of an instance that continues after a suspension. */
@@ -848,6 +880,7 @@
 		credit_is_for_the_time_before,
 		verdicts_state_their_basis,
 		new_head_states_no_long_waits,
+		followers_of_a_new_head_state_no_long_waits,
 		suspended_instance_relies_on_nothing,
 		rate_is_raised_as_far_as_the_bound_allows,
 		idle_accounts_cost_nothing,
