Quota: zones that hear each other in part use the whole quota at most

Fault: where a hears b, b hears c, and a doesn't hear c, a noisy account of 20 per second sent 156 requests in 5 s of 152.

Cause: a and c have a part of 2/3 each, and don't know of each other's use.

Change: HEAD states the zones that its sender hears, as bits of their names' hashes, which takes up to 9 bytes more. A head of which another head hears, for 1 s, a listed zone that it doesn't hear itself uses 1 / (1 + zones not heard). Earlier versions ignore the bits; a head that doesn't state them changes nothing. The second is for heads that notice a failure one after the other.

Tests: zones_that_hear_each_other_in_part_keep_the_quota fails before the change; zones_that_are_heard_in_part_are_noticed.

--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -239,11 +239,18 @@
 	return now_us - head->heard_us <= PD_CLUSTER_QUOTA_TIMEOUT_US;
 }
 
+/* Returns the bit of a zone. Zones with the same bit are rare, and count as one. */
+static uint64_t zone_bit(const struct pd_name *zone)
+{
+	return (uint64_t)1 << pd_str_hash(pd_name_str(zone), 0) % 64;
+}
+
 /* Fills in what quotas are divided by. */
 static void fill_quota_view(const struct pd_cluster *cluster, struct pd_cluster_view *view,
 			    int64_t now_us)
 {
 	bool heard[PD_CLUSTER_ZONES_MAX] = {true};
+	uint64_t stated = 0, listed = 0;
 
 	view->quota_zones = 1;
 	view->quota_instances = 1;
@@ -266,6 +273,7 @@
 		if (!shares_quota(head, now_us))
 			continue;
 		view->quota_covered += 1 + head->followers;
+		stated |= head->zone_bits;
 		for (size_t z = 1; z < cluster->zone_count; z++) {
 			if (heard[z] || !pd_name_equal(&head->zone, &cluster->zones[z]))
 				continue;
@@ -275,6 +283,11 @@
 	}
 	for (size_t i = 0; i < cluster->instance_count; i++)
 		view->quota_instances += heard[cluster->instances[i].zone];
+	for (size_t z = 0; z < cluster->zone_count; z++) {
+		listed |= zone_bit(&cluster->zones[z]);
+		view->quota_zone_bits |= heard[z] ? zone_bit(&cluster->zones[z]) : 0;
+	}
+	view->quota_in_part = stated & listed & ~view->quota_zone_bits;
 }
 
 static void fill_view(const struct pd_cluster *cluster, struct pd_cluster_view *view,
@@ -458,7 +471,8 @@
  * table is allocated with its first entry, since most instances have no followers.
  */
 static void record_peer(struct pd_cluster_peer **peers, size_t *count, size_t max,
-			const struct pd_datagram *datagram, uint32_t followers, int64_t now_us)
+			const struct pd_datagram *datagram, uint32_t followers, uint64_t zone_bits,
+			int64_t now_us)
 {
 	size_t i = 0;
 
@@ -482,6 +496,7 @@
 		.address = datagram->from,
 		.heard_us = now_us,
 		.followers = followers,
+		.zone_bits = zone_bits,
 	};
 }
 
@@ -514,7 +529,7 @@
 		return;
 	pthread_mutex_lock(&cluster->lock);
 	record_peer(&cluster->followers, &cluster->follower_count, PD_CLUSTER_FOLLOWERS_MAX, ping,
-		    (uint32_t)followers, now_us);
+		    (uint32_t)followers, 0, now_us);
 	/* A head that has begun to follow this instance is none any more. */
 	forget_peer(cluster->heads, &cluster->head_count, &ping->sender);
 	pthread_mutex_unlock(&cluster->lock);
@@ -576,13 +591,19 @@
 	pd_buf_finish(&payload);
 }
 
+static void put_head(struct pd_buf *payload, const struct pd_cluster_view *view)
+{
+	pd_datagram_put_uint(payload, view->quota_followers);
+	pd_datagram_put_uint(payload, view->quota_zone_bits);
+}
+
 static void send_head(struct pd_cluster *cluster, const struct sockaddr_in *to)
 {
 	struct pd_cluster_view view;
 	struct pd_buf payload = {0};
 
 	pd_cluster_view(cluster, pd_os_boot_us(), &view);
-	pd_datagram_put_uint(&payload, view.quota_followers);
+	put_head(&payload, &view);
 	pd_cluster_send(cluster, PD_DATAGRAM_HEAD, pd_buf_str(&payload), to);
 	pd_buf_finish(&payload);
 }
@@ -591,10 +612,13 @@
 {
 	struct pd_datagram_reader reader;
 	struct sockaddr_in source;
-	uint64_t followers;
+	uint64_t followers, zone_bits = 0;
 
 	pd_datagram_reader_init(&reader, head->payload);
 	followers = pd_datagram_get_uint(&reader);
+	/* Earlier versions don't state it. */
+	if (!pd_datagram_reader_at_end(&reader))
+		zone_bits = pd_datagram_get_uint(&reader);
 	if (reader.failed || followers > UINT32_MAX)
 		return;
 	if (get_source(cluster, &source)) {
@@ -603,7 +627,7 @@
 	}
 	pthread_mutex_lock(&cluster->lock);
 	record_peer(&cluster->heads, &cluster->head_count, PD_CLUSTER_HEADS_MAX, head,
-		    (uint32_t)followers, now_us);
+		    (uint32_t)followers, zone_bits, now_us);
 	forget_peer(cluster->followers, &cluster->follower_count, &head->sender);
 	pthread_mutex_unlock(&cluster->lock);
 }
@@ -733,7 +757,7 @@
 	struct pd_cluster_view view;
 
 	pd_cluster_view(cluster, now_us, &view);
-	pd_datagram_put_uint(&payload, view.quota_followers);
+	put_head(&payload, &view);
 	if (encode(cluster, PD_DATAGRAM_HEAD, pd_buf_str(&payload), &out)) {
 		pthread_mutex_lock(&cluster->lock);
 		for (size_t i = 0; i < cluster->head_count; i++)
--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -70,6 +70,7 @@
  * @address: address that its datagrams come from
  * @heard_us: time at which it was last heard
  * @followers: number of instances that follow it, directly or through others, as it states
+ * @zone_bits: zones that a head hears, as it states; see &pd_cluster_view.quota_zone_bits
  */
 struct pd_cluster_peer {
 	struct pd_name name;
@@ -78,6 +79,7 @@
 	struct sockaddr_in address;
 	int64_t heard_us;
 	uint32_t followers;
+	uint64_t zone_bits;
 };
 
 /**
@@ -109,6 +111,8 @@
  * @quota_followers: number of followers that were heard within PD_CLUSTER_QUOTA_FOLLOWER_TIMEOUT_US
  * @quota_zones: number of zones of which a head was heard within PD_CLUSTER_QUOTA_TIMEOUT_US, this
  *	instance's own included
+ * @quota_zone_bits: these zones, each as the bit of its name's hash
+ * @quota_in_part: one of these heads hears a zone that this instance doesn't
  * @quota_instances: number of listed instances of these zones
  * @quota_covered: number of instances that are this one, the heads that were heard within that
  *	time, and the followers of all these
@@ -125,6 +129,8 @@
 	size_t zones_heard;
 	size_t quota_followers;
 	size_t quota_zones;
+	uint64_t quota_zone_bits;
+	bool quota_in_part;
 	size_t quota_instances;
 	size_t quota_covered;
 	uint64_t links;
--- a/ingress/quota.c
+++ b/ingress/quota.c
@@ -47,6 +47,9 @@
 #define RESERVE_TOKENS 4.0
 /* A request that was admitted for an instance is reported by it within less, if it is used. */
 #define GRANT_US (2000 * PD_USEC_PER_MSEC)
+/* Zones that hear each other in part are told from heads that notice a failure, or a new head, one
+ * after the other, as they do within the interval and the timeout of HEAD. */
+#define IN_PART_US (1000 * PD_USEC_PER_MSEC)
 /* Promises of more than ROOM_AFTER_US ahead leave the rest of the rate to other requests: a usual
  * account uses 1 / 1.6 of its quota, and its requests compete with those that come back. */
 #define ROOM_AFTER_US PD_USEC_PER_SEC
@@ -161,9 +164,12 @@
 }
 
 /* Returns the part of the quota that an account's bucket gets here. A head that hears only some of
- * the zones uses their part. Heads that cover the lesser part of the instances of the zones that
- * they hear share what the bound allows beyond the quota, which the others may use whole; several
- * such groups have at most that together, since they are in proportion to their sizes.
+ * the zones uses their part. If one of these zones hears another one, the zones that don't hear
+ * each other would use the part of the zone between them twice. At most those that this head
+ * doesn't hear don't hear each other either, so that each of these and this one may use an equal
+ * part. Heads that cover the lesser part of the instances of the zones that they hear share what
+ * the bound allows beyond the quota, which the others may use whole; several such groups have at
+ * most that together, since they are in proportion to their sizes.
  */
 static double part_of(const struct pd_quota *quota, const struct pd_quota_bucket *bucket)
 {
@@ -175,6 +181,8 @@
 	if (!fleet->is_head || !fleet->zones || !fleet->heard_instances)
 		return 1;
 	zones = (double)fleet->zones_heard / (double)fleet->zones;
+	if (fleet->in_part)
+		zones = 1 / (double)(1 + fleet->zones - fleet->zones_heard);
 	covered = covered_part(fleet);
 	if (covered >= 0.5 || quota_in_window <= 0)
 		return zones;
@@ -1226,7 +1234,7 @@
 
 static bool same_fleet(const struct pd_quota_fleet *a, const struct pd_quota_fleet *b)
 {
-	return a->is_head == b->is_head && a->zones == b->zones &&
+	return a->is_head == b->is_head && a->in_part == b->in_part && a->zones == b->zones &&
 	       a->zones_heard == b->zones_heard && a->heard_instances == b->heard_instances &&
 	       a->heard_covered == b->heard_covered && a->links == b->links;
 }
@@ -1258,6 +1266,12 @@
 	pthread_mutex_lock(&quota->lock);
 	before = quota->fleet;
 	quota->fleet = *fleet;
+	fleet = &quota->fleet;
+	if (!quota->fleet.in_part)
+		quota->in_part_us = 0;
+	else if (!quota->in_part_us)
+		quota->in_part_us = now_us;
+	quota->fleet.in_part = quota->fleet.in_part && now_us - quota->in_part_us >= IN_PART_US;
 	if (!has_credit(quota, now_us))
 		drop_credits(quota);
 	joins = !quota->joined && fleet->is_head && covered_part(fleet) >= 0.5;
--- a/ingress/quota.h
+++ b/ingress/quota.h
@@ -55,6 +55,7 @@
  * @instances: number of listed instances, this one included
  * @zones: number of zones of the listed instances
  * @zones_heard: number of zones of which a head was heard lately, this instance's own included
+ * @in_part: one of these heads hears a zone that this one doesn't
  * @heard_instances: number of listed instances of these zones
  * @heard_covered: number of instances that are this head, the heads that were heard lately, and
  *	the followers of all these
@@ -66,6 +67,7 @@
 	size_t instances;
 	size_t zones;
 	size_t zones_heard;
+	bool in_part;
 	size_t heard_instances;
 	size_t heard_covered;
 	uint64_t links;
@@ -278,7 +280,8 @@
  * @bucket_count: number of buckets
  * @started_us: time at which @fleet was first stated; 0 before
  * @joined: this process has heard a source, or most of the others, since it started
- * @fleet: the other instances, when they were last stated
+ * @in_part_us: time since which &pd_quota_fleet.in_part is stated; 0 if it isn't
+ * @fleet: the other instances, when they were last stated; @in_part after IN_PART_US only
  * @fleet_us: time of that; 0 before the first time
  * @heard_us: time at which a source was last heard
  * @head_since_us: time since which this instance is a head
@@ -301,6 +304,7 @@
 	size_t bucket_count;
 	int64_t started_us;
 	bool joined;
+	int64_t in_part_us;
 	struct pd_quota_fleet fleet;
 	int64_t fleet_us;
 	int64_t heard_us;
--- a/ingress/quota_exchange.c
+++ b/ingress/quota_exchange.c
@@ -184,6 +184,7 @@
 		.instances = view.instance_count,
 		.zones = view.zone_count,
 		.zones_heard = view.quota_zones,
+		.in_part = view.quota_in_part,
 		.heard_instances = view.quota_instances,
 		.heard_covered = view.quota_covered,
 		.links = view.links,
--- a/tests/quota_fleet.c
+++ b/tests/quota_fleet.c
@@ -35,6 +35,7 @@
 	int from;
 	int to;
 	size_t followers;
+	unsigned int zones;
 	struct pd_quota_report report;
 	struct pd_quota_news news;
 	struct pd_quota_ask ask;
@@ -63,6 +64,11 @@
 
 static bool reaches(const struct quota_fleet *fleet, int a, int b)
 {
+	int zone_a = a % QUOTA_FLEET_ZONES, zone_b = b % QUOTA_FLEET_ZONES;
+
+	if (fleet->apart &&
+	    (zone_a - zone_b == QUOTA_FLEET_ZONES - 1 || zone_b - zone_a == QUOTA_FLEET_ZONES - 1))
+		return false;
 	return fleet->members[a].side == fleet->members[b].side;
 }
 
@@ -169,6 +175,7 @@
 	struct quota_fleet_member *m = &fleet->members[member];
 	bool zones[QUOTA_FLEET_ZONES] = {false};
 	bool is_head = m->source == member;
+	unsigned int stated = 0;
 	struct pd_quota_fleet view = {
 		.is_head = is_head,
 		.source_heard_us = m->heard_us[m->source],
@@ -184,13 +191,18 @@
 		    !heard_within(fleet, member, i, HEAD_TIMEOUT_US))
 			continue;
 		zones[i % QUOTA_FLEET_ZONES] = true;
+		stated |= m->zones_stated[i];
 		view.heard_covered += 1 + m->followers[i];
 		view.links ^= ((uint64_t)i << 32) + fleet->members[i].processes;
 	}
 	for (int i = 0; i < fleet->count; i++)
 		view.heard_instances += zones[i % QUOTA_FLEET_ZONES];
-	for (int z = 0; z < QUOTA_FLEET_ZONES; z++)
+	m->zones = 0;
+	for (int z = 0; z < QUOTA_FLEET_ZONES; z++) {
 		view.zones_heard += zones[z];
+		m->zones |= (unsigned int)zones[z] << z;
+	}
+	view.in_part = stated & ~m->zones;
 	pd_quota_set_fleet(&m->quota, &view, fleet->now_us);
 }
 
@@ -274,6 +286,7 @@
 		send_message(fleet, &message);
 	message.kind = FLEET_HEAD;
 	message.followers = count_followers(fleet, member);
+	message.zones = m->zones;
 	if (m->source == member && step % HEAD_STEPS < TICK_STEPS)
 		send_to_others(fleet, &message, true);
 	state_fleet(fleet, member);
@@ -318,6 +331,7 @@
 		break;
 	case FLEET_HEAD:
 		m->followers[message->from] = message->followers;
+		m->zones_stated[message->from] = message->zones;
 		break;
 	case FLEET_REPORT:
 		pd_quota_receive_report(&m->quota, &message->report, local, fleet->now_us);
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -28,6 +28,8 @@
  * @side: members of different sides don't reach each other
  * @heard_us: time at which each member was last heard: as a head, a follower, or the source
  * @followers: number of followers that each head stated
+ * @zones: zones that it hears, as bits
+ * @zones_stated: the same of each head, as it stated
  * @sequence: sequence number of its news
  * @processes: number of its restarts
  */
@@ -39,6 +41,8 @@
 	int side;
 	int64_t heard_us[QUOTA_FLEET_MAX];
 	size_t followers[QUOTA_FLEET_MAX];
+	unsigned int zones;
+	unsigned int zones_stated[QUOTA_FLEET_MAX];
 	uint64_t sequence;
 	uint64_t processes;
 };
@@ -68,6 +72,7 @@
  * @members: instances; the zone of one is its index modulo QUOTA_FLEET_ZONES
  * @count: number of members
  * @now_us: simulated time
+ * @apart: members of the first and of the last zone don't reach each other
  * @loss: share of the messages that are lost; as many are doubled
  * @accounts: accounts
  * @line: messages by the step in which they arrive
@@ -95,6 +100,7 @@
 	struct quota_fleet_member members[QUOTA_FLEET_MAX];
 	int count;
 	int64_t now_us;
+	bool apart;
 	double loss;
 	struct pd_account accounts[QUOTA_FLEET_ACCOUNTS];
 	struct quota_fleet_message *line[QUOTA_FLEET_LINE_STEPS];
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -604,6 +604,43 @@
 }
 END_TEST
 
+START_TEST(zones_that_are_heard_in_part_are_noticed)
+{
+	/* Guards against a quota that is used more than whole, since this head doesn't hear a zone
+	 * that another head hears, and against one that is divided although all are heard, or
+	 * because of an instance of an earlier version. */
+	static const char *const here[] = {"there", "elsewhere"}, *const there[] = {"here",
+										    "elsewhere"};
+	const struct pd_address addresses[2] = {{"127.0.0.1", 9}, {"127.0.0.1", 9}};
+	struct node *near = open_node("a", "here"), *far = open_node("b", "there");
+	struct peer of_near = open_peer("a", "here", 7), of_far = open_peer("b", "there", 8),
+		    other = open_peer("c", "elsewhere", 9);
+	int64_t now = pd_os_boot_us();
+	uint64_t numbers[2] = {0};
+
+	list_instances(near, here, addresses, 2);
+	list_instances(far, there, addresses, 2);
+	deliver_head(far, &of_near, 0, now);
+	deliver_head(far, &other, 0, now);
+	ck_assert(!view(far, now).quota_in_part);
+	deliver_head(near, &of_far, 0, now);
+	ck_assert(!view(near, now).quota_in_part);
+	numbers[1] = view(far, now).quota_zone_bits;
+	deliver(near, &of_far, PD_DATAGRAM_HEAD, numbers, 2, now);
+	ck_assert(view(near, now).quota_in_part);
+	ck_assert(!view(near, now + PD_CLUSTER_QUOTA_TIMEOUT_US + 1).quota_in_part);
+	deliver(near, &other, PD_DATAGRAM_HEAD, numbers, 2, now);
+	ck_assert(!view(near, now).quota_in_part);
+	/* A zone that isn't listed here doesn't count. */
+	numbers[1] = UINT64_MAX;
+	deliver(near, &other, PD_DATAGRAM_HEAD, numbers, 2, now);
+	ck_assert(!view(near, now).quota_in_part);
+	close(of_near.fd);
+	close(of_far.fd);
+	close(other.fd);
+}
+END_TEST
+
 START_TEST(heads_agree_on_the_owner_of_an_account)
 {
 	/* Guards against an account that several heads own while they hear each other, against one
@@ -1042,6 +1079,7 @@
 		pong_proves_no_more_than_the_source_knew,
 		pong_to_another_ping_proves_nothing,
 		peers_come_go_and_change_roles,
+		zones_that_are_heard_in_part_are_noticed,
 		heads_agree_on_the_owner_of_an_account,
 		restarted_peers_replace_their_entries,
 		many_peers_do_not_displace_each_other,
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -25,6 +25,7 @@
  * @wake_s: time after which they continue; 0 for never
  * @cut: 1 for a zone and 2 for 30% of all instances that are cut off from the others, 3 for these
  *	30% each by itself
+ * @apart: the first and the last zone don't reach each other, and both reach the other zone
  * @heal_s: time after which they are connected again; 0 for never
  * @restart: number of instances that restart
  * @one: the noisy requests come to one instance
@@ -40,6 +41,7 @@
 	int stopped;
 	double wake_s;
 	int cut;
+	bool apart;
 	double heal_s;
 	int restart;
 	bool one;
@@ -76,6 +78,7 @@
 		fleet->members[i].stopped = true;
 	if (c->cut)
 		cut(fleet, c->cut);
+	fleet->apart = c->apart;
 	for (int i = 0; i < c->restart; i++)
 		quota_fleet_restart(fleet, i);
 }
@@ -86,6 +89,7 @@
 		fleet->members[i].stopped = false;
 		fleet->members[i].side = 0;
 	}
+	fleet->apart = false;
 }
 
 /**
@@ -404,6 +408,38 @@
 }
 END_TEST
 
+START_TEST(zones_that_hear_each_other_in_part_keep_the_quota)
+{
+	/* Guards against parts that add up to more than the quota, where a hears b, b hears c, and
+	 * a doesn't hear c. The zones at the ends don't know each other's use. */
+	static const struct fleet_case cases[] = {
+		{.name = "two zones apart, noisy",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .apart = true,
+		 .noisy_s = 10,
+		 .loss_max = 0.05},
+		{.name = "noisy, two zones apart",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .lead_s = 2,
+		 .apart = true,
+		 .noisy_s = 10,
+		 .loss_max = 0.05},
+		{.name = "two zones apart for 3 s, noisy",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .apart = true,
+		 .heal_s = 3,
+		 .noisy_s = 6,
+		 .loss_max = 0.05},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		check_case(&cases[i]);
+}
+END_TEST
+
 START_TEST(restart_of_all_refuses_few)
 {
 	/* Guards against refusals of usual requests while no instance knows the others. */
@@ -865,10 +901,15 @@
 int main(void)
 {
 	const TTest *const fleets[] = {
-		noisy_account_is_admitted_in_order, account_below_the_bound_is_served,
-		connected_fleet_keeps_to_the_quota, failing_heads_keep_the_quota,
-		divided_fleet_keeps_the_quota,	    restart_of_all_refuses_few,
-		fair_share_has_its_order,	    fair_share_neglects_nobody,
+		noisy_account_is_admitted_in_order,
+		account_below_the_bound_is_served,
+		connected_fleet_keeps_to_the_quota,
+		failing_heads_keep_the_quota,
+		divided_fleet_keeps_the_quota,
+		zones_that_hear_each_other_in_part_keep_the_quota,
+		restart_of_all_refuses_few,
+		fair_share_has_its_order,
+		fair_share_neglects_nobody,
 	};
 	const TTest *const edges[] = {
 		bucket_answers_at_its_edges,
