--- a/ingress/cluster.c
+++ b/ingress/cluster.c
@@ -118,6 +118,12 @@
 	return address;
 }
 
+void pd_cluster_put_head(struct pd_buf *payload, const struct pd_cluster_view *view)
+{
+	pd_datagram_put_uint(payload, view->quota_followers);
+	pd_datagram_put_uint(payload, view->quota_zone_bits);
+}
+
 static uint64_t next_random(struct pd_cluster *cluster)
 {
 	/* xorshift64 */
@@ -176,7 +182,7 @@
 	struct pd_cluster_view view;
 
 	pd_cluster_view(cluster, now_us, &view);
-	pd_datagram_put_uint(&payload, view.quota_followers);
+	pd_cluster_put_head(&payload, &view);
 	if (pd_cluster_encode(cluster, PD_DATAGRAM_HEAD, pd_buf_str(&payload), &out)) {
 		pthread_mutex_lock(&cluster->lock);
 		for (size_t i = 0; i < cluster->head_count; i++)
--- a/ingress/cluster_private.h
+++ b/ingress/cluster_private.h
@@ -18,6 +18,8 @@
 		       struct pd_str payload, struct pd_buf *out);
 void pd_cluster_send_bytes(const struct pd_cluster *cluster, const struct pd_buf *bytes,
 			   const struct sockaddr_in *to);
+/* Appends the payload of a HEAD. */
+void pd_cluster_put_head(struct pd_buf *payload, const struct pd_cluster_view *view);
 /* Removes the heads and followers that weren't heard lately. */
 void pd_cluster_expire_locked(struct pd_cluster *cluster, int64_t now_us);
 /* Whether a head of the zone was heard lately. */
--- a/ingress/cluster_receive.c
+++ b/ingress/cluster_receive.c
@@ -15,7 +15,8 @@
  * table is allocated with its first entry, since most instances have no followers.
  */
 static void record_peer(struct pd_cluster_peer **peers, size_t *count, size_t max,
-			const struct pd_datagram *datagram, uint32_t followers, int64_t now_us)
+			const struct pd_datagram *datagram, uint32_t followers, uint64_t zone_bits,
+			int64_t now_us)
 {
 	size_t i = 0;
 
@@ -39,6 +40,7 @@
 		.address = datagram->from,
 		.heard_us = now_us,
 		.followers = followers,
+		.zone_bits = zone_bits,
 	};
 }
 
@@ -76,7 +78,7 @@
 		followers = PD_CLUSTER_FOLLOWERS_MAX;
 	pthread_mutex_lock(&cluster->lock);
 	record_peer(&cluster->followers, &cluster->follower_count, PD_CLUSTER_FOLLOWERS_MAX, ping,
-		    (uint32_t)followers, now_us);
+		    (uint32_t)followers, 0, now_us);
 	/* A head that has begun to follow this instance is none any more. */
 	forget_peer(cluster->heads, &cluster->head_count, &ping->sender);
 	pthread_mutex_unlock(&cluster->lock);
@@ -144,7 +146,7 @@
 	struct pd_buf payload = {0};
 
 	pd_cluster_view(cluster, pd_os_boot_us(), &view);
-	pd_datagram_put_uint(&payload, view.quota_followers);
+	pd_cluster_put_head(&payload, &view);
 	pd_cluster_send(cluster, PD_DATAGRAM_HEAD, pd_buf_str(&payload), to);
 	pd_buf_finish(&payload);
 }
@@ -153,10 +155,13 @@
 {
 	struct pd_datagram_reader reader;
 	struct sockaddr_in source;
-	uint64_t followers;
+	uint64_t followers, zone_bits = 0;
 
 	pd_datagram_reader_init(&reader, head->payload);
 	followers = pd_datagram_get_uint(&reader);
+	/* Earlier versions don't state it. */
+	if (!pd_datagram_reader_at_end(&reader))
+		zone_bits = pd_datagram_get_uint(&reader);
 	if (reader.failed || followers > UINT32_MAX)
 		return;
 	if (pd_cluster_get_source(cluster, &source)) {
@@ -165,7 +170,7 @@
 	}
 	pthread_mutex_lock(&cluster->lock);
 	record_peer(&cluster->heads, &cluster->head_count, PD_CLUSTER_HEADS_MAX, head,
-		    (uint32_t)followers, now_us);
+		    (uint32_t)followers, zone_bits, now_us);
 	forget_peer(cluster->followers, &cluster->follower_count, &head->sender);
 	pthread_mutex_unlock(&cluster->lock);
 }
--- a/ingress/cluster_view.c
+++ b/ingress/cluster_view.c
@@ -60,11 +60,18 @@
 	return now_us - head->heard_us <= PD_CLUSTER_QUOTA_TIMEOUT_US;
 }
 
+/* Returns the bit of a zone. Zones with the same bit are rare, and count as one. */
+static uint64_t zone_bit(const struct pd_name *zone)
+{
+	return (uint64_t)1 << pd_str_hash(pd_name_str(zone), 0) % 64;
+}
+
 /* Fills in what quotas are divided by. */
 static void fill_quota_view(const struct pd_cluster *cluster, struct pd_cluster_view *view,
 			    int64_t now_us)
 {
 	bool heard[PD_CLUSTER_ZONES_MAX] = {true};
+	uint64_t stated = 0, listed = 0;
 
 	view->quota_zones = 1;
 	view->quota_instances = 1;
@@ -87,6 +94,7 @@
 		if (!shares_quota(head, now_us))
 			continue;
 		view->quota_covered += 1 + head->followers;
+		stated |= head->zone_bits;
 		for (size_t z = 1; z < cluster->zone_count; z++) {
 			if (heard[z] || !pd_name_equal(&head->zone, &cluster->zones[z]))
 				continue;
@@ -96,6 +104,11 @@
 	}
 	for (size_t i = 0; i < cluster->instance_count; i++)
 		view->quota_instances += heard[cluster->instances[i].zone];
+	for (size_t z = 0; z < cluster->zone_count; z++) {
+		listed |= zone_bit(&cluster->zones[z]);
+		view->quota_zone_bits |= heard[z] ? zone_bit(&cluster->zones[z]) : 0;
+	}
+	view->quota_in_part = stated & listed & ~view->quota_zone_bits;
 }
 
 static void fill_view(const struct pd_cluster *cluster, struct pd_cluster_view *view,
--- a/ingress/quota.h
+++ b/ingress/quota.h
@@ -55,6 +55,7 @@
  * @instances: number of listed instances, this one included
  * @zones: number of zones of the listed instances
  * @zones_heard: number of zones of which a head was heard lately, this instance's own included
+ * @in_part: one of these heads hears a zone that this one doesn't
  * @heard_instances: number of listed instances of these zones
  * @heard_covered: number of instances that are this head, the heads that were heard lately, and
  *	the followers of all these
@@ -66,14 +67,20 @@
 	size_t instances;
 	size_t zones;
 	size_t zones_heard;
+	bool in_part;
 	size_t heard_instances;
 	size_t heard_covered;
 	uint64_t links;
 };
 
+/* Bit of an origin: the process had just started when it began to count, so that all its use of the
+ * account is counted. Earlier versions of the software set it at random. */
+#define PD_QUOTA_ORIGIN_FRESH 1
+
 /**
  * struct pd_quota_report - use of one account by one instance
- * @origin: random number that the instance drew when it began to count
+ * @origin: random number that the instance drew when it began to count, with
+ *	PD_QUOTA_ORIGIN_FRESH
  * @account: hash of the account's name
  * @used: number of requests that were sent to upstreams; never falls
  * @returned: number of these that certainly didn't run; never falls
@@ -111,14 +118,32 @@
 	double share;
 };
 
+/** enum pd_quota_basis - who decided on a request, or why the owner of the account didn't. */
+enum pd_quota_basis {
+	PD_QUOTA_BASIS_OWNER, /* the owner decided */
+	PD_QUOTA_BASIS_NOT_LOW, /* not asked: the account isn't low, as far as it is known here */
+	PD_QUOTA_BASIS_SILENT, /* not asked: this instance knows too little of the others */
+	PD_QUOTA_BASIS_UNANSWERED, /* it was asked, and didn't answer in time */
+	PD_QUOTA_BASIS_UNDECIDED, /* this instance is the owner, and couldn't decide */
+};
+
 /**
  * struct pd_quota_verdict - whether a request is admitted
  * @admitted: it is
  * @wait_us: if it isn't, time after which the client may send it again
+ * @basis: who decided; the owner, unless pd_quota_admit() did
+ * @rate_per_s: rate that the decision was made with: the part of the enforced rate that the
+ *	instance that decided may use
+ * @tokens: tokens that it had for the request; negative for a debt
+ * @share: share of the requests that it admitted while there were tokens
  */
 struct pd_quota_verdict {
 	bool admitted;
 	int64_t wait_us;
+	enum pd_quota_basis basis;
+	double rate_per_s;
+	double tokens;
+	double share;
 };
 
 /**
@@ -253,12 +278,17 @@
  * @slots: hash table of the buckets
  * @slot_count: number of entries in @slots, a power of two
  * @bucket_count: number of buckets
- * @fleet: the other instances, when they were last stated
+ * @started_us: time at which @fleet was first stated; 0 before
+ * @joined: this process has heard a source, or most of the others, since it started
+ * @in_part_us: time since which &pd_quota_fleet.in_part is stated; 0 if it isn't
+ * @fleet: the other instances, when they were last stated; @in_part after IN_PART_US only
  * @fleet_us: time of that; 0 before the first time
  * @heard_us: time at which a source was last heard
  * @head_since_us: time since which this instance is a head
  * @widened_us: time at which this instance became a head, or this head began to hear more of the
  *	other instances; &pd_quota_bucket.credit may be used for a while after it
+ * @news_head: head whose news were last received
+ * @news_head_us: time at which its news were first received; 0 before the first news
  * @news_due: the followers have to be told of a change at once
  * @reports_us: time at which reports were last taken
  * @pruned_us: time at which buckets that aren't in use were last removed
@@ -272,11 +302,16 @@
 	struct pd_quota_bucket **slots;
 	size_t slot_count;
 	size_t bucket_count;
+	int64_t started_us;
+	bool joined;
+	int64_t in_part_us;
 	struct pd_quota_fleet fleet;
 	int64_t fleet_us;
 	int64_t heard_us;
 	int64_t head_since_us;
 	int64_t widened_us;
+	uint64_t news_head;
+	int64_t news_head_us;
 	bool news_due;
 	int64_t reports_us;
 	int64_t pruned_us;
@@ -322,6 +357,10 @@
 struct pd_quota_verdict pd_quota_admit(struct pd_quota *quota, const struct pd_account *account,
 				       int64_t now_us);
 
+/* Returns the rate that the limit of an account is enforced with, over all instances; 0 without a
+ * limit. */
+double pd_quota_limit_per_s(struct pd_quota *quota, const struct pd_account *account);
+
 /**
  * pd_quota_ask() - whether the owner of an account has to be asked
  * @quota: quotas
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -25,6 +25,7 @@
  * @wake_s: time after which they continue; 0 for never
  * @cut: 1 for a zone and 2 for 30% of all instances that are cut off from the others, 3 for these
  *	30% each by itself
+ * @apart: the first and the last zone don't reach each other, and both reach the other zone
  * @heal_s: time after which they are connected again; 0 for never
  * @restart: number of instances that restart
  * @one: the noisy requests come to one instance
@@ -40,6 +41,7 @@
 	int stopped;
 	double wake_s;
 	int cut;
+	bool apart;
 	double heal_s;
 	int restart;
 	bool one;
@@ -76,6 +78,7 @@
 		fleet->members[i].stopped = true;
 	if (c->cut)
 		cut(fleet, c->cut);
+	fleet->apart = c->apart;
 	for (int i = 0; i < c->restart; i++)
 		quota_fleet_restart(fleet, i);
 }
@@ -86,6 +89,7 @@
 		fleet->members[i].stopped = false;
 		fleet->members[i].side = 0;
 	}
+	fleet->apart = false;
 }
 
 /**
@@ -404,6 +408,38 @@
 }
 END_TEST
 
+START_TEST(zones_that_hear_each_other_in_part_keep_the_quota)
+{
+	/* Guards against parts that add up to more than the quota, where a hears b, b hears c, and
+	 * a doesn't hear c. The zones at the ends don't know each other's use. */
+	static const struct fleet_case cases[] = {
+		{.name = "two zones apart, noisy",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .apart = true,
+		 .noisy_s = 10,
+		 .loss_max = 0.05},
+		{.name = "noisy, two zones apart",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .lead_s = 2,
+		 .apart = true,
+		 .noisy_s = 10,
+		 .loss_max = 0.05},
+		{.name = "two zones apart for 3 s, noisy",
+		 .count = MEMBERS,
+		 .loss = 0.02,
+		 .apart = true,
+		 .heal_s = 3,
+		 .noisy_s = 6,
+		 .loss_max = 0.05},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		check_case(&cases[i]);
+}
+END_TEST
+
 START_TEST(restart_of_all_refuses_few)
 {
 	/* Guards against refusals of usual requests while no instance knows the others. */
@@ -637,6 +673,69 @@
 }
 END_TEST
 
+START_TEST(credit_is_for_the_time_before)
+{
+	/* Guards against a credit for requests that instances send after all of them have started,
+	 * and against one that is kept for later. */
+	struct pd_quota_report report = {.account = 7, .used = 2, .recent = 2};
+	struct pd_quota_fleet fleet = alone;
+
+	/* Bucket and credit are 2 and 2.5. */
+	report.origin = 2 * 5;
+	pd_quota_receive_report(&quota, &report, true, now);
+	ck_assert_int_eq(send_all(), 2);
+	teardown();
+	setup();
+	report.origin = 2 * 5 | PD_QUOTA_ORIGIN_FRESH;
+	pd_quota_receive_report(&quota, &report, true, now);
+	ck_assert_int_eq(send_all(), 0);
+	teardown();
+	setup();
+	fleet.zones = 2;
+	pd_quota_set_fleet(&quota, &fleet, now);
+	ck_assert_int_eq(send_all(), 1);
+	now += 3 * PD_USEC_PER_SEC;
+	pd_quota_set_fleet(&quota, &fleet, now);
+	/* The credit of the other zone is 1; the bucket is 1. */
+	fleet.zones_heard = 2;
+	pd_quota_set_fleet(&quota, &fleet, now);
+	report = (struct pd_quota_report){.origin = 2 * 6, .account = 7, .used = 2, .recent = 2};
+	pd_quota_receive_report(&quota, &report, false, now);
+	ck_assert_int_eq(send_all(), 0);
+}
+END_TEST
+
+START_TEST(verdicts_state_their_basis)
+{
+	/* Guards against a refusal of which the log doesn't tell by which rate and tokens, and why
+	 * not by the owner, it was decided. */
+	struct pd_quota_ask ask = {.account = 7, .origin = 5, .nonce = 1};
+	struct pd_quota_fleet follower = alone;
+	struct pd_quota_verdict verdict;
+
+	ck_assert_double_eq(pd_quota_limit_per_s(&quota, &account), 2);
+	pass(100);
+	ck_assert_int_eq(send_all(), 2);
+	ck_assert(pd_quota_decide(&quota, &ask, &verdict, now));
+	ck_assert(!verdict.admitted && verdict.basis == PD_QUOTA_BASIS_OWNER);
+	ck_assert_double_eq(verdict.tokens, 0);
+	ck_assert_double_eq(verdict.rate_per_s, 2);
+	pass(100);
+	follower.is_head = false;
+	follower.source_heard_us = now;
+	follower.instances = 4;
+	pd_quota_set_fleet(&quota, &follower, now);
+	ck_assert_int_eq(send_all(), 2);
+	verdict = pd_quota_admit(&quota, &account, now);
+	ck_assert(!verdict.admitted && verdict.basis == PD_QUOTA_BASIS_NOT_LOW);
+	ck_assert_double_eq(verdict.rate_per_s, 2);
+	now += PD_USEC_PER_SEC;
+	verdict = pd_quota_admit(&quota, &account, now);
+	ck_assert(!verdict.admitted && verdict.basis == PD_QUOTA_BASIS_SILENT);
+	ck_assert_double_eq(verdict.rate_per_s, 0.5);
+}
+END_TEST
+
 START_TEST(new_head_states_no_long_waits)
 {
 	/* Guards against waits by the rate of the few instances that a head covers at first. */
@@ -659,6 +758,38 @@
 }
 END_TEST
 
+/* Returns the time to wait at a follower that hears from its head that an account is in debt and
+ * that the head's part of the rate is a hundredth. */
+static int64_t wait_by_news(uint64_t head, uint64_t sequence)
+{
+	const struct pd_quota_news news = {.head = head,
+					   .sequence = sequence,
+					   .account = 7,
+					   .low = true,
+					   .tokens = -1,
+					   .rate_per_s = 0.02,
+					   .share = 1};
+	const struct pd_quota_fleet follower = {
+		.zones = 1, .instances = 130, .source_heard_us = now};
+
+	pd_quota_set_fleet(&quota, &follower, now);
+	pd_quota_receive_news(&quota, &news, now);
+	return pd_quota_admit(&quota, &account, now).wait_us;
+}
+
+START_TEST(followers_of_a_new_head_state_no_long_waits)
+{
+	/* Guards against waits by the rate of the few instances that the source of this instance
+	 * covers while it has just become a head. */
+	ck_assert_int_le(wait_by_news(5, 1), 2 * PD_USEC_PER_SEC);
+	now += 3 * PD_USEC_PER_SEC;
+	/* A head that stays alone has only its part. */
+	ck_assert_int_gt(wait_by_news(5, 2), 50 * PD_USEC_PER_SEC);
+	now += 300 * PD_USEC_PER_SEC;
+	ck_assert_int_le(wait_by_news(6, 1), 2 * PD_USEC_PER_SEC);
+}
+END_TEST
+
 START_TEST(suspended_instance_relies_on_nothing)
 {
 	/* Guards against a full bucket of an instance that continues after a suspension. */
@@ -770,10 +901,15 @@
 int main(void)
 {
 	const TTest *const fleets[] = {
-		noisy_account_is_admitted_in_order, account_below_the_bound_is_served,
-		connected_fleet_keeps_to_the_quota, failing_heads_keep_the_quota,
-		divided_fleet_keeps_the_quota,	    restart_of_all_refuses_few,
-		fair_share_has_its_order,	    fair_share_neglects_nobody,
+		noisy_account_is_admitted_in_order,
+		account_below_the_bound_is_served,
+		connected_fleet_keeps_to_the_quota,
+		failing_heads_keep_the_quota,
+		divided_fleet_keeps_the_quota,
+		zones_that_hear_each_other_in_part_keep_the_quota,
+		restart_of_all_refuses_few,
+		fair_share_has_its_order,
+		fair_share_neglects_nobody,
 	};
 	const TTest *const edges[] = {
 		bucket_answers_at_its_edges,
@@ -782,7 +918,10 @@
 		grants_expire,
 		late_answers_are_given_back,
 		only_a_head_that_knows_decides,
+		credit_is_for_the_time_before,
+		verdicts_state_their_basis,
 		new_head_states_no_long_waits,
+		followers_of_a_new_head_state_no_long_waits,
 		suspended_instance_relies_on_nothing,
 		rate_is_raised_as_far_as_the_bound_allows,
 		idle_accounts_cost_nothing,
