Fair admission: a limit for each service, divided by urgency and share

Under overload, fair admission had no effect on what callers get.

Cause: the decision depended on the expected latency alone. Where upstreams queue few requests, it never reaches half of the time left, and the upstreams reject requests of all kinds alike. Where they queue many, requests with the longest time left fill the queue for all others. Then nearly all responses are late, which brings no load reports, and the expected latency falls to 0 because the reports fade or the upstreams are ejected: everything is admitted, and no request is served in time.

Ruled out: the model of the upstreams. With queues of 4 and 16 requests, the useful work is unaffected, and the kinds are treated alike all the same; with 64 or more, the collapse appears with and without the fourth number of load reports.

Change: each instance finds by trial how many requests a service takes, from what becomes of its own sub-requests, and divides that by class: priority, then accounts within and above their share. Late responses count only if an upstream has stated a queue. The expected latency is compared with the shortest time left of the recent requests to the same service. Retry-After is the time in which those that were refused before are served. Without accounts, nothing changes.

--- a/ingress/evidence.c
+++ b/ingress/evidence.c
@@ -46,6 +46,8 @@
 /* An upstream that is known to be silent counts as such for this long, unless it is heard: pauses
  * of upstreams take 100 ms, and its next overdue request prolongs the time. */
 #define SILENCE_US 100000
+/* A queue at a service's upstreams is remembered for longer than a request may wait in it. */
+#define QUEUED_MEMORY_US 1000000
 /* Step of the 92nd percentile's estimate as a share of the estimate: a sample above it raises it by
  * 0.92 of the step, a sample below it lowers it by 0.08 of the step. */
 #define P92_STEP     0.05
@@ -400,6 +402,18 @@
 	return outlook.free_slot ? 0 : (int64_t)outlook.expected_us;
 }
 
+bool pd_registry_is_queued(struct pd_registry *registry, const struct pd_service *service,
+			   int64_t now_us, int64_t *usual_us)
+{
+	bool queued;
+
+	pthread_mutex_lock(&registry->lock);
+	*usual_us = (int64_t)service->service_time_us;
+	queued = service->queued_us && now_us - service->queued_us < QUEUED_MEMORY_US;
+	pthread_mutex_unlock(&registry->lock);
+	return queued;
+}
+
 /* Sets the share of the random numbers with which each upstream is chosen. */
 static void fill_chosen_shares(struct pd_choice *choices, size_t count)
 {
@@ -673,6 +687,8 @@
 
 	pd_registry_record_load_locked(upstream, report->load, has_speed ? report->speed : 0,
 				       now_us);
+	if (report->queued > 0)
+		upstream->service->queued_us = now_us;
 	if (!has_speed)
 		return;
 	registry->outbox.wanted = true;
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -267,6 +267,7 @@
 	end_exchange(fanout, exchange, PD_REPORT_SUCCESS, now_us);
 	abandon_exchanges(fanout, leg, now_us);
 	leg->state = PD_LEG_ANSWERED;
+	leg->answered_us = now_us;
 	fanout->answered++;
 }
 
@@ -301,6 +302,7 @@
 		handle_response(fanout, leg, exchange, now_us);
 		break;
 	case PD_EXCHANGE_REJECTED:
+		leg->rejected = true;
 		end_exchange(fanout, exchange, PD_REPORT_REJECTED, now_us);
 		retry_leg(fanout, leg, "rejected", true, now_us);
 		break;
--- a/ingress/fanout.h
+++ b/ingress/fanout.h
@@ -37,6 +37,8 @@
  * @tried_count: number of entries in @tried
  * @attempts: number of attempts
  * @executions: number of attempts that the upstream may have executed
+ * @answered_us: time at which its response was received, if it was answered
+ * @rejected: an upstream has stated that it didn't execute the sub-request
  * @hedge_us: time at which the leg counts as late and may be hedged; 0 if it isn't checked again
  * @hedge_waits: the leg is late, and is hedged once another upstream has a free slot
  * @response: response that was received, an error response included; empty if there is none
@@ -51,6 +53,8 @@
 	uint8_t tried_count;
 	uint8_t attempts;
 	uint8_t executions;
+	int64_t answered_us;
+	bool rejected;
 	int64_t hedge_us;
 	bool hedge_waits;
 	struct pd_http_message response;
--- a/ingress/registry.h
+++ b/ingress/registry.h
@@ -210,6 +210,8 @@
  * @work_time_us: the same average of the response time divided by the speed that the response
  *	states, which is the time on a usual machine; 0 until the first sample
  * @service_time_updated_us: time at which @service_time_us was last updated
+ * @queued_us: time at which a response last stated that requests are queued at its upstream; 0 if
+ *	none has
  * @rollout: versions of its upstreams that may get requests
  */
 struct pd_service {
@@ -225,6 +227,7 @@
 	double service_time_us;
 	double work_time_us;
 	int64_t service_time_updated_us;
+	int64_t queued_us;
 	struct pd_service_rollout rollout;
 	UT_hash_handle hh;
 };
@@ -461,6 +464,18 @@
  * refuse a request before it is sent. */
 int64_t pd_registry_queued_latency_us(struct pd_registry *registry, struct pd_service *service,
 				      int64_t now_us);
+/**
+ * pd_registry_is_queued() - whether requests have lately been queued at a service's upstreams
+ * @registry: registry
+ * @service: service
+ * @now_us: current time
+ * @usual_us: set to the mean latency of sub-requests to the service without a queue, in
+ *	microseconds; 0 if unknown
+ *
+ * Return: whether a response of the last second stated so.
+ */
+bool pd_registry_is_queued(struct pd_registry *registry, const struct pd_service *service,
+			   int64_t now_us, int64_t *usual_us);
 #define PD_CHOICES_MAX 64 /* maximum number of upstreams of a service that are compared */
 
 /**
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -356,6 +356,63 @@
 	return refuse(request, PD_REFUSAL_KEY_UNCONFIRMED, "the API key isn't confirmed");
 }
 
+static uint64_t hash_service(const struct pd_leg *leg)
+{
+	return pd_str_hash(pd_name_str(&leg->service->name), 0);
+}
+
+/* Fills the inputs of fair admission. @services has room for an entry for each leg. */
+static void fill_fair_request(const struct request *request, const struct pd_fanout *fanout,
+			      uint64_t *services, int64_t now_us, struct pd_fair_request *fair)
+{
+	const struct pd_account *account = request->account;
+
+	for (size_t i = 0; i < fanout->leg_count; i++)
+		services[i] = hash_service(&fanout->legs[i]);
+	*fair = (struct pd_fair_request){
+		.account = account ? account->hash : 0,
+		.route = pd_str_hash(request->route->name, 0),
+		.weight = account && account->rate_per_s > 0 ? account->rate_per_s : 1,
+		.priority = account ? request->priority : request->route->priority,
+		.services = services,
+		.legs = fanout->leg_count,
+		.needed = fanout->needed,
+		.left_us = pd_policy_due(request->route, now_us, fanout->cutoff_us,
+					 fanout->deadline_us) -
+			   now_us,
+	};
+}
+
+/* Refuses a request because the upstreams are busy, which they are less after @wait_us; 0 if that
+ * isn't known. */
+static bool refuse_busy(struct request *request, const char *reason, int64_t wait_us)
+{
+	if (!wait_us)
+		return refuse(request, PD_REFUSAL_UPSTREAMS_OVERLOADED, reason);
+	request->relay_result = refusal_to_relay_result(PD_REFUSAL_UPSTREAMS_OVERLOADED);
+	return write_refusal(request, HTTP_STATUS_SERVICE_UNAVAILABLE, reason,
+			     (uint32_t)(wait_us / PD_USEC_PER_MSEC) + 1);
+}
+
+/* Returns the time after which a request that no upstream has taken may be sent again; 0 if that
+ * isn't known. */
+static int64_t time_to_return(const struct request *request, const struct pd_fanout *fanout)
+{
+	int64_t wait_us = 0, now = pd_os_boot_us();
+	struct pd_fair_request fair;
+	uint64_t *services;
+
+	if (!request->catalog->has_accounts || fanout->relay)
+		return 0;
+	services = calloc(fanout->leg_count, sizeof(*services));
+	if (services) {
+		fill_fair_request(request, fanout, services, now, &fair);
+		wait_us = pd_fair_share_return(&request->ingress->fair_share, &fair, now);
+	}
+	free(services);
+	return wait_us;
+}
+
 /* Responds to a request for which too few upstreams have responded. */
 static bool respond_failure(struct request *request, const struct pd_fanout *fanout)
 {
@@ -367,8 +424,8 @@
 		/* The upstreams may have asked for a pause when they rejected the request. */
 		if (permit.block != PD_BLOCK_NONE && permit.wait_us != PD_PERMIT_NEVER)
 			return refuse_blocked(request, &permit);
-		return refuse(request, PD_REFUSAL_UPSTREAMS_OVERLOADED,
-			      "no upstream took the request");
+		return refuse_busy(request, "no upstream took the request",
+				   time_to_return(request, fanout));
 	}
 	if (fanout->end == PD_FANOUT_DEADLINE)
 		return respond_text(request, HTTP_STATUS_GATEWAY_TIMEOUT, "deadline");
@@ -497,23 +554,15 @@
 }
 
 /* Whether the request is admitted with regard to those of other accounts and routes. Sorts
- * @expected. */
+ * @expected. @services has room for an entry for each leg. */
 static bool is_fair(struct request *request, const struct pd_fanout *fanout, int64_t *expected,
-		    int64_t now_us, int64_t *wait_us)
+		    uint64_t *services, int64_t now_us, int64_t *wait_us)
 {
 	const struct pd_account *account = request->account;
-	struct pd_fair_request fair = {
-		.account = account ? account->hash : 0,
-		.route = pd_str_hash(request->route->name, 0),
-		.weight = account && account->rate_per_s > 0 ? account->rate_per_s : 1,
-		.priority = account ? request->priority : request->route->priority,
-		.legs = fanout->leg_count,
-		.left_us = pd_policy_due(request->route, now_us, fanout->cutoff_us,
-					 fanout->deadline_us) -
-			   now_us,
-	};
+	struct pd_fair_request fair;
 	struct pd_fair_verdict verdict;
 
+	fill_fair_request(request, fanout, services, now_us, &fair);
 	qsort(expected, fanout->leg_count, sizeof(*expected), compare_times);
 	fair.expected_us = expected[fanout->needed <= fanout->leg_count ? fanout->needed - 1 : 0];
 	verdict = pd_fair_share_admit(&request->ingress->fair_share, &fair, now_us);
@@ -536,15 +585,19 @@
 {
 	int64_t now = pd_os_boot_us();
 	int64_t *expected = calloc(fanout->leg_count, sizeof(*expected));
+	uint64_t *services = calloc(fanout->leg_count, sizeof(*services));
 	bool admitted;
 
-	if (!expected)
+	if (!expected || !services) {
+		free(expected);
+		free(services);
 		return false;
+	}
 	for (size_t i = 0; i < fanout->leg_count; i++)
 		expected[i] = pd_registry_queued_latency_us(&request->ingress->registry,
 							    fanout->legs[i].service, now);
 	if (request->catalog->has_accounts) {
-		admitted = is_fair(request, fanout, expected, now, wait_us);
+		admitted = is_fair(request, fanout, expected, services, now, wait_us);
 	} else {
 		admitted = pd_policy_admit(request->route, expected, fanout->leg_count, now,
 					   fanout->cutoff_us, fanout->deadline_us);
@@ -552,18 +605,65 @@
 			log_expected(request, fanout, expected);
 	}
 	free(expected);
+	free(services);
 	return admitted;
 }
 
-/* Refuses a request because of the queues at the upstreams, which are shorter after @wait_us; 0 if
- * that isn't known. */
-static bool refuse_busy(struct request *request, int64_t wait_us)
+/* Determines what became of a leg, as far as it shows whether its service can take more requests;
+ * false if it doesn't. */
+static bool fair_result(const struct request *request, const struct pd_fanout *fanout,
+			const struct pd_leg *leg, int64_t due_us, enum pd_fair_result *result)
 {
-	if (!wait_us)
-		return refuse(request, PD_REFUSAL_UPSTREAMS_OVERLOADED, "upstreams are busy");
-	request->relay_result = refusal_to_relay_result(PD_REFUSAL_UPSTREAMS_OVERLOADED);
-	return write_refusal(request, HTTP_STATUS_SERVICE_UNAVAILABLE, "upstreams are busy",
-			     (uint32_t)(wait_us / PD_USEC_PER_MSEC) + 1);
+	struct pd_registry *registry = &request->ingress->registry;
+
+	switch (leg->state) {
+	case PD_LEG_ANSWERED:
+		*result = leg->answered_us <= due_us ? PD_FAIR_IN_TIME : PD_FAIR_LATE;
+		return true;
+	case PD_LEG_OPEN:
+		*result = PD_FAIR_LATE;
+		return fanout->end == PD_FANOUT_CUTOFF || fanout->end == PD_FANOUT_DEADLINE;
+	case PD_LEG_FAILED:
+		/* Upstreams that have reached a rate limit or asked for a pause reject requests,
+		 * too; pd_registry_permit() allows for that. */
+		*result = PD_FAIR_NOT_TAKEN;
+		return leg->rejected && !leg->executions &&
+		       pd_registry_permit(registry, leg->service, NULL, 0, pd_os_boot_us()).block ==
+			       PD_BLOCK_NONE;
+	}
+	return false;
+}
+
+/* Records for the decisions on later requests whether the services could take this one, which was
+ * admitted at @admitted_us. */
+static void report_fairness(struct request *request, const struct pd_fanout *fanout,
+			    int64_t admitted_us)
+{
+	int64_t now = pd_os_boot_us();
+	int64_t due_us =
+		pd_policy_due(request->route, admitted_us, fanout->cutoff_us, fanout->deadline_us);
+	struct pd_fair_outcome *outcomes;
+	size_t count = 0;
+
+	if (!request->catalog->has_accounts || fanout->end == PD_FANOUT_CLIENT_GONE)
+		return;
+	outcomes = calloc(fanout->leg_count, sizeof(*outcomes));
+	for (size_t i = 0; outcomes && i < fanout->leg_count; i++) {
+		const struct pd_leg *leg = &fanout->legs[i];
+		struct pd_fair_outcome *outcome = &outcomes[count];
+
+		if (!fair_result(request, fanout, leg, due_us, &outcome->result))
+			continue;
+		outcome->service = hash_service(leg);
+		outcome->admitted_us = admitted_us;
+		outcome->ended_us = leg->state == PD_LEG_ANSWERED ? leg->answered_us : now;
+		outcome->queued = pd_registry_is_queued(&request->ingress->registry, leg->service,
+							now, &outcome->usual_us);
+		count++;
+	}
+	if (outcomes)
+		pd_fair_share_report(&request->ingress->fair_share, outcomes, count, now);
+	free(outcomes);
 }
 
 /* Returns the route by which a request is relayed: one target, one attempt. */
@@ -689,7 +789,7 @@
 	struct pd_buf head = {0};
 	struct pd_permit permit;
 	struct pd_fanout fanout;
-	int64_t wait_us = 0;
+	int64_t wait_us = 0, admitted_us;
 	bool written;
 
 	if (!pd_fanout_init(&fanout, legs))
@@ -706,13 +806,15 @@
 					 pd_os_boot_us())) {
 		written = refuse(request, PD_REFUSAL_CRASHES, "the request crashed its upstreams");
 	} else if (!is_admitted(request, &fanout, &wait_us)) {
-		written = refuse_busy(request, wait_us);
+		written = refuse_busy(request, "upstreams are busy", wait_us);
 	} else {
 		fanout.quota = quota_of(request);
 		fanout.account = request->account;
 		fanout.counted = request->counted;
 		request->counted = false;
+		admitted_us = pd_os_boot_us();
 		pd_fanout_run(&fanout);
+		report_fairness(request, &fanout, admitted_us);
 		if (fanout.counted && pd_fanout_not_executed(&fanout))
 			return_token(request);
 		written = respond_fanout(request, &fanout);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -740,7 +740,9 @@
 	/* Guards against accounts and routes that get nothing while capacity is scarce, and a
 	 * request that can't be in time. */
 	static struct pd_fair_share fair_share;
-	struct pd_fair_request request = {.weight = 5, .legs = 1, .left_us = 100000};
+	const uint64_t service = 1;
+	struct pd_fair_request request = {
+		.weight = 5, .services = &service, .legs = 1, .needed = 1, .left_us = 100000};
 	size_t offered[2] = {0}, admitted[2] = {0};
 
 	pd_fair_share_init(&fair_share, 1);
