Fair admission: a smaller reduction for requests that no upstream took

Cause: a request that upstreams reject reduced the limit by 0.08.

Change: it is reduced by 0.05.

The stand-in gets the upstream mode "slots", and crowds a pause between requests.

--- a/ingress/fair_share.c
+++ b/ingress/fair_share.c
@@ -35,10 +35,10 @@
 /* What a service can take is found by trial. A sub-request that shows overload reduces the limit by
  * a share, and each other one raises it by a share of what is offered. The share of the former is
  * about the same at all instances, so that the limits become the same share of what is offered to
- * each of them. A sub-request that no upstream took has cost nothing; with less than about an
- * eighth of them, slots would be idle where the upstreams' queues are short. */
+ * each of them. A sub-request that no upstream took has cost nothing; with less than about a
+ * fifth of them, slots would be idle where the upstreams' queues are short. */
 #define LATE_DECREASE	   0.2
-#define NOT_TAKEN_DECREASE 0.08
+#define NOT_TAKEN_DECREASE 0.05
 #define LIMIT_INCREASE	   0.01
 /* Part of what is offered by which the limit rises in addition, in a second and for each second
  * since it was reduced: at an instance with 10 sub-requests per second, those raise it too slowly.
--- a/standins/platform_upstream.c
+++ b/standins/platform_upstream.c
@@ -14,7 +14,9 @@
 /* Time after which a response without end is broken off, so that no test runs forever. */
 #define ENDLESS_MAX_US (20 * PD_USEC_PER_SEC)
 #define CRASH_POLL_US  (10 * PD_USEC_PER_MSEC) /* interval of checks whether a crash has ended */
-#define ENDLESS_UNITS  256 /* repetitions that are written at once */
+/* Number of requests that PLATFORM_UPSTREAM_SLOTS executes at the same time. */
+#define SLOTS	      2
+#define ENDLESS_UNITS 256 /* repetitions that are written at once */
 
 static const char *const mode_names[PLATFORM_UPSTREAM_MODES] = {
 	[PLATFORM_UPSTREAM_OK] = "ok",
@@ -32,6 +34,7 @@
 	[PLATFORM_UPSTREAM_FLAKY] = "flaky",
 	[PLATFORM_UPSTREAM_OVERLOADED] = "overloaded",
 	[PLATFORM_UPSTREAM_ROUTE] = "route",
+	[PLATFORM_UPSTREAM_SLOTS] = "slots",
 	[PLATFORM_UPSTREAM_OVERFULL] = "overfull",
 	[PLATFORM_UPSTREAM_STATUS] = "status",
 	[PLATFORM_UPSTREAM_ENDLESS_HEAD] = "endless-head",
@@ -381,6 +384,9 @@
 	case PLATFORM_UPSTREAM_ROUTE:
 		faulty = target.len > 5 && !memcmp(target.data, "/bad/", 5);
 		break;
+	case PLATFORM_UPSTREAM_SLOTS:
+		return upstream->executing_count < SLOTS ? PLATFORM_UPSTREAM_LATE
+							 : PLATFORM_UPSTREAM_SHED;
 	default:
 		return upstream->mode;
 	}
@@ -393,7 +399,7 @@
 	struct pd_buf out = {0};
 	enum platform_upstream_mode mode;
 	struct pd_str id, expected;
-	bool for_this_instance;
+	bool for_this_instance, has_slots, keep_open;
 	int response_delay_ms;
 
 	pd_http_message_field(msg, "X-Request-Id", &id);
@@ -401,10 +407,12 @@
 			    pd_str_is(expected, upstream->id);
 	pthread_mutex_lock(&upstream->lock);
 	mode = mode_of_request_locked(upstream, msg);
+	has_slots = upstream->mode == PLATFORM_UPSTREAM_SLOTS;
 	response_delay_ms = upstream->delay_ms;
 	upstream->received_count++;
 	if (for_this_instance && mode != PLATFORM_UPSTREAM_SHED) {
 		upstream->executed_count++;
+		upstream->executing_count++;
 		record_execution_locked(upstream, msg);
 	}
 	pthread_mutex_unlock(&upstream->lock);
@@ -421,10 +429,17 @@
 	} else if (mode == PLATFORM_UPSTREAM_SHED) {
 		pd_buf_append_str(&out, PD_STR("HTTP/1.1 503 Service Unavailable\r\n"
 					       "X-Not-Executed: 1\r\n"));
+		/* Without the id, the response isn't accepted on a connection that is reused. */
+		if (has_slots)
+			pd_buf_printf(&out, "X-Request-Id: %.*s\r\n", PD_STR_ARG(id));
 		append_directives(&out, upstream, true);
 		pd_buf_append_str(&out, PD_STR("Content-Length: 0\r\n\r\n"));
 	} else {
-		return send_response(upstream, mode, response_delay_ms, fd, id);
+		keep_open = send_response(upstream, mode, response_delay_ms, fd, id);
+		pthread_mutex_lock(&upstream->lock);
+		upstream->executing_count--;
+		pthread_mutex_unlock(&upstream->lock);
+		return keep_open;
 	}
 	send_buffer(fd, &out);
 	pd_buf_finish(&out);
--- a/standins/platform_upstream.h
+++ b/standins/platform_upstream.h
@@ -38,6 +38,8 @@
  * it gets more than five requests in half a second
  * @PLATFORM_UPSTREAM_ROUTE: executes them and responds as the mode "late", but with 500 to those
  * whose path begins with "/bad/"
+ * @PLATFORM_UPSTREAM_SLOTS: as the mode "late", but responds as the mode "shed" while it executes
+ * two requests
  * @PLATFORM_UPSTREAM_OVERFULL: resets each new connection, as an upstream does that is over its
  * limit of connections
  * @PLATFORM_UPSTREAM_STATUS: executes them and responds with the status code of
@@ -68,6 +70,7 @@
 	PLATFORM_UPSTREAM_FLAKY,
 	PLATFORM_UPSTREAM_OVERLOADED,
 	PLATFORM_UPSTREAM_ROUTE,
+	PLATFORM_UPSTREAM_SLOTS,
 	PLATFORM_UPSTREAM_OVERFULL,
 	PLATFORM_UPSTREAM_STATUS,
 	PLATFORM_UPSTREAM_ENDLESS_HEAD,
@@ -109,6 +112,7 @@
  * @window_count: number of requests in that half second
  * @received_count: number of requests received
  * @executed_count: number of requests executed
+ * @executing_count: number of requests that are being executed
  * @endless_count: number of responses without end that are being sent
  * @last_executed: method, target and start of the body of the last executed request
  * @status: status code in the mode PLATFORM_UPSTREAM_STATUS, any text
@@ -138,6 +142,7 @@
 	uint32_t window_count;
 	uint32_t received_count;
 	uint32_t executed_count;
+	uint32_t executing_count;
 	uint32_t endless_count;
 	char last_executed[1024];
 	char status[32];
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -1133,12 +1133,14 @@
  * @target: path of the requests
  * @number: number of the client
  * @until_us: time at which it ends, in microseconds of pd_os_now_us()
+ * @pause_us: time between a response and its next request
  */
 struct crowd_client {
 	const struct instance *instance;
 	char target[64];
 	int number;
 	int64_t until_us;
+	int64_t pause_us;
 };
 
 static void *run_crowd_client(void *arg)
@@ -1162,17 +1164,18 @@
 		pd_http_message_finish(&msg);
 		pd_buf_finish(&request);
 		pd_os_close(&fd);
+		pd_os_sleep_us(client->pause_us);
 	}
 	free(client);
 	return NULL;
 }
 
-/* crowd COUNT MS TARGET: in the background, COUNT clients send requests to the selected instance
- * for MS milliseconds, each of them one after the other
+/* crowd COUNT MS TARGET [EACH_MS]: in the background, COUNT clients send requests without a key to
+ * the selected instance for MS milliseconds, each of them one after the other with a pause of
+ * EACH_MS milliseconds
  */
 static void do_crowd(char **words, int count)
 {
-	(void)count;
 	for (int i = 0; i < (atoi(words[1]) + CROWD_DIVISOR - 1) / CROWD_DIVISOR; i++) {
 		struct crowd_client *client = calloc(1, sizeof(*client));
 		pthread_t thread;
@@ -1182,6 +1185,7 @@
 		client->instance = deployment.selected;
 		snprintf(client->target, sizeof(client->target), "%s", words[3]);
 		client->number = i;
+		client->pause_us = count > 4 ? atoi(words[4]) * PD_USEC_PER_MSEC : 0;
 		client->until_us = pd_os_now_us() + atoi(words[2]) * PD_USEC_PER_MSEC;
 		if (pthread_create(&thread, NULL, run_crowd_client, client))
 			abort();
