Soak: builds with SAN=thread and SAN=address

GCC couldn't see that the number of an instance fits into its name and its address with a sanitizer's instrumentation, and -Werror made the warning (format-truncation) an error. The name has room for any number; the last byte of the address is limited to a byte.

All names are written before the first process starts.

--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -387,8 +387,8 @@
 	struct pd_address address = {.port = FRONT_PORT};
 	unsigned int pid = (unsigned int)getpid();
 
-	snprintf(address.ip, sizeof(address.ip), "127.%u.%u.%zu", 1 + pid / 256 % 250, pid % 256,
-		 number + 1);
+	snprintf(address.ip, sizeof(address.ip), "127.%u.%u.%u", 1 + pid / 256 % 250, pid % 256,
+		 (unsigned int)(number + 1) % 256);
 	instance->front = address;
 	address.port = READY_PORT;
 	instance->ready = address;
@@ -423,8 +423,10 @@
 		snprintf(instance->name, sizeof(instance->name), "front-%zu", i + 1);
 		init_instance(instance, i, folder);
 		fleet_write_settings(instance);
-		start_process(instance);
 	}
+	/* A process writes its own entry to the store, and redirect_peers() reads all names. */
+	for (size_t i = 0; i < fleet.instance_count; i++)
+		start_process(&fleet.instances[i]);
 }
 
 /* Time in which the system loads a program: until then, it can't block SIGTERM. */
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -78,7 +78,7 @@
  * @restart_history: history of SIGTERMs, exits and starts of the process
  */
 struct fleet_instance {
-	char name[16];
+	char name[32];
 	uint32_t zone;
 	double cpu_share;
 	struct pd_address front;
