Soak: keys are withdrawn while a zone can't reach the store

The rule KEY didn't detect an instance that never lets the proof of its configuration become too old. Links had faults of at most 3.6 s, one instance at a time: its source, or the store soon after, told it of each withdrawal before revocation_ms had passed.

In one of two cases an instance of the zone is suspended meanwhile and resumed 2 s before the links return. The rule is unchanged: a request that was sent later than revocation_ms after the acknowledgement of a configuration without its key must not run.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -19,6 +19,9 @@
 #define LINK_DELAY_MAX_MS	300
 #define SERVICE_DELAY_MAX_MS	400 /* service time in mode "late" */
 #define SERVICE_MS		5 /* service time of an upstream without a fault */
+#define WITHDRAWAL_MARGIN_MS	500 /* from the end of revocation_ms until a process is resumed */
+#define WITHDRAWAL_PROBE_MS	2000 /* from then until the links are restored */
+#define WITHDRAWAL_INTERVAL_MS	8000 /* shortest time between the starts of two */
 
 /** enum fault_kind - kind of fault; the component that it affects is chosen at random. */
 enum fault_kind {
@@ -44,6 +47,8 @@
 	FAULT_MOVE, /* a new configuration sends a plain route to another service */
 	FAULT_RESHARD, /* a new configuration names the shards of the other index */
 	FAULT_EVACUATE, /* a zone is evacuated for some time */
+	FAULT_RANDOM_KINDS, /* the ones above are chosen at random */
+	FAULT_WITHDRAW = FAULT_RANDOM_KINDS, /* a key is withdrawn while a zone has no store */
 	FAULT_KINDS,
 };
 
@@ -55,7 +60,8 @@
 	GROUP_UPSTREAM,
 	GROUP_MEMBERSHIP,
 	GROUP_CONFIG,
-	GROUPS,
+	GROUPS, /* number of groups that a seed selects from */
+	GROUP_WITHDRAWAL = GROUPS, /* with --keys, in all seeds */
 };
 
 static const char *const group_names[GROUPS] = {"processes", "links",	   "store",
@@ -84,6 +90,7 @@
 	[FAULT_MOVE] = "move",
 	[FAULT_RESHARD] = "reshard",
 	[FAULT_EVACUATE] = "evacuate",
+	[FAULT_WITHDRAW] = "withdraw",
 };
 
 static const enum fault_group group_of[FAULT_KINDS] = {
@@ -98,6 +105,7 @@
 	[FAULT_DRAIN] = GROUP_MEMBERSHIP,	[FAULT_REMOVE] = GROUP_MEMBERSHIP,
 	[FAULT_REUSE] = GROUP_MEMBERSHIP,	[FAULT_MOVE] = GROUP_CONFIG,
 	[FAULT_RESHARD] = GROUP_CONFIG,		[FAULT_EVACUATE] = GROUP_CONFIG,
+	[FAULT_WITHDRAW] = GROUP_WITHDRAWAL,
 };
 
 /**
@@ -128,6 +136,7 @@
 	uint32_t started; /* faults started so far */
 	uint32_t interval_range_ms; /* range of random intervals above START_INTERVAL_MIN_MS */
 	int64_t next_start_us; /* earliest time of the next start of a fault */
+	int64_t next_withdrawal_us; /* earliest time of the next withdrawal of a key */
 	struct fleet_version config; /* newest configuration; the times aren't used */
 	bool store_fault; /* a fault of the store is active */
 } faults = {.config = {.writer = 2, .keys = (1U << FLEET_KEYS) - 1}};
@@ -526,6 +535,55 @@
 	return fault->step > 0;
 }
 
+static void set_zone_store_links(uint32_t zone, enum proxy_state state)
+{
+	for (size_t i = 0; i < fleet.instance_count; i++) {
+		if (fleet.instances[i].zone == zone)
+			proxy_set_state(&fleet.instances[i].store_proxy, state);
+	}
+}
+
+/* Publishes a configuration without one of the keys; without the last one, the others return. */
+static void withdraw_key(struct fleet_version *version)
+{
+	uint32_t key;
+
+	do
+		key = 1U << random_below(FLEET_KEYS);
+	while (!(version->keys & key));
+	version->keys &= ~key;
+	if (!version->keys)
+		version->keys = ((1U << FLEET_KEYS) - 1) & ~key;
+	fleet_publish_config(version->reader, version->writer, version->index, version->keys);
+}
+
+/*
+ * Withdraws a key while no instance of a zone hears from the store, for longer than revocation_ms,
+ * since the zone's other instances would pass on the withdrawal otherwise. In one of two cases, an
+ * instance is suspended, and resumed while the zone still hears nothing.
+ */
+static bool step_withdrawal(struct fault *fault)
+{
+	switch (fault->step) {
+	case 0:
+		update_zone_histories(fault->zone, fleet_begin_fault);
+		set_zone_store_links(fault->zone, PROXY_SILENT);
+		if (random_below(2))
+			signal_instance(fault->instance, SIGSTOP);
+		withdraw_key(&faults.config);
+		schedule_step(fault, FLEET_REVOCATION_MS + WITHDRAWAL_MARGIN_MS);
+		return false;
+	case 1:
+		signal_instance(fault->instance, SIGCONT);
+		schedule_step(fault, WITHDRAWAL_PROBE_MS);
+		return false;
+	default:
+		set_zone_store_links(fault->zone, PROXY_FORWARDING);
+		update_zone_histories(fault->zone, fleet_end_fault);
+		return true;
+	}
+}
+
 /* Prints a line for a step, so that violations can be traced to faults. */
 static void print_step(const struct fault *fault)
 {
@@ -549,6 +607,8 @@
 		return step_upstream(fault) && release_upstreams(fault);
 	case GROUP_MEMBERSHIP:
 		return step_membership(fault) && release_upstreams(fault);
+	case GROUP_WITHDRAWAL:
+		return step_withdrawal(fault);
 	default:
 		return step_config(fault);
 	}
@@ -584,7 +644,7 @@
 /* Chooses a fault; starts it if its group is selected and it conflicts with no active fault. */
 static void start_random_fault(void)
 {
-	struct fault fault = {.kind = (enum fault_kind)random_below(FAULT_KINDS)};
+	struct fault fault = {.kind = (enum fault_kind)random_below(FAULT_RANDOM_KINDS)};
 
 	fault.instance = &fleet.instances[random_below((uint32_t)fleet.instance_count)];
 	fault.upstream = &fleet.upstreams[random_below(FLEET_UPSTREAMS)];
@@ -615,6 +675,24 @@
 	}
 }
 
+/* Starts a withdrawal, if one is due and the store accepts writes. */
+static void start_withdrawal(void)
+{
+	struct fault fault = {.kind = FAULT_WITHDRAW, .upstream = fleet.upstreams};
+
+	if (pd_os_now_us() < faults.next_withdrawal_us || faults.store_fault ||
+	    faults.active_count == ACTIVE_FAULTS_MAX)
+		return;
+	faults.next_withdrawal_us =
+		pd_os_now_us() + (WITHDRAWAL_INTERVAL_MS + random_below(2000)) * PD_USEC_PER_MSEC;
+	fault.instance = &fleet.instances[random_below((uint32_t)fleet.instance_count)];
+	fault.zone = fault.instance->zone;
+	faults.started++;
+	step(&fault);
+	fault.step = 1;
+	faults.active[faults.active_count++] = fault;
+}
+
 void faults_poll(bool end_only)
 {
 	int64_t now_us = pd_os_now_us();
@@ -632,8 +710,10 @@
 		}
 	}
 	/* Many random choices start no fault, so several are made until one has started. */
-	for (int i = 0; i < FAULT_KINDS && !end_only; i++) {
+	for (int i = 0; i < FAULT_RANDOM_KINDS && !end_only; i++) {
 		if (faults.active_count < ACTIVE_FAULTS_MAX && now_us >= faults.next_start_us)
 			start_random_fault();
 	}
+	if (fleet.use_keys && !end_only)
+		start_withdrawal();
 }
