Soak: entries that expired are written again whatever faults began since

FAULT_STORE_LAPSE removes the entries of all upstreams without a fault and writes them again 1.5 s later. All entries that were removed are now written again, except those of upstreams that a membership fault handles, which writes them itself.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -284,9 +284,10 @@
 	for (size_t i = 0; i < FLEET_UPSTREAMS; i++) {
 		struct fleet_upstream *upstream = &fleet.upstreams[i];
 
-		/* If the upstream has a fault, the steps of this fault write the entry. */
-		if (upstream->has_fault)
+		/* The entry of an upstream with a fault may not be there. */
+		if (present ? !upstream->lapsed : upstream->has_fault)
 			continue;
+		upstream->lapsed = !present;
 		if (present)
 			fleet_write_upstream_entry(upstream, "ready");
 		else
@@ -335,6 +336,10 @@
 
 	switch (fault->step) {
 	case 0:
+		/* The steps of the fault write the entries. */
+		upstream->lapsed = false;
+		if (fault->other)
+			fault->other->lapsed = false;
 		if (fault->kind == FAULT_CRASH || fault->kind == FAULT_REUSE)
 			crash_upstream(upstream);
 		if (fault->kind == FAULT_REUSE)
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -105,6 +105,7 @@
  * @service: index of the upstream's service
  * @zone: index of the upstream's availability zone
  * @incarnation: number of times that the upstream was started
+ * @lapsed: the store has removed the entry as expired, and it wasn't written again
  * @has_fault: a fault of this upstream is active, so that no other one may start
  * @withdrawn_us: time by which the store had recorded that the upstream drains or is removed; 0
  *                while it is registered as ready
@@ -116,6 +117,7 @@
 	uint32_t service;
 	uint32_t zone;
 	uint32_t incarnation;
+	bool lapsed;
 	bool has_fault;
 	int64_t withdrawn_us;
 	struct fleet_fault_history fault_history;
