--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -27,6 +27,7 @@
 	RULE_ENDED, /* processes exit only on SIGTERM, in time, and stay in their memory limit */
 	RULE_KEY, /* withdrawn keys have no effect after a timeout, and upstreams get the account
 		     only */
+	RULE_QUOTA, /* accounts run no more requests in any window than their quota allows */
 	RULE_RECOVERY, /* all requests are served again after the faults */
 	RULE_COUNT,
 };
