--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -280,7 +280,7 @@
 /* The other upstream of the same service, or @upstream if there is none. */
 static struct fleet_upstream *other_replica(struct fleet_upstream *upstream)
 {
-	for (size_t i = 0; i < FLEET_UPSTREAMS; i++) {
+	for (size_t i = 0; i < fleet.upstream_count; i++) {
 		if (&fleet.upstreams[i] != upstream &&
 		    fleet.upstreams[i].service == upstream->service)
 			return &fleet.upstreams[i];
@@ -291,7 +291,7 @@
 /* Removes the entries of upstreams, as the store does when they expire, or writes them again. */
 static void set_entries_present(bool present)
 {
-	for (size_t i = 0; i < FLEET_UPSTREAMS; i++) {
+	for (size_t i = 0; i < fleet.upstream_count; i++) {
 		struct fleet_upstream *upstream = &fleet.upstreams[i];
 
 		/* The entry of an upstream with a fault may not be there. */
@@ -324,6 +324,15 @@
 	fleet_end_fault(&upstream->fault_history);
 }
 
+/* A service has one version, which its new upstreams have, too. */
+static void swap_versions(struct fleet_upstream *a, struct fleet_upstream *b)
+{
+	uint32_t version = a->version;
+
+	a->version = b->version;
+	b->version = version;
+}
+
 /* Time that an upstream still serves while it drains, or that its entry remains after a crash. */
 static int64_t first_step_duration_ms(enum fault_kind kind)
 {
@@ -364,6 +373,7 @@
 		return false;
 	case 1:
 		if (fault->kind == FAULT_REUSE) {
+			swap_versions(upstream, fault->other);
 			restart_upstream(upstream, fault->other->service);
 			restart_upstream(fault->other, service);
 		} else {
@@ -667,10 +677,10 @@
 	struct fault fault = {.kind = (enum fault_kind)random_below(FAULT_RANDOM_KINDS)};
 
 	fault.instance = &fleet.instances[random_below((uint32_t)fleet.instance_count)];
-	fault.upstream = &fleet.upstreams[random_below(FLEET_UPSTREAMS)];
+	fault.upstream = &fleet.upstreams[random_below(fleet.upstream_count)];
 	fault.zone = random_below(FLEET_ZONES);
 	if (fault.kind == FAULT_REUSE)
-		fault.other = &fleet.upstreams[random_below(FLEET_UPSTREAMS)];
+		fault.other = &fleet.upstreams[random_below(fleet.upstream_count)];
 	else if (fault.kind == FAULT_SHARD_MODE)
 		fault.other = other_replica(fault.upstream);
 	if (fault.other == fault.upstream)
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -14,6 +14,7 @@
 #include "datagram_proxy.h"
 #include "ledger.h"
 #include "quotas.h"
+#include "rollouts.h"
 
 #define FRONT_PORT	       8104
 #define READY_PORT	       8108
@@ -238,7 +239,7 @@
 void fleet_write_upstream_entry(struct fleet_upstream *upstream, const char *state)
 {
 	static uint32_t last_sequence;
-	char address[PD_ADDRESS_TEXT_MAX_BYTES], service[32];
+	char address[PD_ADDRESS_TEXT_MAX_BYTES], service[32], version[16];
 	json_int_t sequence = ck_pr_faa_32(&last_sequence, 1) + 1;
 
 	/*
@@ -253,12 +254,14 @@
 	if (state) {
 		pd_address_format(&upstream->proxy.address, address, sizeof(address));
 		fleet_service_name(upstream->service, service, sizeof(service));
-		platform_store_put(
-			&fleet.store, "servers", upstream->standin.id,
-			json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I}", "service", service,
-				  "address", address, "zone", zones[upstream->zone], "version",
-				  "v1", "slots", 3, "state", state, "cold_remaining_ms", 0, "seq",
-				  sequence, "born", (json_int_t)upstream->incarnation * 1000));
+		snprintf(version, sizeof(version), "v%u", upstream->version);
+		platform_store_put(&fleet.store, "servers", upstream->standin.id,
+				   json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I}", "service",
+					     service, "address", address, "zone",
+					     zones[upstream->zone], "version", version, "slots", 3,
+					     "state", state, "cold_remaining_ms", 0, "seq",
+					     sequence, "born",
+					     (json_int_t)upstream->incarnation * 1000));
 	} else {
 		platform_store_remove(&fleet.store, "servers", upstream->standin.id);
 	}
@@ -305,7 +308,10 @@
 	struct fleet_upstream *upstream = &fleet.upstreams[number];
 	char service[32];
 
-	upstream->service = number / 2;
+	upstream->absent = number >= FLEET_UPSTREAMS;
+	upstream->has_fault = upstream->absent;
+	upstream->version = 1;
+	upstream->service = upstream->absent ? 0 : number / 2;
 	upstream->zone = number % FLEET_ZONES;
 	upstream->standin.records_by_request = true;
 	upstream->standin.on_request = ledger_record_arrival;
@@ -315,7 +321,10 @@
 	memcpy(upstream->proxy.address.ip, "127.0.0.1", sizeof("127.0.0.1"));
 	proxy_start(&upstream->proxy, &upstream->standin.address);
 	assign_upstream_identity(upstream, upstream->service);
-	fleet_write_upstream_entry(upstream, "ready");
+	if (upstream->absent)
+		fleet_crash_upstream(upstream);
+	else
+		fleet_write_upstream_entry(upstream, "ready");
 }
 
 /* Called on each write to the store: replaces an instance's peer address by that of its proxy. */
@@ -345,6 +354,10 @@
 		pd_buf_printf(&bounds,
 			      ",\"quota_window_s\":%d,\"quota_overage\":%g,\"quota_slack\":%d",
 			      QUOTA_WINDOW_S, QUOTA_OVERAGE, QUOTA_SLACK);
+	if (fleet.use_rollouts)
+		pd_buf_printf(&bounds,
+			      ",\"exposure_share\":%g,\"exposure_slack\":%d,\"rollback_ms\":%d",
+			      ROLLOUT_EXPOSURE_SHARE, ROLLOUT_EXPOSURE_SLACK, ROLLOUT_ROLLBACK_MS);
 	fprintf(file,
 		"{\"platform\":{\"node_name\":\"%s\",\"zone\":\"%s\",\"ip\":\"%s\","
 		"\"internal_port_range\":[%u,%u],\"listen_addresses\":"
@@ -413,7 +426,7 @@
 	address.port = PEER_PROXY_PORT;
 	instance->peer_proxy.address = address;
 	proxy_start(&instance->peer_proxy, &instance->peer);
-	if (fleet.use_keys)
+	if (fleet.use_keys || fleet.use_rollouts)
 		datagram_proxy_start(&instance->peer_proxy);
 	memcpy(instance->store_proxy.address.ip, "127.0.0.1", sizeof("127.0.0.1"));
 	proxy_start(&instance->store_proxy, &fleet.store.address);
@@ -429,7 +442,8 @@
 	fleet.store_fault_history.last_fault_us = pd_os_now_us();
 	fleet.store.on_write = redirect_peers;
 	platform_store_start(&fleet.store);
-	for (uint32_t i = 0; i < FLEET_UPSTREAMS; i++)
+	fleet.upstream_count = FLEET_UPSTREAMS + (fleet.use_rollouts ? FLEET_NEW_UPSTREAMS : 0);
+	for (uint32_t i = 0; i < fleet.upstream_count; i++)
 		start_upstream(i);
 	fleet_publish_config(first);
 	for (size_t i = 0; i < fleet.instance_count; i++) {
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -22,6 +22,7 @@
 #define FLEET_PLAIN_SERVICES	     4 /* two for the read route, two for the write route */
 #define FLEET_SERVICES		     (FLEET_PLAIN_SERVICES + 2 * FLEET_SHARDS)
 #define FLEET_UPSTREAMS		     (2 * FLEET_SERVICES) /* two replicas of each service */
+#define FLEET_NEW_UPSTREAMS	     2 /* of the version that is rolled out */
 #define FLEET_VERSIONS_MAX	     256 /* versions of the configuration in one run */
 #define FLEET_MAX_ATTEMPTS	     2 /* at one service for each request */
 #define FLEET_TOP_K		     4 /* records in an answer of the gather route */
@@ -111,6 +112,8 @@
  * @service: index of the upstream's service
  * @zone: index of the upstream's availability zone
  * @incarnation: number of times that the upstream was started
+ * @version: number of the version of its software
+ * @absent: isn't started, and has no entry in the store
  * @lapsed: the store has removed the entry as expired, and it wasn't written again
  * @has_fault: a fault of this upstream is active, so that no other one may start
  * @withdrawn_us: time by which the store had recorded that the upstream drains or is removed; 0
@@ -123,6 +126,8 @@
 	uint32_t service;
 	uint32_t zone;
 	uint32_t incarnation;
+	uint32_t version;
+	bool absent;
 	bool lapsed;
 	bool has_fault;
 	int64_t withdrawn_us;
@@ -159,6 +164,7 @@
  * @instances: ingress processes
  * @instance_count: number of ingress processes
  * @upstreams: upstreams of all services
+ * @upstream_count: number of upstreams
  * @versions: versions of the configuration, the newest last
  * @version_count: number of versions
  * @evacuated_us: for each zone, time by which the store had recorded its evacuation; 0 while the
@@ -168,6 +174,7 @@
  * @store_fault_history: fault history of the store
  * @ingress_path: path of the ingress program
  * @use_keys: requests need an API key, and revocation is strict; set before fleet_start()
+ * @use_rollouts: new versions are rolled out; set before fleet_start()
  * @use_quotas: some accounts have quotas, and one is noisy; set before fleet_start(), with
  * @use_keys
  */
@@ -176,7 +183,8 @@
 	struct platform_store store;
 	struct fleet_instance instances[FLEET_INSTANCES_MAX];
 	size_t instance_count;
-	struct fleet_upstream upstreams[FLEET_UPSTREAMS];
+	struct fleet_upstream upstreams[FLEET_UPSTREAMS + FLEET_NEW_UPSTREAMS];
+	uint32_t upstream_count;
 	struct fleet_version versions[FLEET_VERSIONS_MAX];
 	uint32_t version_count;
 	int64_t evacuated_us[FLEET_ZONES];
@@ -185,6 +193,7 @@
 	const char *ingress_path;
 	bool use_keys;
 	bool use_quotas;
+	bool use_rollouts;
 };
 
 extern struct fleet fleet;
--- a/tests/soak/ledger.c
+++ b/tests/soak/ledger.c
@@ -8,6 +8,7 @@
 #include <strings.h>
 
 #include "quotas.h"
+#include "rollouts.h"
 
 #define REQUESTS_MAX	       200000
 #define LOAD_EVENTS_MAX	       400000
@@ -61,15 +62,16 @@
 	const char *name;
 	uint32_t allowed_violations; /* number that the platform's rules allow per run */
 } rules[RULE_COUNT] = {
-	[RULE_MIXED] = {"MIXED", 0},   [RULE_UNASKED] = {"UNASKED", 0},
-	[RULE_TWICE] = {"TWICE", 0},   [RULE_REFUSED] = {"REFUSED", 0},
-	[RULE_DENIED] = {"DENIED", 5}, [RULE_BUDGET] = {"BUDGET", 3},
-	[RULE_GONE] = {"GONE", 3},     [RULE_LOST] = {"LOST", 3},
-	[RULE_ROUTE] = {"ROUTE", 0},   [RULE_DRAIN] = {"DRAIN", 0},
-	[RULE_CONFIG] = {"CONFIG", 0}, [RULE_EVACUATION] = {"EVACUATION", 0},
-	[RULE_LATE] = {"LATE", 7},     [RULE_SERVING] = {"SERVING", 5},
-	[RULE_KEY] = {"KEY", 0},       [RULE_ENDED] = {"ENDED", 0},
-	[RULE_QUOTA] = {"QUOTA", 0},   [RULE_RECOVERY] = {"RECOVERY", 0},
+	[RULE_MIXED] = {"MIXED", 0},	   [RULE_UNASKED] = {"UNASKED", 0},
+	[RULE_TWICE] = {"TWICE", 0},	   [RULE_REFUSED] = {"REFUSED", 0},
+	[RULE_DENIED] = {"DENIED", 5},	   [RULE_BUDGET] = {"BUDGET", 3},
+	[RULE_GONE] = {"GONE", 3},	   [RULE_LOST] = {"LOST", 3},
+	[RULE_ROUTE] = {"ROUTE", 0},	   [RULE_DRAIN] = {"DRAIN", 0},
+	[RULE_CONFIG] = {"CONFIG", 0},	   [RULE_EVACUATION] = {"EVACUATION", 0},
+	[RULE_LATE] = {"LATE", 7},	   [RULE_SERVING] = {"SERVING", 5},
+	[RULE_KEY] = {"KEY", 0},	   [RULE_ENDED] = {"ENDED", 0},
+	[RULE_EXPOSURE] = {"EXPOSURE", 0}, [RULE_OUTCOME] = {"OUTCOME", 0},
+	[RULE_QUOTA] = {"QUOTA", 0},	   [RULE_RECOVERY] = {"RECOVERY", 0},
 };
 
 static struct {
@@ -227,10 +229,10 @@
 		    fleet.versions[i + 1].stored_us > now_us - FLEET_STABLE_US)
 			allowed_set |= fleet_allowed_services(&fleet.versions[i], request->kind);
 	}
-	for (size_t i = 0; i < FLEET_UPSTREAMS; i++) {
+	for (size_t i = 0; i < fleet.upstream_count; i++) {
 		const struct fleet_upstream *upstream = &fleet.upstreams[i];
 
-		if ((allowed_set & 1U << upstream->service) &&
+		if (!upstream->absent && (allowed_set & 1U << upstream->service) &&
 		    (upstream->has_fault || !is_zone_in_use(upstream->zone, now_us) ||
 		     !fleet_is_stable_locked(&upstream->fault_history, now_us)))
 			return false;
@@ -455,6 +457,11 @@
 		request->hit_unstable_upstream = true;
 	if (request->arrivals_by_service[upstream->service]++)
 		record_load_event(upstream->service, true, now_us);
+	if (fleet.use_rollouts)
+		rollouts_record_locked(number, upstream,
+				       fleet_instance_is_synced_locked(
+					       request->instance, now_us - FLEET_CONTACT_EXTRA_US),
+				       now_us);
 	if (arrival->executed) {
 		check_destination(number, upstream, now_us);
 		if (is_limited(request) && !request->executions)
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -28,6 +28,8 @@
 	RULE_KEY, /* withdrawn keys have no effect after a timeout, and upstreams get the account
 		     only */
 	RULE_QUOTA, /* accounts run no more requests in any window than their quota allows */
+	RULE_EXPOSURE, /* a bad version gets few requests, and none some time after it has failed */
+	RULE_OUTCOME, /* a roll-out has one outcome, the right one, and then no request to others */
 	RULE_RECOVERY, /* all requests are served again after the faults */
 	RULE_COUNT,
 };
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -17,6 +17,7 @@
 #include "fleet.h"
 #include "ledger.h"
 #include "quotas.h"
+#include "rollouts.h"
 
 #define POLL_INTERVAL_US      (10 * PD_USEC_PER_MSEC)
 #define READY_TIMEOUT_US      (15 * PD_USEC_PER_SEC)
@@ -49,6 +50,7 @@
 	     "  --folder PATH   existing folder for settings files and logs\n"
 	     "  --keys          requests need API keys, which configurations withdraw\n"
 	     "  --quotas        the same, without withdrawals; accounts have quotas, one is noisy\n"
+	     "  --rollouts      good and bad versions of services are rolled out\n"
 	     "  --help          print this text");
 }
 
@@ -61,6 +63,7 @@
 						     {"folder", required_argument, NULL, 'f'},
 						     {"keys", no_argument, NULL, 'k'},
 						     {"quotas", no_argument, NULL, 'q'},
+						     {"rollouts", no_argument, NULL, 'r'},
 						     {"help", no_argument, NULL, 'h'},
 						     {NULL, 0, NULL, 0}};
 	int option;
@@ -90,6 +93,9 @@
 			fleet.use_keys = true;
 			fleet.use_quotas = true;
 			break;
+		case 'r':
+			fleet.use_rollouts = true;
+			break;
 		case 'h':
 			print_help();
 			exit(EXIT_SUCCESS);
@@ -132,8 +138,10 @@
 {
 	int64_t until_us = pd_os_now_us() + duration_us;
 
-	while (pd_os_now_us() < until_us || !faults_all_ended()) {
+	while (pd_os_now_us() < until_us || !faults_all_ended() || !rollouts_all_ended()) {
 		faults_poll(no_faults || pd_os_now_us() >= until_us);
+		if (fleet.use_rollouts)
+			rollouts_poll(no_faults || pd_os_now_us() >= until_us);
 		fleet_poll();
 		pd_os_sleep_us(POLL_INTERVAL_US);
 	}
@@ -208,6 +216,7 @@
 	alarm((unsigned int)options.seconds + ALARM_MARGIN_S);
 	printf("seed %llu, %d s: ", (unsigned long long)options.seed, options.seconds);
 	faults_init(options.seed);
+	rollouts_init(options.seed);
 	fleet_start(options.binary, options.folder, (size_t)options.instances, options.seed % 2,
 		    faults_first_config());
 	if (!await_ready()) {
@@ -229,6 +238,8 @@
 		ledger_report_violation(RULE_ENDED, "instances still run after SIGKILL");
 	if (fleet.use_quotas)
 		quotas_print();
+	if (fleet.use_rollouts)
+		rollouts_print();
 	violated_rules = ledger_finish();
 	printf("seed %llu: %u faults, %d promises broken\n", (unsigned long long)options.seed,
 	       faults_started(), violated_rules);
