--- a/tests/soak/rollouts.c
+++ b/tests/soak/rollouts.c
@@ -135,7 +135,6 @@
 	uint32_t services[] = {config->reader, config->writer,
 			       FLEET_PLAIN_SERVICES + config->index * FLEET_SHARDS};
 	uint32_t service = services[choice / VERSION_KINDS % 3];
-
 	bool chosen;
 
 	pthread_mutex_lock(&fleet.lock);
