Roll-out: failures count also where the old version has few results

Cause: the old version had 2 results since the order, so that 36 failures of 108 counted as chance (0.45). Ruled out: results from before the order, which instances don't keep. If only the new version has 40 results of the whole time or more, the old one is now taken to have had 40, the rest of them without a failure. Windows and single routes are compared as before, since the old version has no results in the full phase.

test_rollout, case of 2 and 108 results: not decided before, "failures" now; 3 failures of 108 still decide nothing.

--- a/ingress/rollout_compare.c
+++ b/ingress/rollout_compare.c
@@ -8,9 +8,14 @@
 /* The new version fails if its rate of failures is higher by this factor and share, and the
  * difference isn't chance, see struct thresholds.
  */
-#define FAILURE_FACTOR	  2.0
-#define FAILURE_MARGIN	  0.03
-#define OUTAGE_SHARE	  0.5 /* of the requests to a zone that fail in an outage */
+#define FAILURE_FACTOR 2.0
+#define FAILURE_MARGIN 0.03
+#define OUTAGE_SHARE   0.5 /* of the requests to a zone that fail in an outage */
+/* If only the new version has so many results since the order, the old version is taken to have had
+ * as many, the rest of them without a failure: a service whose traffic came after the order has
+ * nothing to compare the new version's failures with, and 36 failures of 108 counted as chance.
+ */
+#define OLD_RESULTS_MIN	  40
 #define REJECTIONS_MIN	  8
 #define REJECTION_SHARE	  0.5
 #define REJECTION_OLD_MAX 0.1
@@ -209,6 +214,13 @@
 	       failure_chance(comparison) < thresholds->chance_max;
 }
 
+static void assume_old_results(struct comparison *comparison)
+{
+	if (comparison->total[PD_ROLLOUT_OLD] < OLD_RESULTS_MIN &&
+	    comparison->total[PD_ROLLOUT_NEW] >= OLD_RESULTS_MIN)
+		comparison->total[PD_ROLLOUT_OLD] = OLD_RESULTS_MIN;
+}
+
 static bool is_slower(const struct comparison *comparison, const struct thresholds *thresholds)
 {
 	return comparison->latencies >= thresholds->latencies_min &&
@@ -292,16 +304,19 @@
  * show only there.
  */
 static bool holds_without_each_zone(const struct pd_rollout_evidence *evidence,
-				    const struct pd_name *route, bool latency_too)
+				    const struct pd_name *route,
+				    const struct pd_rollout_scope *scope)
 {
 	struct comparison all, comparison;
 
 	sum_up(evidence, route, 0, &all);
 	for (size_t i = 0; i < evidence->count; i++) {
 		sum_up(evidence, route, evidence->strata[i].zone, &comparison);
+		if (!scope->part)
+			assume_old_results(&comparison);
 		if (comparison.total[PD_ROLLOUT_NEW] &&
 		    comparison.total[PD_ROLLOUT_NEW] < all.total[PD_ROLLOUT_NEW] &&
-		    !find_objection(&comparison, latency_too, &zone_thresholds))
+		    !find_objection(&comparison, scope->latency_too, &zone_thresholds))
 			return false;
 	}
 	return true;
@@ -340,6 +355,8 @@
 	if (zones_differ(evidence))
 		pd_rollout_evidence_merge_zones(evidence);
 	sum_up(evidence, &verdict->route, 0, &comparison);
+	if (!scope->part)
+		assume_old_results(&comparison);
 	verdict->samples = comparison.total[PD_ROLLOUT_NEW];
 	verdict->reason = find_objection(&comparison, scope->latency_too, thresholds);
 	for (size_t i = 0; i < evidence->count && !verdict->reason; i++) {
@@ -356,7 +373,7 @@
 	/* Without a zone that has an outage, failures may have fallen on one zone by chance. */
 	if (doubt && scope->zones > 1 &&
 	    (pd_rollout_count_zones(evidence, &verdict->route) < 2 ||
-	     !holds_without_each_zone(evidence, &verdict->route, scope->latency_too))) {
+	     !holds_without_each_zone(evidence, &verdict->route, scope))) {
 		verdict->reason = NULL;
 		if (comparison.failed[PD_ROLLOUT_NEW] < doubt_thresholds.failures_min ||
 		    has_outage(evidence))
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -653,6 +653,9 @@
 		{340, 34, 18, 5, 20000, 20000, NULL},
 		{340, 34, 18, 14, 20000, 20000, "failures"},
 		{4, 0, 3, 3, 20000, 20000, NULL},
+		/* The service had nearly no traffic before the full phase (soak, seed 14049). */
+		{2, 0, 108, 36, 20000, 20000, "failures"},
+		{2, 0, 108, 3, 20000, 20000, NULL},
 		{340, 0, 4, 0, 20000, 90000, NULL},
 		{340, 0, 6, 0, 20000, 90000, "latency"},
 		{340, 0, 18, 0, 20000, 32000, NULL},
