Feed: a follower that falls behind the log ends the lists that it began

Their source removed it, by a list of its own source. Cause: a follower applies a list when all lists that it has seen begin have ended. It isn't new, but is met more often since followers don't list the store by themselves after an outage. Ruled out: the hold of removals, which ended 3.6 s before; a re-added entry (no upstream_added).

The format of the feed is unchanged. Test follower_behind_the_log_ends_the_lists_that_it_began: 2 upstreams left without the change, 1 with it.

--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -17,6 +17,8 @@
  * join the next one together. The remaining time of a cold start in it is too long by its age.
  */
 #define SNAPSHOT_REUSE_US (1000 * PD_USEC_PER_MSEC)
+/* Lists that may be open at a time: one of the store, and one of the source. */
+#define LISTS_MAX 2
 
 void pd_directory_init(struct pd_directory *directory, struct pd_registry *registry)
 {
@@ -764,6 +766,18 @@
 	pd_buf_append_str(out, pd_buf_str(&change->frame));
 }
 
+/* Ends the lists whose beginning a follower has received, since their ends are no longer in the
+ * log. A list that stays open at the follower would include all later ones, so that an upstream
+ * that is missing in them would never be removed there.
+ */
+static void append_failed_lists(struct pd_buf *out)
+{
+	const struct pd_feed_message msg = {.kind = PD_FEED_LIST_FAILED};
+
+	for (int i = 0; i < LISTS_MAX; i++)
+		pd_feed_message_encode(&msg, out);
+}
+
 bool pd_directory_wait_for_changes(struct pd_directory *directory, uint64_t *from, int64_t wait_us,
 				   struct pd_buf *out)
 {
@@ -779,6 +793,8 @@
 		append_change(&directory->log[*from % PD_DIRECTORY_LOG_SIZE], out);
 	append_heartbeat_locked(directory, out);
 	pthread_mutex_unlock(&directory->lock);
+	if (!in_log)
+		append_failed_lists(out);
 	return in_log;
 }
 
--- a/tests/test_directory.c
+++ b/tests/test_directory.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "directory.h"
+#include "feed_apply.h"
 #include "feed_batch.h"
 #include "feed_frames.h"
 #include "feed_reader.h"
@@ -234,6 +235,69 @@
 }
 END_TEST
 
+static void apply_frames(struct pd_directory *follower, struct pd_feed_lists *lists,
+			 const struct pd_buf *frames)
+{
+	struct pd_feed_message msg;
+	struct pd_error err;
+	size_t at = 0;
+
+	while (feed_frames_next(frames, &at, &msg)) {
+		struct pd_buf batch = {0};
+
+		if (msg.kind == PD_FEED_BATCH) {
+			ck_assert_int_eq(pd_feed_batch_decode(&msg, &batch, &err), PD_OK);
+			apply_frames(follower, lists, &batch);
+			pd_buf_finish(&batch);
+		} else {
+			pd_feed_apply(follower, lists, &msg);
+		}
+		pd_feed_message_finish(&msg);
+	}
+}
+
+START_TEST(follower_behind_the_log_ends_the_lists_that_it_began)
+{
+	/* Guards against a follower that never again removes an upstream which is missing in a
+	 * list: it fell behind the log after the beginning of a list, whose end it never got.
+	 */
+	struct pd_registry_options options = {.retry_ratio = 0.2, .retry_slack = 100};
+	struct pd_feed_lists lists = {0};
+	struct pd_registry own_registry;
+	struct pd_directory follower;
+	struct pd_buf out = {0};
+	uint64_t from = 0, list;
+
+	ck_assert(pd_name_set(&options.zone, PD_STR("here")));
+	pd_registry_init(&own_registry, &options);
+	pd_directory_init(&follower, &own_registry);
+	list = pd_directory_list_begin(&directory, (struct pd_revision){1, 5});
+	put_upstream("a", false);
+	put_upstream("b", false);
+	ck_assert(pd_directory_wait_for_changes(&directory, &from, 0, &out));
+	apply_frames(&follower, &lists, &out);
+	pd_buf_finish(&out);
+	for (int i = 0; i < PD_DIRECTORY_LOG_SIZE; i++)
+		put_upstream("a", i % 2);
+	pd_directory_list_end(&directory, list, (struct pd_revision){1, 5});
+	ck_assert(!pd_directory_wait_for_changes(&directory, &from, 0, &out));
+	from = pd_directory_snapshot(&directory, &out);
+	apply_frames(&follower, &lists, &out);
+	pd_buf_finish(&out);
+	ck_assert_uint_eq(HASH_COUNT(own_registry.upstreams), 2);
+
+	list = pd_directory_list_begin(&directory, (struct pd_revision){1, 6});
+	put_upstream("a", false);
+	pd_directory_list_end(&directory, list, (struct pd_revision){1, 6});
+	ck_assert(pd_directory_wait_for_changes(&directory, &from, 0, &out));
+	apply_frames(&follower, &lists, &out);
+	pd_buf_finish(&out);
+	ck_assert_uint_eq(HASH_COUNT(own_registry.upstreams), 1);
+	pd_directory_finish(&follower);
+	pd_registry_finish(&own_registry);
+}
+END_TEST
+
 START_TEST(followers_learn_how_recent_a_list_is)
 {
 	/* Guards against followers that take an older list for a newer one, and against an upstream
@@ -533,6 +597,7 @@
 		superseded_configurations_are_not_sent,
 		changes_of_upstreams_are_all_sent_in_order,
 		follower_behind_the_log_gets_the_newest_state,
+		follower_behind_the_log_ends_the_lists_that_it_began,
 		followers_learn_how_recent_a_list_is,
 		unknown_evacuations_are_not_sent,
 		older_evacuations_are_ignored,
