--- a/ingress/cluster.h
+++ b/ingress/cluster.h
@@ -106,7 +106,7 @@
  * @followers: number of instances that follow this one, directly or through others, of those
  *	that were heard lately
  * @zone_covered: number of instances of this zone that are this one, other heads of the zone that
- *were heard lately, and the followers of all these
+ *	were heard lately, and the followers of all these
  * @zones_heard: number of other zones of which a head was heard lately
  * @quota_followers: number of followers that were heard within PD_CLUSTER_QUOTA_FOLLOWER_TIMEOUT_US
  * @quota_zones: number of zones of which a head was heard within PD_CLUSTER_QUOTA_TIMEOUT_US, this
--- a/ingress/http.h
+++ b/ingress/http.h
@@ -79,7 +79,7 @@
  *	bytes of an announced body may follow
  * @in_value: the parser is inside a field's value, so the next name starts a new field
  * @status_scan: number of blanks seen so far in the status line, 2 from the end of the status code
- *on
+ *	on
  * @status_len: length of the text of the status code, in bytes
  * @status_text: start of the text of the status code
  * @failure: reason for which the parsing was ended before the end of the message: one of
--- a/ingress/ingress_settings.h
+++ b/ingress/ingress_settings.h
@@ -29,7 +29,7 @@
  *	window beyond those allowed by @retry_ratio
  * @grace_ms: time from SIGTERM to SIGKILL when the platform stops the process, in milliseconds
  * @config_apply_ms: time in which a configuration must be in force, in milliseconds; 0 if not
- *stated
+ *	stated
  * @revocation_ms: time after which a request with a withdrawn API key must not run at any instance,
  *	in milliseconds; 0 if revocation isn't strict
  * @quota_window_s: length of the window in which quotas hold, in seconds; 0 if there are none
--- a/ingress/rollout.h
+++ b/ingress/rollout.h
@@ -93,11 +93,11 @@
  * @same_version: the service's traffic goes to the ordered version already
  * @settled: this head has been one for long enough to have all evidence
  * @connected: it has all evidence, the heads of all other zones are heard, and the store is
- *reachable
+ *	reachable
  * @another_full: another head is in the full phase
  * @another_full_us: longest time for which one of them stays in it at least; 0 if none does
  * @others_full_us: time for which all other heads stay in the full phase at least; 0 if one isn't
- *in it
+ *	in it
  * @drained: no instance sends requests to the old version, and none is in flight there
  * @halted: another head has decided to roll back
  * @completed: another head has written that the order is completed
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -31,7 +31,7 @@
  * @client: connection that the request was received on
  * @fields: header fields of the request
  * @confirmed_us: time at which @catalog or an earlier configuration was proven to be the newest
- *one, in microseconds of pd_os_boot_us()
+ *	one, in microseconds of pd_os_boot_us()
  * @catalog: configuration by which the request is served; NULL if there is none
  * @route: route of the request
  * @account: account whose API key the client sent; NULL for an anonymous request
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -49,7 +49,8 @@
  * @early_returns: number of consecutive watches that returned changes early, see sync.c
  * @events_skipped: the last call was a list
  * @quiet_since_us: time at which the watch was sent, in microseconds of pd_os_boot_us(); that of
- *the first watch since changes were returned if the watches are short because they prove something
+ *	the first watch since changes were returned if the watches are short because they prove
+ *	something
  * @config_covered: the store's newest configuration that was read is in force, see
  *	pd_directory_covers_config()
  * @wake_pipe: pipe that ends a waiting watch or a pause of the task when a byte is written to it
@@ -81,7 +82,7 @@
  * struct pd_sync - synchronisation with the store
  * @directory: directory to which changes are applied
  * @lock: guards @address, @mode, @era, @revision, @restored, @unreadable and the members of the
- *tasks that refer to it
+ *	tasks that refer to it
  * @changed: signalled when @mode is set, and when a call succeeds after one that failed
  * @address: address of the store
  * @mode: how changes are received
