Membership: an instance that has lost its source tries others for 200 ms, then watches the store

It watches the store now after 200 ms of tries, and goes on trying meanwhile, as before.

A test of this time isn't written.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -47,6 +47,10 @@
 #define TAKEOVER_DELAY_US     (300 * PD_USEC_PER_MSEC)
 #define TAKEOVER_STEP_US      (100 * PD_USEC_PER_MSEC)
 #define TAKEOVER_DELAY_MAX_US (700 * PD_USEC_PER_MSEC)
+/* Time for which such an instance tries other sources before it watches the store: in a zone of
+ * 100, it would take seconds to try them all, while the configuration isn't proven.
+ */
+#define SOURCE_TRIES_US (200 * PD_USEC_PER_MSEC)
 /* An outage of the store that is longer than this may let entries expire. The store drops an entry
  * that isn't renewed for three heartbeats of 1.2 s, and the last renewal may be one heartbeat older
  * than the outage. Removals needn't be held after shorter outages.
@@ -682,12 +686,22 @@
 /* Follows one source after another until none can be tried now. */
 static void follow_sources(struct pd_membership *membership)
 {
+	int64_t lost_us = pd_os_boot_us();
 	struct pd_source *source;
 
 	while ((source = next_source(membership))) {
 		struct pd_name name = source->entry.name;
-
-		if (!follow(membership, source))
+		int64_t began_us = pd_os_boot_us();
+		bool connected;
+
+		if (began_us - lost_us > SOURCE_TRIES_US &&
+		    began_us - membership->started_us >= SOURCE_SEARCH_US)
+			pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
+		connected = follow(membership, source);
+		/* It was followed, so that the tries begin anew. */
+		if (pd_os_boot_us() - began_us > SOURCE_TIMEOUT_US)
+			lost_us = pd_os_boot_us();
+		if (!connected)
 			continue;
 		/* The list of sources may have been replaced during the session. */
 		for (size_t i = 0; i < membership->source_count; i++) {
