--- a/review/lab-2/lab.c
+++ b/review/lab-2/lab.c
@@ -300,6 +300,7 @@
 	int listeners[MAX_PORTS];
 	enum store_mode modes[MAX_PORTS];
 	int cuts[MAX_PORTS]; /* raised when waiting watches are cut off */
+	unsigned int stale_lists[MAX_PORTS]; /* answered */
 	int port_count;
 } store = {.lock = PTHREAD_MUTEX_INITIALIZER, .changed = PTHREAD_COND_INITIALIZER, .revision = 10};
 
@@ -405,7 +406,8 @@
 
 void store_set_mode(int port, enum store_mode mode)
 {
-	static const char *const names[] = {"up", "busy: 503", "new connections are refused"};
+	static const char *const names[] = {"up", "busy: 503", "new connections are refused",
+					     "silent"};
 
 	pthread_mutex_lock(&store.lock);
 	for (int i = 0; i < store.port_count; i++) {
@@ -418,15 +420,30 @@
 			/* Ends accept4() of the thread, which closes the socket. */
 			shutdown(store.listeners[i], SHUT_RDWR);
 		}
-		store.modes[i] = mode;
-		if (mode == STORE_BUSY)
+		/* After a silence, the connections from before it are gone. */
+		if (mode == STORE_BUSY || store.modes[i] == STORE_SILENT)
 			store.cuts[i]++;
+		store.modes[i] = mode;
 	}
 	pthread_cond_broadcast(&store.changed);
 	pthread_mutex_unlock(&store.lock);
 	lab_record("store, port %d: %s", port, names[mode]);
 }
 
+void store_wait_for_stale_list(int port)
+{
+	int index = 0;
+	unsigned int before;
+
+	pthread_mutex_lock(&store.lock);
+	while (store.ports[index] != port)
+		index++;
+	before = store.stale_lists[index];
+	while (store.stale_lists[index] == before)
+		pthread_cond_wait(&store.changed, &store.lock);
+	pthread_mutex_unlock(&store.lock);
+}
+
 /** struct call - a call to the store */
 struct call {
 	char method[8];
@@ -539,7 +556,7 @@
 
 	for (;;) {
 		char *text = NULL, end[64];
-		bool any = false;
+		bool any = false, silent = store.modes[port] == STORE_SILENT;
 
 		append(&text, "{\"events\":[");
 		for (int i = 0; i < store.event_count; i++) {
@@ -550,7 +567,7 @@
 			append(&text, store.events[i].text);
 			any = true;
 		}
-		if (any || lab_now() >= until) {
+		if (store.cuts[port] == cuts && !silent && (any || lab_now() >= until)) {
 			snprintf(end, sizeof(end), "],\"at\":%llu}",
 				 (unsigned long long)store.revision);
 			append(&text, end);
@@ -652,6 +669,13 @@
 	bool valid = parse_call(msg->head, &call), sent_all;
 
 	pthread_mutex_lock(&store.lock);
+	while (store.modes[port] == STORE_SILENT) {
+		pthread_cond_wait(&store.changed, &store.lock);
+		if (store.modes[port] == STORE_SILENT)
+			continue;
+		pthread_mutex_unlock(&store.lock);
+		return false;
+	}
 	if (!valid)
 		status = 400;
 	else if (store.modes[port] == STORE_BUSY)
@@ -673,6 +697,12 @@
 		       status, strlen(body));
 	sent_all = send_all(fd, head, (size_t)len) && send_all(fd, body, strlen(body));
 	free(body);
+	if (call.stale && status == 200) {
+		pthread_mutex_lock(&store.lock);
+		store.stale_lists[port]++;
+		pthread_cond_broadcast(&store.changed);
+		pthread_mutex_unlock(&store.lock);
+	}
 	return sent_all;
 }
 
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -11,7 +11,7 @@
 #include <sys/types.h>
 
 #define LAB_MAX_BACKENDS  32
-#define LAB_MAX_INSTANCES 12
+#define LAB_MAX_INSTANCES 20
 
 /* Seconds since the start of the scenario. */
 double lab_now(void);
@@ -31,6 +31,7 @@
 	STORE_UP,
 	STORE_BUSY, /* 503 to each call */
 	STORE_REFUSING, /* new connections are refused; open ones go on */
+	STORE_SILENT, /* no call is answered, as by a partition that drops all packets */
 };
 
 void store_start(void);
@@ -38,6 +39,8 @@
 int store_open_port(void);
 /* Sets how calls to a port are answered; 0 for all ports. A busy store cuts off waiting watches. */
 void store_set_mode(int port, enum store_mode mode);
+/* Waits until the store has answered the next stale list at a port. */
+void store_wait_for_stale_list(int port);
 /* Writes an object as another writer than the ingress; returns the time of the acknowledgement. */
 double store_put(const char *kind, const char *name, const char *spec);
 double store_delete(const char *kind, const char *name);
