Membership: a hold of removals that a source states has an end of its own

Cause: a heartbeat said that removals are held, but not until when, and only the instance that had begun the hold knew its end. A follower that lost the source then held removals until another source said the opposite, and passed the hold on to its own followers. Ruled out: that the follower doesn't learn of the removals (upstream_removal_held comes), that its hold begins anew with each check (the new line removals_held comes once).

Change: the heartbeat states the rest of the hold, format 9 of the feed. Each instance keeps the end; who watches the store by then lists everything and ends the hold, as the instance that began it does. It works for any way of losing the source and any number of hand-overs, since the end is a time and needs no message. New log lines removals_held and removals_released.

--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -613,23 +613,41 @@
 	return true;
 }
 
+/* Returns the rest of a hold of removals, in milliseconds: 0 only if there is none, because a hold
+ * whose time is over lasts until a complete list was received.
+ */
+static int64_t remaining_ms(int64_t hold_until_us)
+{
+	int64_t left_ms = (hold_until_us - pd_os_boot_us()) / PD_USEC_PER_MSEC;
+
+	if (!hold_until_us)
+		return 0;
+	return left_ms > 0 ? left_ms : 1;
+}
+
 void pd_directory_set_store_reachable(struct pd_directory *directory, bool reachable,
-				      bool hold_removals)
+				      int64_t hold_until_us)
 {
 	enum pd_store_state store = reachable ? PD_STORE_REACHABLE : PD_STORE_UNREACHABLE;
-	bool was_held, hold = !reachable || hold_removals;
+	bool changed, was_held, hold = !reachable || hold_until_us;
 
 	pthread_mutex_lock(&directory->lock);
-	was_held = directory->store == PD_STORE_UNREACHABLE || directory->removals_held;
-	if (directory->store != store || directory->removals_held != hold_removals)
+	was_held = directory->store == PD_STORE_UNREACHABLE || directory->hold_until_us;
+	changed = directory->store != store || !directory->hold_until_us != !hold_until_us;
+	if (changed)
 		pthread_cond_broadcast(&directory->changed);
 	directory->store = store;
-	directory->removals_held = hold_removals;
+	directory->hold_until_us = hold_until_us;
 	pthread_mutex_unlock(&directory->lock);
 	if (hold && !was_held)
 		pd_registry_hold_removals(directory->registry);
 	else if (was_held && !hold)
 		pd_registry_release_removals(directory->registry);
+	if (changed && hold)
+		pd_log(PD_LOG_INFO, "removals_held", "store_reachable=%d remaining_ms=%" PRId64,
+		       reachable, remaining_ms(hold_until_us));
+	else if (was_held && !hold)
+		pd_log(PD_LOG_INFO, "removals_released", "store_reachable=%d", reachable);
 }
 
 static void append_heartbeat_locked(struct pd_directory *directory, struct pd_buf *out)
@@ -637,7 +655,7 @@
 	struct pd_feed_message heartbeat_msg = {.kind = PD_FEED_HEARTBEAT};
 
 	heartbeat_msg.heartbeat.store_reachable = directory->store == PD_STORE_REACHABLE;
-	heartbeat_msg.heartbeat.removals_held = directory->removals_held;
+	heartbeat_msg.heartbeat.hold_ms = (uint32_t)remaining_ms(directory->hold_until_us);
 	pd_feed_message_encode(&heartbeat_msg, out);
 }
 
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -91,8 +91,9 @@
  * @upstreams_at: revision of the store up to which all changes of upstreams are known; unknown
  *	until a complete list was received
  * @store: state of the store
- * @removals_held: removals are held although the store is reachable, because entries may have
- *	expired while it was unreachable
+ * @hold_until_us: time until which removals are held although the store is reachable, because
+ *	entries may have expired while it was unreachable, in microseconds of pd_os_boot_us(); 0
+ *	without such a hold
  * @followers: number of instances that follow this one
  * @log_start: sequence number of the first change in the log that was encoded; earlier ones were
  *	logged when there were no followers
@@ -126,7 +127,7 @@
 	uint64_t rollouts_changes;
 	struct pd_revision upstreams_at;
 	enum pd_store_state store;
-	bool removals_held;
+	int64_t hold_until_us;
 	uint32_t followers;
 	uint64_t log_start;
 	struct pd_snapshot snapshot;
@@ -228,13 +229,15 @@
  * pd_directory_set_store_reachable() - records whether the store is reachable
  * @directory: directory
  * @reachable: the store is reachable, and all of its objects were read since it became reachable
- * @hold_removals: entries of running upstreams may have expired while the store was unreachable,
- *	and may not be registered again yet
+ * @hold_until_us: time by which the running upstreams whose entries expired while the store was
+ *	unreachable have registered again, in microseconds of pd_os_boot_us(); 0 if none expired
  *
- * Removals are held while the store is unreachable, and while @hold_removals is set.
+ * Removals are held while the store is unreachable, and from a call with @hold_until_us until the
+ * next one without it. The caller, or whoever takes over from it, has to end the hold after that
+ * time, with a complete list.
  */
 void pd_directory_set_store_reachable(struct pd_directory *directory, bool reachable,
-				      bool hold_removals);
+				      int64_t hold_until_us);
 
 /**
  * pd_directory_snapshot() - gets the complete contents of the directory, encoded
@@ -247,7 +250,9 @@
  * Return: sequence number of the first change that may be missing from the snapshot.
  */
 uint64_t pd_directory_snapshot(struct pd_directory *directory, struct pd_buf *out);
-/* Appends a heartbeat frame, which states whether the store is reachable and removals are held. */
+/* Appends a heartbeat frame, which states whether the store is reachable, and the rest of a hold of
+ * removals.
+ */
 void pd_directory_heartbeat(struct pd_directory *directory, struct pd_buf *out);
 /**
  * pd_directory_wait_for_changes() - waits for changes and encodes them, followed by a heartbeat
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -8,10 +8,11 @@
 #include "os.h"
 
 /* Since 5, messages state revisions of the store; since 7, upstreams have versions; since 8, they
- * have the rate limits that the source knows. An instance of another version isn't followed: how
- * recent its messages are, or which upstreams may get requests, is unknown.
+ * have the rate limits that the source knows; since 9, holds of removals have an end. An instance
+ * of another version isn't followed: how recent its messages are, or which upstreams may get
+ * requests, is unknown.
  */
-#define FORMAT_VERSION	     8
+#define FORMAT_VERSION	     9
 #define REVISION_FIELD_COUNT 2
 #define UPSTREAM_FIELD_COUNT (11 + REVISION_FIELD_COUNT)
 /* Limits are sent in millionths, increased by 1; 0 for none. */
@@ -124,7 +125,7 @@
 		break;
 	case PD_FEED_HEARTBEAT:
 		msgpack_pack_uint32(&packer, msg->heartbeat.store_reachable);
-		msgpack_pack_uint32(&packer, msg->heartbeat.removals_held);
+		msgpack_pack_uint32(&packer, msg->heartbeat.hold_ms);
 		break;
 	case PD_FEED_CRASH:
 		msgpack_pack_uint64(&packer, msg->crash.fingerprint);
@@ -240,7 +241,7 @@
 
 static bool decode_fields(const msgpack_object *fields, size_t count, struct pd_feed_message *msg)
 {
-	uint64_t reachable, held, received, decoded;
+	uint64_t reachable, hold_ms, received, decoded;
 
 	switch (msg->kind) {
 	case PD_FEED_HELLO:
@@ -272,10 +273,10 @@
 		       to_str(&fields[REVISION_FIELD_COUNT], &msg->rollouts.text);
 	case PD_FEED_HEARTBEAT:
 		if (count != 2 || !to_number(&fields[0], 1, &reachable) ||
-		    !to_number(&fields[1], 1, &held))
+		    !to_number(&fields[1], UINT32_MAX, &hold_ms))
 			return false;
 		msg->heartbeat.store_reachable = reachable != 0;
-		msg->heartbeat.removals_held = held != 0;
+		msg->heartbeat.hold_ms = (uint32_t)hold_ms;
 		return true;
 	case PD_FEED_CRASH:
 		return count == 2 && to_number(&fields[0], UINT64_MAX, &msg->crash.fingerprint) &&
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -380,7 +380,7 @@
 		return;
 	membership->removals_held_until_us = 0;
 	membership->may_have_expired = false;
-	pd_directory_set_store_reachable(membership->directory, true, false);
+	pd_directory_set_store_reachable(membership->directory, true, 0);
 }
 
 /* Records that the store is reachable. The directory, and so the followers of this instance, are
@@ -403,10 +403,10 @@
 	membership->last_contact_us = now;
 	if (!pd_directory_is_store_reachable(membership->directory) &&
 	    wait_for_relist(membership)) {
-		pd_directory_set_store_reachable(membership->directory, true,
-						 membership->may_have_expired);
 		membership->removals_held_until_us =
 			membership->may_have_expired ? now + REMOVAL_HOLD_US : 0;
+		pd_directory_set_store_reachable(membership->directory, true,
+						 membership->removals_held_until_us);
 	}
 	release_removals_when_due(membership);
 	pd_sync_renew_watches(membership->sync);
@@ -421,7 +421,7 @@
 	membership->removals_held_until_us = 0;
 	pd_log(PD_LOG_WARNING, "store_lost", "kind=instances code=%s", pd_strerror(err->code));
 	pd_log_failure(PD_LOG_WARNING, "store_failure", err);
-	pd_directory_set_store_reachable(membership->directory, false, false);
+	pd_directory_set_store_reachable(membership->directory, false, 0);
 }
 
 /**
@@ -491,22 +491,28 @@
 		apply_held_config(membership, session);
 }
 
-/* Applies a heartbeat, which states whether the source reaches the store. */
+/* Applies a heartbeat, which states whether the source reaches the store. A hold of removals has
+ * the same end here as at the source, and is ended here by release_removals_when_due() if the
+ * source is lost before.
+ */
 static void apply_heartbeat(struct pd_membership *membership, struct session *session,
 			    const struct pd_feed_message *msg)
 {
 	int64_t now = pd_os_boot_us();
 
 	if (msg->heartbeat.store_reachable) {
+		uint32_t hold_ms = msg->heartbeat.hold_ms;
+
+		membership->may_have_expired = hold_ms > 0;
+		membership->removals_held_until_us = hold_ms ? now + hold_ms * PD_USEC_PER_MSEC : 0;
 		pd_directory_set_store_reachable(membership->directory, true,
-						 msg->heartbeat.removals_held);
-		membership->may_have_expired = msg->heartbeat.removals_held;
-		membership->removals_held_until_us = 0;
+						 membership->removals_held_until_us);
 		membership->last_contact_us = now;
 		membership->unreachable_since_us = 0;
 		session->store_lost_us = 0;
 	} else if (!session->store_lost_us) {
-		pd_directory_set_store_reachable(membership->directory, false, false);
+		membership->removals_held_until_us = 0;
+		pd_directory_set_store_reachable(membership->directory, false, 0);
 		session->store_lost_us = now;
 		session->reached_us = 0;
 		/* A random delay spreads the calls of the source's followers. */
--- a/tests/test_directory.c
+++ b/tests/test_directory.c
@@ -345,7 +345,7 @@
 	pd_directory_snapshot(&directory, &out);
 	ck_assert_str_eq(describe_frames(&out), "evacuated:1 ");
 	pd_buf_finish(&out);
-	pd_directory_set_store_reachable(&directory, true, false);
+	pd_directory_set_store_reachable(&directory, true, 0);
 	pd_directory_heartbeat(&directory, &out);
 	ck_assert_str_eq(describe_heartbeat(&out), "reachable");
 	pd_buf_finish(&out);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -420,11 +420,11 @@
 		struct pd_buf frame = {0};
 
 		in.heartbeat.store_reachable = i & 1;
-		in.heartbeat.removals_held = i & 2;
+		in.heartbeat.hold_ms = i & 2 ? 1750 : 0;
 		pd_feed_message_encode(&in, &frame);
 		ck_assert_int_eq(pd_feed_message_decode(payload(&frame), &out, &err), PD_OK);
 		ck_assert(out.heartbeat.store_reachable == in.heartbeat.store_reachable);
-		ck_assert(out.heartbeat.removals_held == in.heartbeat.removals_held);
+		ck_assert_uint_eq(out.heartbeat.hold_ms, in.heartbeat.hold_ms);
 		pd_feed_message_finish(&out);
 		pd_buf_finish(&frame);
 	}
