Membership: a kind whose calls fail ends the claim that the store is reachable

Cause: heartbeats state whether the list of instances is read, on the membership's own connection. The tasks that bring upstreams, configuration, evacuations, crash reports and orders logged their failures and told nobody. Ruled out: that the followers notice and wait (they log no source_lost), that the source doesn't notice (store_lost of each kind).

Change: a kind whose calls have failed for 0.5 s, without a complete list or a response to a watch, is lost (changes_lost), and the store counts as unreachable then: followers are told at once, removals are held, the way back is that of an outage. A single failed call is no loss, and a response that can't be read isn't either, since it would be the same for others.

The stand-in has addresses for single instances and can close waiting watches.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -383,12 +383,30 @@
 	pd_directory_set_store_reachable(membership->directory, true, 0);
 }
 
-/* Records that the store is reachable. The directory, and so the followers of this instance, are
- * updated only when all kinds were listed again.
+/* Records that the changes of a kind don't arrive, although the list of instances does: the store
+ * counts as unreachable, so that the followers of this instance get them elsewhere.
+ */
+static void handle_loss(struct pd_membership *membership, enum pd_object_kind kind)
+{
+	int64_t silent_us = pd_os_boot_us() - membership->last_contact_us;
+
+	if (silent_us > OUTAGE_EXPIRY_THRESHOLD_US)
+		membership->may_have_expired = true;
+	if (!pd_directory_is_store_reachable(membership->directory))
+		return;
+	pd_log(PD_LOG_WARNING, "changes_lost", "kind=%s silent_ms=%" PRId64,
+	       pd_object_kind_name(kind), silent_us / 1000);
+	membership->removals_held_until_us = 0;
+	pd_directory_set_store_reachable(membership->directory, false, 0);
+}
+
+/* Records that the list of instances was read. The directory, and so the followers of this
+ * instance, are updated only when all kinds were listed again.
  */
 static void handle_store_reachable(struct pd_membership *membership)
 {
 	int64_t now = pd_os_boot_us();
+	enum pd_object_kind kind;
 
 	if (membership->unreachable_since_us) {
 		if (now - membership->last_contact_us > OUTAGE_EXPIRY_THRESHOLD_US)
@@ -399,6 +417,9 @@
 		       (now - membership->last_contact_us) / 1000);
 		membership->unreachable_since_us = 0;
 		pd_sync_restart_watches(membership->sync);
+	} else if (pd_sync_has_lost(membership->sync, &kind)) {
+		handle_loss(membership, kind);
+		return;
 	}
 	membership->last_contact_us = now;
 	if (!pd_directory_is_store_reachable(membership->directory) &&
@@ -749,6 +770,21 @@
 	return left > UNREACHABLE_CHECK_INTERVAL_US ? left : UNREACHABLE_CHECK_INTERVAL_US;
 }
 
+/* Waits until the next check of the store, or until the changes of a kind are lost. */
+static void wait_for_check(struct pd_membership *membership)
+{
+	int64_t delay_us = check_delay_us(membership);
+	enum pd_object_kind kind;
+
+	if (!pd_directory_is_store_reachable(membership->directory)) {
+		pd_os_sleep_us(delay_us);
+		return;
+	}
+	pd_sync_wait_for_loss(membership->sync, delay_us);
+	if (pd_sync_has_lost(membership->sync, &kind))
+		handle_loss(membership, kind);
+}
+
 static void *run(void *arg)
 {
 	struct pd_membership *membership = arg;
@@ -767,7 +803,7 @@
 						    SOURCE_SEARCH_INTERVAL_US))
 			continue;
 		pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
-		pd_os_sleep_us(check_delay_us(membership));
+		wait_for_check(membership);
 	}
 	return NULL;
 }
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -45,6 +45,11 @@
 #define BACKOFF_MIN_US (200 * PD_USEC_PER_MSEC)
 #define BACKOFF_MAX_US (1200 * PD_USEC_PER_MSEC)
 
+/* Time for which calls for a kind must fail until its changes count as lost: the call is repeated
+ * once in it, and a follower has two seconds left in which it must get them elsewhere.
+ */
+#define LOSS_MIN_US (500 * PD_USEC_PER_MSEC)
+
 void pd_sync_init(struct pd_sync *sync, struct pd_directory *directory,
 		  const struct sockaddr_in *address)
 {
@@ -105,6 +110,7 @@
 {
 	pthread_mutex_lock(&task->sync->lock);
 	task->listed = at.era == task->sync->era;
+	task->lost_since_us = 0;
 	pd_watch_cover_set(&task->cover, at.number);
 	pthread_mutex_unlock(&task->sync->lock);
 }
@@ -310,6 +316,49 @@
 	return current;
 }
 
+/* Returns the time from which the changes of the task's kind count as lost; INT64_MAX if they
+ * arrive.
+ */
+static int64_t loss_us_locked(const struct pd_sync_task *task)
+{
+	return task->lost_since_us ? task->lost_since_us + LOSS_MIN_US : INT64_MAX;
+}
+
+bool pd_sync_has_lost(struct pd_sync *sync, enum pd_object_kind *kind)
+{
+	int64_t now = pd_os_boot_us();
+	bool lost = false;
+
+	pthread_mutex_lock(&sync->lock);
+	for (size_t i = 0; i < sync->task_count && !lost; i++) {
+		lost = now >= loss_us_locked(&sync->tasks[i]);
+		*kind = sync->tasks[i].kind;
+	}
+	pthread_mutex_unlock(&sync->lock);
+	return lost;
+}
+
+void pd_sync_wait_for_loss(struct pd_sync *sync, int64_t wait_us)
+{
+	int64_t until = pd_os_boot_us() + wait_us, left;
+
+	pthread_mutex_lock(&sync->lock);
+	do {
+		int64_t next = until;
+
+		for (size_t i = 0; i < sync->task_count; i++) {
+			int64_t loss_us = loss_us_locked(&sync->tasks[i]);
+
+			if (loss_us < next)
+				next = loss_us;
+		}
+		left = next - pd_os_boot_us();
+		if (left > 0)
+			pd_os_cond_wait_until(&sync->changed, &sync->lock, pd_os_now_us() + left);
+	} while (left > 0);
+	pthread_mutex_unlock(&sync->lock);
+}
+
 void pd_sync_set_mode(struct pd_sync *sync, enum pd_sync_mode mode)
 {
 	bool changed;
@@ -317,6 +366,8 @@
 	pthread_mutex_lock(&sync->lock);
 	changed = sync->mode != mode;
 	sync->mode = mode;
+	for (size_t i = 0; i < sync->task_count && mode == PD_SYNC_PAUSED; i++)
+		sync->tasks[i].lost_since_us = 0;
 	pthread_cond_broadcast(&sync->changed);
 	pthread_mutex_unlock(&sync->lock);
 	if (changed && mode == PD_SYNC_PAUSED)
@@ -614,6 +665,20 @@
 	pthread_mutex_unlock(&sync->lock);
 }
 
+/* Records that a call that was to bring changes has failed. */
+static void begin_loss(struct pd_sync_task *task)
+{
+	struct pd_sync *sync = task->sync;
+
+	pthread_mutex_lock(&sync->lock);
+	/* The call may have been sent before the mode was set. */
+	if (!task->lost_since_us && sync->mode != PD_SYNC_PAUSED) {
+		task->lost_since_us = pd_os_boot_us();
+		pthread_cond_broadcast(&sync->changed);
+	}
+	pthread_mutex_unlock(&sync->lock);
+}
+
 /* Records a successful call. */
 static void handle_success(struct pd_sync_task *task)
 {
@@ -648,6 +713,9 @@
 static void handle_failure(struct pd_sync_task *task, const struct pd_error *err)
 {
 	set_failing(task, true);
+	/* A response that can't be read would be the same for another instance. */
+	if (err->code != PD_INVALID)
+		begin_loss(task);
 	if (!task->unreachable_since_us) {
 		task->unreachable_since_us = pd_os_boot_us();
 		pd_log(PD_LOG_WARNING, "store_lost", "kind=%s revision=%" PRIu64 " code=%s",
@@ -793,6 +861,8 @@
 static void end_watch(struct pd_sync_task *task, uint64_t revision)
 {
 	pthread_mutex_lock(&task->sync->lock);
+	if (revision)
+		task->lost_since_us = 0;
 	pd_watch_cover_end(&task->cover, revision);
 	pthread_mutex_unlock(&task->sync->lock);
 }
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -43,6 +43,9 @@
  *	&pd_sync.era was reported
  * @cover: what the watch has certainly not missed; guarded by &pd_sync.lock
  * @failing: its last call failed
+ * @lost_since_us: time of the first call that failed since the last complete list or response to a
+ *	watch, in microseconds of pd_os_boot_us(); 0 if none did, and while changes are received
+ *from another instance; guarded by &pd_sync.lock
  * @unreachable_since_us: time since which this task's calls to the store fail, in microseconds of
  *	pd_os_boot_us(); 0 while they succeed
  * @failures: number of consecutive failed calls
@@ -65,6 +68,7 @@
 	uint64_t revision;
 	struct pd_watch_cover cover;
 	bool failing;
+	int64_t lost_since_us;
 	int64_t unreachable_since_us;
 	uint32_t failures;
 	uint32_t early_returns;
@@ -83,7 +87,8 @@
  * @directory: directory to which changes are applied
  * @lock: guards @address, @mode, @era, @revision, @restored, @unreadable and the members of the
  *	tasks that refer to it
- * @changed: signalled when @mode is set, and when a call succeeds after one that failed
+ * @changed: signalled when @mode is set, when a call succeeds after one that failed, and when a
+ *kind begins to be lost
  * @address: address of the store
  * @mode: how changes are received
  * @era: number of the store's history, see &pd_store.era; 0 if unknown
@@ -165,6 +170,12 @@
  */
 void pd_sync_report_unreadable(struct pd_sync *sync, enum pd_object_kind kind, struct pd_str name,
 			       const char *reason);
+/* Whether this instance, which follows none, hasn't received the changes of one kind from the store
+ * for LOSS_MIN_US, whatever its other calls show. @kind is set to that kind.
+ */
+bool pd_sync_has_lost(struct pd_sync *sync, enum pd_object_kind *kind);
+/* Waits for @wait_us microseconds, or until pd_sync_has_lost() is true. */
+void pd_sync_wait_for_loss(struct pd_sync *sync, int64_t wait_us);
 /* Whether all kinds were listed since the last failure or restart, and this instance follows none.
  */
 bool pd_sync_is_current(struct pd_sync *sync);
--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -11,10 +11,12 @@
 #define HEAD_MAX_BYTES 16384
 #define BODY_MAX_BYTES (1024 * 1024)
 #define LATE_STATUS_US (2 * PD_USEC_PER_SEC)
+#define STATUS_CLOSE   (-1) /* in place of a status: no response, and the connection is closed */
 
-/** struct connection - argument of serve_connection() */
+/** struct connection - argument of serve_connection(); @door is NULL at the store's own address */
 struct connection {
 	struct platform_store *store;
+	struct platform_store_door *door;
 	int fd;
 };
 
@@ -118,6 +120,14 @@
 	pthread_mutex_unlock(&store->lock);
 }
 
+void platform_store_cut_watches(struct platform_store *store)
+{
+	pthread_mutex_lock(&store->lock);
+	store->cut_count++;
+	pthread_cond_broadcast(&store->changed);
+	pthread_mutex_unlock(&store->lock);
+}
+
 void platform_store_set_stale(struct platform_store *store, enum platform_store_stale stale)
 {
 	pthread_mutex_lock(&store->lock);
@@ -255,16 +265,22 @@
 
 /*
  * Waits for changes after @revision and returns them, or an empty list after @wait_ms. Returns NULL
- * with an error in *status, or with 0 in *status if no response is to be sent.
+ * with an error in *status, with 0 in *status if no response is to be sent, or with
+ * STATUS_CLOSE if the connection is to be closed.
  */
 static json_t *watch_locked(struct platform_store *store, const char *kind, uint64_t revision,
 			    int64_t wait_ms, int *status)
 {
 	int64_t deadline_us = pd_os_now_us() + wait_ms * PD_USEC_PER_MSEC;
+	uint32_t cut_count = store->cut_count;
 	json_t *events;
 
 	store->watch_count++;
 	for (;;) {
+		if (cut_count != store->cut_count) {
+			*status = STATUS_CLOSE;
+			return NULL;
+		}
 		events = events_after(store, kind, revision);
 		if (json_array_size(events) &&
 		    (store->mode == PLATFORM_STORE_SILENT || store->mode == PLATFORM_STORE_MUTE)) {
@@ -395,8 +411,16 @@
 	return json_incref(object);
 }
 
-static void handle_request(struct platform_store *store, int fd, const struct pd_http_message *msg)
+static bool is_rejected_at_door_locked(const struct platform_store_door *door, const char *target)
+{
+	return door && door->mode == PLATFORM_STORE_DOOR_STALE_ONLY &&
+	       !query_integer(target, "stale_ok");
+}
+
+/* Executes a request and responds; false if the connection is to be closed. */
+static bool handle_request(const struct connection *connection, const struct pd_http_message *msg)
 {
+	struct platform_store *store = connection->store;
 	char target[512], kind[64] = "", name[128] = "", after[128] = "", part[16] = "";
 	json_t *body = NULL;
 	int status = 200;
@@ -411,6 +435,7 @@
 	store->request_count++;
 	store->order_request_count += !strcmp(kind, "rollouts");
 	if (store->mode == PLATFORM_STORE_BUSY ||
+	    is_rejected_at_door_locked(connection->door, target) ||
 	    (store->mode == PLATFORM_STORE_FIRST_PAGES && *after))
 		status = 503;
 	else if (store->mode == PLATFORM_STORE_SILENT)
@@ -435,9 +460,10 @@
 		text = insert_raw_locked(store, text);
 	era = store->era;
 	pthread_mutex_unlock(&store->lock);
-	if (status)
-		reply(fd, status, era, text);
+	if (status > 0)
+		reply(connection->fd, status, era, text);
 	free(text);
+	return status != STATUS_CLOSE;
 }
 
 static void *serve_connection(void *arg)
@@ -445,16 +471,17 @@
 	struct connection connection = *(struct connection *)arg;
 	struct pd_http_message msg;
 	char received[4096];
+	bool open = true;
 	ssize_t n;
 
 	free(arg);
 	pd_http_message_init(&msg, PD_HTTP_REQUEST, HEAD_MAX_BYTES, BODY_MAX_BYTES);
-	while ((n = recv(connection.fd, received, sizeof(received), 0)) > 0) {
+	while (open && (n = recv(connection.fd, received, sizeof(received), 0)) > 0) {
 		size_t used;
 
 		if (pd_http_message_parse(&msg, received, (size_t)n, &used) != PD_HTTP_COMPLETE)
 			continue;
-		handle_request(connection.store, connection.fd, &msg);
+		open = handle_request(&connection, &msg);
 		pd_http_message_reset(&msg);
 	}
 	pd_http_message_finish(&msg);
@@ -462,24 +489,70 @@
 	return NULL;
 }
 
+/* Starts a detached thread that runs @run with a struct connection, which it must free. */
+static void start_thread(void *(*run)(void *), struct platform_store *store,
+			 struct platform_store_door *door, int fd)
+{
+	struct connection *connection = malloc(sizeof(*connection));
+	pthread_t thread;
+
+	if (!connection)
+		abort();
+	*connection = (struct connection){store, door, fd};
+	if (pd_os_thread_start(&thread, "store", run, connection, NULL) != PD_OK)
+		abort();
+	pthread_detach(thread);
+}
+
 static void *accept_connections(void *arg)
 {
 	struct platform_store *store = arg;
 	int fd;
 
-	while (pd_os_accept(store->listener, &fd, NULL) == PD_OK) {
-		struct connection *connection = malloc(sizeof(*connection));
-		pthread_t thread;
+	while (pd_os_accept(store->listener, &fd, NULL) == PD_OK)
+		start_thread(serve_connection, store, NULL, fd);
+	return NULL;
+}
+
+/* Accepts connections at a door until its listening socket, the argument's @fd, is shut down. */
+static void *accept_at_door(void *arg)
+{
+	struct connection listening = *(struct connection *)arg;
+	int fd;
+
+	free(arg);
+	while (pd_os_accept(listening.fd, &fd, NULL) == PD_OK)
+		start_thread(serve_connection, listening.store, listening.door, fd);
+	pd_os_close(&listening.fd);
+	return NULL;
+}
 
-		if (!connection)
-			abort();
-		*connection = (struct connection){store, fd};
-		if (pd_os_thread_start(&thread, "store", serve_connection, connection, NULL) !=
-		    PD_OK)
-			abort();
-		pthread_detach(thread);
+static void listen_at_door(struct platform_store_door *door)
+{
+	if (pd_os_listen(&door->address, &door->listener, NULL) != PD_OK)
+		abort();
+	start_thread(accept_at_door, door->store, door, door->listener);
+}
+
+void platform_store_open_door(struct platform_store *store, struct platform_store_door *door)
+{
+	door->store = store;
+	memcpy(door->address.ip, "127.0.0.1", sizeof("127.0.0.1"));
+	listen_at_door(door);
+}
+
+void platform_store_set_door_mode(struct platform_store_door *door,
+				  enum platform_store_door_mode mode)
+{
+	pthread_mutex_lock(&door->store->lock);
+	door->mode = mode;
+	pthread_mutex_unlock(&door->store->lock);
+	if (mode == PLATFORM_STORE_DOOR_CLOSED && door->listener >= 0) {
+		shutdown(door->listener, SHUT_RDWR);
+		door->listener = -1;
+	} else if (mode != PLATFORM_STORE_DOOR_CLOSED && door->listener < 0) {
+		listen_at_door(door);
 	}
-	return NULL;
 }
 
 void platform_store_start(struct platform_store *store)
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -45,6 +45,34 @@
 	PLATFORM_STORE_STALE_REST,
 };
 
+/**
+ * enum platform_store_door_mode - how a door handles connections and requests
+ * @PLATFORM_STORE_DOOR_OPEN: like the store
+ * @PLATFORM_STORE_DOOR_CLOSED: refuses new connections; open ones go on
+ * @PLATFORM_STORE_DOOR_STALE_ONLY: responds with status 503 to all requests but stale reads
+ */
+enum platform_store_door_mode {
+	PLATFORM_STORE_DOOR_OPEN,
+	PLATFORM_STORE_DOOR_CLOSED,
+	PLATFORM_STORE_DOOR_STALE_ONLY,
+};
+
+struct platform_store;
+
+/**
+ * struct platform_store_door - further address at which the store listens, for one instance
+ * @store: the store
+ * @address: address at which it listens
+ * @listener: listening socket; -1 while new connections are refused
+ * @mode: how connections and requests are handled; guarded by &platform_store.lock
+ */
+struct platform_store_door {
+	struct platform_store *store;
+	struct pd_address address;
+	int listener;
+	enum platform_store_door_mode mode;
+};
+
 #define PLATFORM_STORE_RAW_MAX 32
 
 /**
@@ -70,6 +98,7 @@
  * @order_request_count: number of those for orders of roll-outs
  * @watch_count: number of watches started
  * @lost_statuses: number of next writes of a status that get no response
+ * @cut_count: number of calls of platform_store_cut_watches()
  * @late_statuses: number of next writes of a status that are executed two seconds later, if their
  * condition holds then, and get no response
  * @on_write: if set, called with the contents of an object that a request writes, before the object
@@ -99,6 +128,7 @@
 	uint32_t order_request_count;
 	uint32_t watch_count;
 	uint32_t lost_statuses;
+	uint32_t cut_count;
 	uint32_t late_statuses;
 	void (*on_write)(const char *kind, const char *name, json_t *spec);
 	char *raw[PLATFORM_STORE_RAW_MAX];
@@ -116,6 +146,12 @@
 void platform_store_put_raw(struct platform_store *store, const char *kind, const char *name,
 			    const char *text);
 void platform_store_remove(struct platform_store *store, const char *kind, const char *name);
+/* Closes the connections of all watches that wait. */
+void platform_store_cut_watches(struct platform_store *store);
+/* Opens a door at a free port; all members of @door must be zero. */
+void platform_store_open_door(struct platform_store *store, struct platform_store_door *door);
+void platform_store_set_door_mode(struct platform_store_door *door,
+				  enum platform_store_door_mode mode);
 void platform_store_set_mode(struct platform_store *store, enum platform_store_mode mode);
 /* Sets what stale reads return from now on. */
 void platform_store_set_stale(struct platform_store *store, enum platform_store_stale stale);
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -59,6 +59,7 @@
  * @settings: path of the settings file of the instance
  * @cpu_share: number of processors that the settings assign to the instance
  * @link: link over which the other instances reach @peer; unused if its target has no port
+ * @door: address at which the instance reaches the store; unused if it has no port
  * @pid: process id; 0 while the process isn't running
  */
 struct instance {
@@ -71,6 +72,7 @@
 	char settings[256];
 	double cpu_share;
 	struct slow_link link;
+	struct platform_store_door door;
 	pid_t pid;
 };
 
@@ -529,8 +531,9 @@
 	deployment.extra_services = atoi(words[1]);
 }
 
-/* store up|busy|silent|mute|first_pages|compact|copy|restore: sets the mode of the store, drops its
- * history, copies its contents or restores the last copy
+/* store up|busy|silent|mute|first_pages|compact|copy|restore|cut: sets the mode of the store, drops
+ * its history, copies its contents, restores the last copy, or closes the connections of all
+ * watches
  */
 static void do_store(char **words, int count)
 {
@@ -541,6 +544,8 @@
 		platform_store_copy(&deployment.store);
 	else if (!strcmp(words[1], "restore"))
 		platform_store_restore(&deployment.store);
+	else if (!strcmp(words[1], "cut"))
+		platform_store_cut_watches(&deployment.store);
 	else if (!strcmp(words[1], "busy"))
 		platform_store_set_mode(&deployment.store, PLATFORM_STORE_BUSY);
 	else if (!strcmp(words[1], "silent"))
@@ -679,9 +684,11 @@
 	slow_link_start(&deployment.store_link, &deployment.store.address, atoll(words[1]) * 1000);
 }
 
-/* Returns the port of the store for instances that are started. */
-static uint16_t store_port(void)
+/* Returns the port of the store for an instance that is started. */
+static uint16_t store_port(const struct instance *instance)
 {
+	if (instance->door.address.port)
+		return instance->door.address.port;
 	return deployment.store_link.target.port ? deployment.store_link.address.port
 						 : deployment.store.address.port;
 }
@@ -910,6 +917,26 @@
 	pthread_mutex_unlock(&deployment.store.lock);
 }
 
+/* door NAME open|closed|stale_only: gives an instance that isn't started yet an address of its own
+ * at which it reaches the store, or sets how that handles connections and requests, see enum
+ * platform_store_door_mode
+ */
+static void do_door(char **words, int count)
+{
+	enum platform_store_door_mode mode = PLATFORM_STORE_DOOR_OPEN;
+	struct platform_store_door *door;
+
+	do_use(words, count);
+	door = &deployment.selected->door;
+	if (!door->store)
+		platform_store_open_door(&deployment.store, door);
+	if (!strcmp(words[2], "closed"))
+		mode = PLATFORM_STORE_DOOR_CLOSED;
+	else if (!strcmp(words[2], "stale_only"))
+		mode = PLATFORM_STORE_DOOR_STALE_ONLY;
+	platform_store_set_door_mode(door, mode);
+}
+
 /*
  * start [NAME [dark]]: starts an ingress process, which appends its log to a file beside its
  * settings file. With "dark", the settings name a store address where nothing listens.
@@ -920,7 +947,8 @@
 	char *use[] = {first, count > 1 ? words[1] : first};
 
 	do_use(use, 2);
-	write_settings(deployment.selected, count > 2 ? UNREACHABLE_PORT : store_port());
+	write_settings(deployment.selected,
+		       count > 2 ? UNREACHABLE_PORT : store_port(deployment.selected));
 	fflush(NULL);
 	deployment.selected->pid = fork();
 	if (!deployment.selected->pid) {
@@ -1594,6 +1622,7 @@
 	{"bounds", 1, do_bounds},
 	{"datagrams", 1, do_datagrams},
 	{"link", 3, do_link},
+	{"door", 3, do_door},
 	{"exit", 1, do_exit},
 	{"sleep", 2, do_sleep},
 	{"request", 3, do_request},
