Membership: followers look for the store by rank when their source has lost it

Cause: four times that nothing added up: 1.9 s until the source notices, up to 0.5 s of random delay until a follower looks for the store itself, 0.3 to 0.7 s of waiting after that at lower ranks, and each of these looked at only with the next message of the source. On the untouched code, the script logs source_lost 0.3 to 0.6 s after the source's store_lost at the first three in rank, 0.6 s at rank four, and after more than 0.8 s at the other seven.

Change: the first check after a loss goes by rank, the first three at once, the others 0.3 to 0.6 s later. Who reaches the store by it leaves at once, and the lower ranks find one of the first to follow. A follower acts when something is due. Checks later in an outage are as before. At most 2.9 s for every rank, which test_decisions adds up; the times are the same for all deployments.

--- a/ingress/feed_message.h
+++ b/ingress/feed_message.h
@@ -51,8 +51,8 @@
  * @evacuations: names of all evacuated zones, and revision of the store at which they were read
  * @rollouts: all orders of roll-outs, see pd_rollout_set_encode(), after decoding a view into the
  *	decoded frame, and revision of the store at which they were read
- * @heartbeat: whether the store is reachable from the source, and the time in milliseconds for
- *which the source still holds removals because entries may have expired while the store was
+ * @heartbeat: whether the store is reachable from the source, and for how many milliseconds the
+ *	source still holds removals because entries may have expired while the store was
  *	unreachable; 0 if it doesn't
  * @crash: fingerprint of the request that crashed an upstream, and name of the crash
  * @batch: compressed frames, after decoding a view into the decoded frame, and their size in bytes
--- a/ingress/feed_reader.c
+++ b/ingress/feed_reader.c
@@ -88,9 +88,15 @@
 	return next_of_batch(reader, msg, err);
 }
 
-bool pd_feed_reader_has_more(const struct pd_feed_reader *reader)
+bool pd_feed_reader_wait(const struct pd_feed_reader *reader, int64_t wait_us)
 {
 	struct pollfd p = {.fd = reader->fd, .events = POLLIN};
+	int wait_ms = wait_us > 0 ? (int)(wait_us / PD_USEC_PER_MSEC) + 1 : 0;
+
+	return reader->batch_pos < reader->batch.len || poll(&p, 1, wait_ms) > 0;
+}
 
-	return reader->batch_pos < reader->batch.len || poll(&p, 1, 0) > 0;
+bool pd_feed_reader_has_more(const struct pd_feed_reader *reader)
+{
+	return pd_feed_reader_wait(reader, 0);
 }
--- a/ingress/feed_reader.h
+++ b/ingress/feed_reader.h
@@ -40,6 +40,10 @@
  */
 enum pd_code pd_feed_reader_next(struct pd_feed_reader *reader, struct pd_feed_message *msg,
 				 struct pd_error *err);
+/* Waits for @wait_us microseconds, or until bytes of a message or the end of the connection have
+ * arrived; false if none have.
+ */
+bool pd_feed_reader_wait(const struct pd_feed_reader *reader, int64_t wait_us);
 /* Whether bytes of a further message, or the end of the connection, have already arrived. */
 bool pd_feed_reader_has_more(const struct pd_feed_reader *reader);
 
--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -39,11 +39,21 @@
 /* Interval at which an instance tries to reach the store itself while its source can't reach it. */
 #define DIRECT_CHECK_INTERVAL_US (1000 * PD_USEC_PER_MSEC)
 /* In a large zone, only the highest-ranked instances watch the store as soon as they reach it and
- * their source doesn't: the others wait, longer the lower their rank, until the source reaches it
- * again or one of the first can be followed. Without that, each of 43 instances listed and watched
- * all kinds when a partition of their zone ended, and each of these calls is billed.
+ * their source doesn't. The others follow one of these. Without that, each of 43 instances listed
+ * and watched all kinds when a partition of their zone ended, and each of these calls is billed.
+ */
+#define FIRST_SUCCESSORS 3
+/* Delay before the first check of the store after the source has lost it, and random time that is
+ * added. The first in rank begin, and have listed all kinds when the others find the store
+ * reachable. A follower must get changes within 3 s of the moment at which its source was cut off.
+ */
+#define FIRST_CHECK_DELAY_US	 (300 * PD_USEC_PER_MSEC)
+#define FIRST_CHECK_STEP_US	 (50 * PD_USEC_PER_MSEC)
+#define FIRST_CHECK_DELAY_MAX_US (500 * PD_USEC_PER_MSEC)
+#define FIRST_CHECK_JITTER_US	 (100 * PD_USEC_PER_MSEC)
+/* Delay between a later check, by which the store is reachable again, and the end of the session:
+ * the first in rank may check up to a second later. Meanwhile the source may reach it again, too.
  */
-#define FIRST_SUCCESSORS      3
 #define TAKEOVER_DELAY_US     (300 * PD_USEC_PER_MSEC)
 #define TAKEOVER_STEP_US      (100 * PD_USEC_PER_MSEC)
 #define TAKEOVER_DELAY_MAX_US (700 * PD_USEC_PER_MSEC)
@@ -106,6 +116,17 @@
 	return delay_us < TAKEOVER_DELAY_MAX_US ? delay_us : TAKEOVER_DELAY_MAX_US;
 }
 
+int64_t pd_membership_first_check_delay_us(size_t rank)
+{
+	int64_t delay_us;
+
+	if (rank <= FIRST_SUCCESSORS)
+		return 0;
+	delay_us =
+		FIRST_CHECK_DELAY_US + (int64_t)(rank - FIRST_SUCCESSORS - 1) * FIRST_CHECK_STEP_US;
+	return delay_us < FIRST_CHECK_DELAY_MAX_US ? delay_us : FIRST_CHECK_DELAY_MAX_US;
+}
+
 /* Returns the time of the next attempt to connect to the source with that name, as kept in a
  * previous list of sources; 0 if it wasn't in that list.
  */
@@ -458,8 +479,10 @@
  *	pd_os_boot_us(); 0 while it can
  * @next_check_us: time of the next attempt to reach the store directly, while the source can't, in
  *	microseconds of pd_os_boot_us()
- * @reached_us: time at which this instance has reached the store directly since @store_lost_us, in
- *	microseconds of pd_os_boot_us(); 0 if it hasn't
+ * @checked: such an attempt was made since @store_lost_us
+ * @leave_us: time at which this instance leaves the source, since it has reached the store
+ *	directly after @store_lost_us, in microseconds of pd_os_boot_us(); 0 if it hasn't
+ * @heard_us: time of the last message of the source, in microseconds of pd_os_boot_us()
  * @next_list_us: time of the next list of the instances, in microseconds of pd_os_boot_us()
  */
 struct session {
@@ -471,7 +494,9 @@
 	int64_t config_held_us;
 	int64_t store_lost_us;
 	int64_t next_check_us;
-	int64_t reached_us;
+	bool checked;
+	int64_t leave_us;
+	int64_t heard_us;
 	int64_t next_list_us;
 };
 
@@ -512,6 +537,12 @@
 		apply_held_config(membership, session);
 }
 
+/* Returns a random time below @limit_us, which spreads the calls of the followers of a source. */
+static int64_t draw_delay_us(int64_t limit_us)
+{
+	return (int64_t)(pd_os_random_seed() % (uint64_t)limit_us);
+}
+
 /* Applies a heartbeat, which states whether the source reaches the store. A hold of removals has
  * the same end here as at the source, and is ended here by release_removals_when_due() if the
  * source is lost before.
@@ -535,11 +566,11 @@
 		membership->removals_held_until_us = 0;
 		pd_directory_set_store_reachable(membership->directory, false, 0);
 		session->store_lost_us = now;
-		session->reached_us = 0;
-		/* A random delay spreads the calls of the source's followers. */
+		session->checked = false;
+		session->leave_us = 0;
 		session->next_check_us =
-			now +
-			(int64_t)(pd_os_random_seed() % (uint64_t)DIRECT_CHECK_INTERVAL_US) / 2;
+			now + pd_membership_first_check_delay_us(membership->source_count) +
+			draw_delay_us(FIRST_CHECK_JITTER_US);
 		/* The source may have lost the store this long before it detected that. */
 		membership->last_contact_us = now - DETECTION_DELAY_MAX_US;
 	}
@@ -576,15 +607,22 @@
 static void check_store_directly(struct pd_membership *membership, struct session *session)
 {
 	int64_t now = pd_os_boot_us();
+	bool first = !session->checked;
 	struct pd_error err;
 
-	if (!session->store_lost_us || session->reached_us || now < session->next_check_us)
+	if (!session->store_lost_us || session->leave_us || now < session->next_check_us)
 		return;
+	session->checked = true;
 	session->next_check_us = now + DIRECT_CHECK_INTERVAL_US;
-	if (list_instances(membership, &err) == PD_OK)
-		session->reached_us = now;
-	else
+	if (first)
+		session->next_check_us += draw_delay_us(DIRECT_CHECK_INTERVAL_US / 2);
+	if (list_instances(membership, &err) != PD_OK) {
 		handle_store_unreachable(membership, &err);
+		return;
+	}
+	session->leave_us = now;
+	if (!first)
+		session->leave_us += pd_membership_takeover_delay_us(membership->source_count);
 }
 
 /* Returns true if this instance leaves its source, because it reaches the store and the source
@@ -593,19 +631,28 @@
  */
 static bool take_over_when_due(struct pd_membership *membership, struct session *session)
 {
-	int64_t delay_us = pd_membership_takeover_delay_us(membership->source_count);
-
 	check_store_directly(membership, session);
-	if (!session->store_lost_us || !session->reached_us ||
-	    pd_os_boot_us() - session->reached_us < delay_us)
+	if (!session->store_lost_us || !session->leave_us || pd_os_boot_us() < session->leave_us)
 		return false;
-	if (!delay_us) {
+	if (membership->source_count <= FIRST_SUCCESSORS) {
 		pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
 		handle_store_reachable(membership);
 	}
 	return true;
 }
 
+/* Waits for a message of the source; false if this instance has something to do before, see
+ * take_over_when_due().
+ */
+static bool wait_for_message(struct session *session)
+{
+	int64_t due_us = session->leave_us ? session->leave_us : session->next_check_us;
+
+	if (!session->store_lost_us)
+		return true;
+	return pd_feed_reader_wait(&session->reader, due_us - pd_os_boot_us());
+}
+
 static enum pd_code send_hello(struct pd_membership *membership, int fd, struct pd_error *err)
 {
 	struct pd_feed_message msg = {.kind = PD_FEED_HELLO, .hello = membership->self.name};
@@ -643,13 +690,22 @@
 
 	pd_os_set_io_timeout(session->reader.fd, SOURCE_TIMEOUT_US);
 	code = send_hello(membership, session->reader.fd, &err);
+	session->heard_us = pd_os_boot_us();
 	while (code == PD_OK) {
 		struct pd_feed_message msg;
 		bool reachable;
 
+		if (!wait_for_message(session)) {
+			if (take_over_when_due(membership, session))
+				return "source_lost_store";
+			if (pd_os_boot_us() - session->heard_us > SOURCE_TIMEOUT_US)
+				return "source_silent";
+			continue;
+		}
 		code = pd_feed_reader_next(&session->reader, &msg, &err);
 		if (code != PD_OK)
 			break;
+		session->heard_us = pd_os_boot_us();
 		reachable = source_reaches_store(&msg);
 		if (!first || reachable)
 			apply_message(membership, session, &msg);
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -96,9 +96,13 @@
  */
 void pd_membership_add_relay(struct pd_membership *membership,
 			     const struct pd_instance_entry *entry);
-/* Returns the time for which an instance that reaches the store, while its source doesn't, waits
- * before it watches the store or follows another source, in microseconds. @rank is the number of
- * instances of the zone that rank above it.
+/* Returns the time from the moment at which an instance learns that its source has lost the store
+ * until it checks first whether it reaches the store itself, in microseconds. @rank is the number
+ * of instances of the zone that rank above it.
+ */
+int64_t pd_membership_first_check_delay_us(size_t rank);
+/* Returns the time for which an instance waits that reaches the store by a later check, before it
+ * watches the store or follows another source, in microseconds.
  */
 int64_t pd_membership_takeover_delay_us(size_t rank);
 /* True if @a ranks above @b: an instance follows the highest-ranked one that it reaches. */
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -44,8 +44,8 @@
  * @cover: what the watch has certainly not missed; guarded by &pd_sync.lock
  * @failing: its last call failed
  * @lost_since_us: time of the first call that failed since the last complete list or response to a
- *	watch, in microseconds of pd_os_boot_us(); 0 if none did, and while changes are received
- *from another instance; guarded by &pd_sync.lock
+ *	watch, in microseconds of pd_os_boot_us(); 0 if none did, and while another instance
+ *	sends the changes; guarded by &pd_sync.lock
  * @unreachable_since_us: time since which this task's calls to the store fail, in microseconds of
  *	pd_os_boot_us(); 0 while they succeed
  * @failures: number of consecutive failed calls
@@ -87,8 +87,8 @@
  * @directory: directory to which changes are applied
  * @lock: guards @address, @mode, @era, @revision, @restored, @unreadable and the members of the
  *	tasks that refer to it
- * @changed: signalled when @mode is set, when a call succeeds after one that failed, and when a
- *kind begins to be lost
+ * @changed: signalled when @mode is set, when a call succeeds after one that failed, and when
+ *	@lost_since_us of a task is set
  * @address: address of the store
  * @mode: how changes are received
  * @era: number of the store's history, see &pd_store.era; 0 if unknown
--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -8,10 +8,11 @@
 
 #include "http.h"
 
-#define HEAD_MAX_BYTES 16384
-#define BODY_MAX_BYTES (1024 * 1024)
-#define LATE_STATUS_US (2 * PD_USEC_PER_SEC)
-#define STATUS_CLOSE   (-1) /* in place of a status: no response, and the connection is closed */
+#define HEAD_MAX_BYTES	      16384
+#define BODY_MAX_BYTES	      (1024 * 1024)
+#define LATE_STATUS_US	      (2 * PD_USEC_PER_SEC)
+#define DOOR_POLL_INTERVAL_US (5 * PD_USEC_PER_MSEC)
+#define STATUS_CLOSE	      (-1) /* in place of a status: no response, and the connection is closed */
 
 /** struct connection - argument of serve_connection(); @door is NULL at the store's own address */
 struct connection {
@@ -417,6 +418,17 @@
 	       !query_integer(target, "stale_ok");
 }
 
+/* Records a response that is about to be sent at a door; false if it isn't to be sent. */
+static bool pass_door_locked(struct platform_store_door *door, const char *target)
+{
+	if (!door)
+		return true;
+	if (door->mode == PLATFORM_STORE_DOOR_SILENT)
+		return false;
+	door->stale_count += query_integer(target, "stale_ok") != 0;
+	return true;
+}
+
 /* Executes a request and responds; false if the connection is to be closed. */
 static bool handle_request(const struct connection *connection, const struct pd_http_message *msg)
 {
@@ -459,6 +471,8 @@
 	if (text && store->raw_count)
 		text = insert_raw_locked(store, text);
 	era = store->era;
+	if (status > 0 && !pass_door_locked(connection->door, target))
+		status = 0;
 	pthread_mutex_unlock(&store->lock);
 	if (status > 0)
 		reply(connection->fd, status, era, text);
@@ -541,6 +555,21 @@
 	listen_at_door(door);
 }
 
+void platform_store_wait_for_stale_read(struct platform_store_door *door)
+{
+	uint32_t before, count;
+
+	pthread_mutex_lock(&door->store->lock);
+	before = count = door->stale_count;
+	pthread_mutex_unlock(&door->store->lock);
+	while (count == before) {
+		pd_os_sleep_us(DOOR_POLL_INTERVAL_US);
+		pthread_mutex_lock(&door->store->lock);
+		count = door->stale_count;
+		pthread_mutex_unlock(&door->store->lock);
+	}
+}
+
 void platform_store_set_door_mode(struct platform_store_door *door,
 				  enum platform_store_door_mode mode)
 {
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -50,11 +50,14 @@
  * @PLATFORM_STORE_DOOR_OPEN: like the store
  * @PLATFORM_STORE_DOOR_CLOSED: refuses new connections; open ones go on
  * @PLATFORM_STORE_DOOR_STALE_ONLY: responds with status 503 to all requests but stale reads
+ * @PLATFORM_STORE_DOOR_SILENT: accepts connections, but responds to no request and to no watch that
+ * waits
  */
 enum platform_store_door_mode {
 	PLATFORM_STORE_DOOR_OPEN,
 	PLATFORM_STORE_DOOR_CLOSED,
 	PLATFORM_STORE_DOOR_STALE_ONLY,
+	PLATFORM_STORE_DOOR_SILENT,
 };
 
 struct platform_store;
@@ -65,12 +68,14 @@
  * @address: address at which it listens
  * @listener: listening socket; -1 while new connections are refused
  * @mode: how connections and requests are handled; guarded by &platform_store.lock
+ * @stale_count: number of stale reads that got a response; guarded by &platform_store.lock
  */
 struct platform_store_door {
 	struct platform_store *store;
 	struct pd_address address;
 	int listener;
 	enum platform_store_door_mode mode;
+	uint32_t stale_count;
 };
 
 #define PLATFORM_STORE_RAW_MAX 32
@@ -152,6 +157,8 @@
 void platform_store_open_door(struct platform_store *store, struct platform_store_door *door);
 void platform_store_set_door_mode(struct platform_store_door *door,
 				  enum platform_store_door_mode mode);
+/* Waits until the next stale read at the door has got a response. */
+void platform_store_wait_for_stale_read(struct platform_store_door *door);
 void platform_store_set_mode(struct platform_store *store, enum platform_store_mode mode);
 /* Sets what stale reads return from now on. */
 void platform_store_set_stale(struct platform_store *store, enum platform_store_stale stale);
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -917,9 +917,9 @@
 	pthread_mutex_unlock(&deployment.store.lock);
 }
 
-/* door NAME open|closed|stale_only: gives an instance that isn't started yet an address of its own
- * at which it reaches the store, or sets how that handles connections and requests, see enum
- * platform_store_door_mode
+/* door NAME open|closed|stale_only|silent: gives an instance that isn't started yet an address of
+ * its own at which it reaches the store, or sets how that handles connections and requests, see
+ * enum platform_store_door_mode
  */
 static void do_door(char **words, int count)
 {
@@ -934,9 +934,20 @@
 		mode = PLATFORM_STORE_DOOR_CLOSED;
 	else if (!strcmp(words[2], "stale_only"))
 		mode = PLATFORM_STORE_DOOR_STALE_ONLY;
+	else if (!strcmp(words[2], "silent"))
+		mode = PLATFORM_STORE_DOOR_SILENT;
 	platform_store_set_door_mode(door, mode);
 }
 
+/* checked: waits until the selected instance, which has a door, has read a list that may be stale
+ */
+static void do_checked(char **words, int count)
+{
+	(void)words;
+	(void)count;
+	platform_store_wait_for_stale_read(&deployment.selected->door);
+}
+
 /*
  * start [NAME [dark]]: starts an ingress process, which appends its log to a file beside its
  * settings file. With "dark", the settings name a store address where nothing listens.
@@ -1623,6 +1634,7 @@
 	{"datagrams", 1, do_datagrams},
 	{"link", 3, do_link},
 	{"door", 3, do_door},
+	{"checked", 1, do_checked},
 	{"exit", 1, do_exit},
 	{"sleep", 2, do_sleep},
 	{"request", 3, do_request},
--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -364,6 +364,28 @@
 }
 END_TEST
 
+/* Guards against changes that come too late at low ranks when their source is cut off from the
+ * store: the time in which the source notices (1.9 s), the first check with its jitter, 0.1 s for
+ * its response, 0.2 s in which other sources are tried, and 0.1 s to list all kinds must stay
+ * within the bound of 3 s at every rank. The first in rank must have listed all kinds before the
+ * others check.
+ */
+START_TEST(the_first_check_comes_in_time_at_every_rank)
+{
+	const int64_t others_us = (1900 + 100 + 100 + 200 + 100) * PD_USEC_PER_MSEC;
+	int64_t before_us = 0;
+
+	for (size_t rank = 0; rank <= PD_MEMBERSHIP_SOURCES_MAX; rank++) {
+		int64_t delay_us = pd_membership_first_check_delay_us(rank);
+
+		ck_assert(delay_us == 0 ? rank <= 3 : delay_us >= 300 * PD_USEC_PER_MSEC);
+		ck_assert_int_ge(delay_us, before_us);
+		ck_assert_int_le(others_us + delay_us, 3000 * PD_USEC_PER_MSEC);
+		before_us = delay_us;
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -382,6 +404,7 @@
 		highest_ranked_sources_of_a_large_zone_are_kept,
 		all_larger_instances_of_a_large_zone_are_relays,
 		only_the_first_in_rank_take_over_at_once,
+		the_first_check_comes_in_time_at_every_rank,
 	};
 
 	return suite_run("decisions", tests, sizeof(tests) / sizeof(tests[0]));
