Membership: an instance without store and source leaves the store to the first in rank

Cause: followers that still have a source wait for the first in rank when the store is back (TAKEOVER_DELAY_US); one that has lost its source in the outage finds no other source with the store, and then acted as a head at once.

Change: while its last check found the store unreachable, an instance of rank four or lower doesn't watch it. When a check succeeds, it waits as followers do, tries its sources at once, and watches the store only if there is none. Works because the first in rank have listed all kinds by then.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -197,6 +197,7 @@
 /* Records that the store is unreachable. */
 static void handle_store_unreachable(struct pd_membership *membership, const struct pd_error *err)
 {
+	membership->sources_retried = false;
 	if (membership->unreachable_since_us)
 		return;
 	membership->unreachable_since_us = pd_os_boot_us();
@@ -503,6 +504,14 @@
 	return NULL;
 }
 
+/* Whether this instance leaves the store to the first in rank, because its last check found the
+ * store unreachable: it follows one of these when the store is back.
+ */
+static bool waits_for_successor(const struct pd_membership *membership)
+{
+	return membership->unreachable_since_us && membership->source_count > FIRST_SUCCESSORS;
+}
+
 /* Follows one source after another until none can be tried now. */
 static void follow_sources(struct pd_membership *membership)
 {
@@ -515,7 +524,8 @@
 		bool connected;
 
 		if (began_us - lost_us > SOURCE_TRIES_US &&
-		    began_us - membership->started_us >= SOURCE_SEARCH_US)
+		    began_us - membership->started_us >= SOURCE_SEARCH_US &&
+		    !waits_for_successor(membership))
 			pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
 		connected = follow(membership, source);
 		/* It was followed, so that the tries begin anew. */
@@ -532,6 +542,20 @@
 	}
 }
 
+/* Lets the sources be tried at once, when the store is reachable again and the first in rank have
+ * had time to list all kinds. Returns false if they have been tried before, without success.
+ */
+static bool retry_sources(struct pd_membership *membership)
+{
+	if (membership->sources_retried)
+		return false;
+	pd_os_sleep_us(pd_membership_takeover_delay_us(membership->source_count));
+	for (size_t i = 0; i < membership->source_count; i++)
+		membership->sources[i].next_retry_us = 0;
+	membership->sources_retried = true;
+	return true;
+}
+
 /* Checks the store once: lists the instances and registers this one if necessary. */
 static void check_store(struct pd_membership *membership)
 {
@@ -544,6 +568,11 @@
 		handle_store_unreachable(membership, &err);
 		return;
 	}
+	if (waits_for_successor(membership)) {
+		if (retry_sources(membership))
+			return;
+		pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
+	}
 	handle_store_reachable(membership);
 	if (!membership->registered)
 		pd_membership_register(membership);
@@ -593,7 +622,9 @@
 		    !pd_directory_wait_for_follower(membership->directory,
 						    SOURCE_SEARCH_INTERVAL_US))
 			continue;
-		pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
+		pd_sync_set_mode(membership->sync, waits_for_successor(membership)
+							   ? PD_SYNC_PAUSED
+							   : PD_SYNC_WATCHING);
 		wait_for_check(membership);
 	}
 	return NULL;
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -54,6 +54,7 @@
  * @started_us: time at which @thread started, in microseconds of pd_os_boot_us()
  * @unreachable_since_us: time since which this instance's own calls to the store fail, in
  *	microseconds of pd_os_boot_us(); 0 while they succeed or the source reaches the store
+ * @sources_retried: the sources were tried again since the last check that failed
  * @last_contact_us: last time at which the store was reachable from this instance or from its
  *	source, in microseconds of pd_os_boot_us()
  * @may_have_expired: entries of running upstreams may have expired while the store was unreachable,
@@ -75,6 +76,7 @@
 	bool entry_outdated;
 	int64_t started_us;
 	int64_t unreachable_since_us;
+	bool sources_retried;
 	int64_t last_contact_us;
 	bool may_have_expired;
 };
