--- a/review/13/case.c
+++ b/review/13/case.c
@@ -7,7 +7,6 @@
  * and an upstream drains or leaves meanwhile.
  */
 #include <errno.h>
-#include <fcntl.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
@@ -15,8 +14,6 @@
 #include <string.h>
 #include <arpa/inet.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include "lab-3.h"
 
@@ -129,11 +126,8 @@
 	for (int i = 0; i < REMOVED; i++)
 		lab_ingress_signal(&removed[i], SIGTERM);
 	for (int i = 0; i < REMOVED; i++) {
-		while (waitpid(removed[i].pid, NULL, WNOHANG) == 0) {
-			if (lab_ms() > until + 10000)
-				lab_give_up("%s doesn't end", removed[i].name);
-			pd_os_sleep_us(20 * PD_USEC_PER_MSEC);
-		}
+		if (!lab_ingress_wait(&removed[i], 15000))
+			lab_give_up("%s doesn't end", removed[i].name);
 		make_silent(&removed[i]);
 	}
 	lab_log("the earlier machines are gone, and their addresses don't answer");
--- a/review/lab-3.c
+++ b/review/lab-3.c
@@ -76,7 +76,8 @@
 	char command[160];
 
 	for (size_t i = 0; i < lab.process_count; i++) {
-		if (lab.processes[i]) {
+		/* Only a child that hasn't been waited for: another process may have got its id. */
+		if (lab.processes[i] && waitpid(lab.processes[i], NULL, WNOHANG) == 0) {
 			kill(lab.processes[i], SIGKILL);
 			waitpid(lab.processes[i], NULL, 0);
 		}
@@ -345,18 +346,29 @@
 	lab.processes[slot] = ingress->pid;
 }
 
-void lab_ingress_signal(struct lab_ingress *ingress, int number)
+bool lab_ingress_wait(struct lab_ingress *ingress, int64_t timeout_ms)
 {
-	lab_log("instance %s gets signal %d (%s)", ingress->name, number, strsignal(number));
-	kill(ingress->pid, number);
-	if (number != SIGKILL)
-		return;
-	waitpid(ingress->pid, NULL, 0);
+	int64_t until = lab_ms() + timeout_ms;
+
+	while (waitpid(ingress->pid, NULL, WNOHANG) == 0) {
+		if (lab_ms() > until)
+			return false;
+		pd_os_sleep_us(10 * PD_USEC_PER_MSEC);
+	}
 	for (size_t i = 0; i < lab.process_count; i++) {
 		if (lab.processes[i] == ingress->pid)
 			lab.processes[i] = 0;
 	}
 	ingress->pid = 0;
+	return true;
+}
+
+void lab_ingress_signal(struct lab_ingress *ingress, int number)
+{
+	lab_log("instance %s gets signal %d (%s)", ingress->name, number, strsignal(number));
+	kill(ingress->pid, number);
+	if (number == SIGKILL && !lab_ingress_wait(ingress, 5000))
+		lab_give_up("%s doesn't end", ingress->name);
 }
 
 /* Sends @head and reads the answer; returns its status, 0 if there is none in time. */
--- a/review/lab-3.h
+++ b/review/lab-3.h
@@ -108,6 +108,8 @@
 void lab_ingress_start(struct lab_ingress *ingress);
 /* Sends a signal; for SIGKILL, waits for the end of the process. */
 void lab_ingress_signal(struct lab_ingress *ingress, int number);
+/* Waits for the end of the process; false if it doesn't end in time. */
+bool lab_ingress_wait(struct lab_ingress *ingress, int64_t timeout_ms);
 /* Whether the readiness call gets 200. */
 bool lab_ingress_is_ready(const struct lab_ingress *ingress);
 void lab_wait_ready(struct lab_ingress *ingresses, size_t count, int64_t timeout_ms);
