Serve: an upstream's promise isn't passed on for a request that has run

Callers saw: a booking that an upstream had run was answered 503, 429 or 408 with the upstream's signature.

Cause: the ingress forwards every status of a signed response, although it has counted the execution. Only X-Not-Executed, or 421, states that the upstream didn't execute the request. Evidence: script statuses_promise on the untouched program (upstream_failure status=503, request_done status=503, one run).

Change: for routes whose requests may run only once, such a status becomes the ingress's own 502 without the signature. Idempotent requests get the upstream's response unchanged, as before.

Ruled out: relayed requests carry no such status. Only gathered ones are relayed, and a response without an instance's own field isn't passed on (statuses_relay, green from the start).

--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -432,6 +432,15 @@
 	return respond_text(request, HTTP_STATUS_BAD_GATEWAY, "upstreams failed");
 }
 
+/* Whether the client may get the status of a response to a request that an upstream has executed.
+ * Clients send a request that isn't idempotent again after a status that promises that it wasn't
+ * executed.
+ */
+static bool may_forward(const struct request *request, const struct pd_leg *leg)
+{
+	return request->route->idempotent || !pd_platform_promises_not_executed(leg->status);
+}
+
 static bool respond_fanout(struct request *request, struct pd_fanout *fanout)
 {
 	struct pd_leg *leg = &fanout->legs[0];
@@ -445,6 +454,13 @@
 			return respond_merged(request, fanout);
 		return respond_failure(request, fanout);
 	}
+	if (leg->status && !may_forward(request, leg)) {
+		pd_count(PD_COUNT_promises_withheld);
+		pd_log(PD_LOG_INFO, "promise_withheld", "id=%.*s service=%s status=%d runs=%u",
+		       PD_STR_ARG(request->fields.request_id), leg->service->name.text, leg->status,
+		       leg->executions);
+		return respond_failure(request, fanout);
+	}
 	if (leg->status) {
 		request->reason = leg->state == PD_LEG_ANSWERED ? "complete" : "upstream_status";
 		return forward_response(request, leg);
