Crashes: reports have an age, and those of ended processes are deleted

Callers saw: each restart of an instance refused requests for another minute, for crashes from long before, if the process that had reported them had ended meanwhile.

Cause: a report is deleted by its writer, from its own memory, and says nothing of its time. Without its writer it stays in the store for good, and each process that lists it takes it for a crash of that moment.

Change: a report states the time since the crash and when it was written; in a list, one that is older than a minute, or states no time, doesn't count. An instance that watches the store deletes reports that still exist 70 to 80 s after it has seen them, by its own monotonic clock.

Ruled out: ages by revision or by expiry in the store, which has neither times nor an end for the system's own objects. A wrong clock makes a report count too long or not at all, and never deletes one.

Test: script crash_leftover fails on the untouched program (503 for reports of any age), and passes now.

--- a/ingress/crash_reports.c
+++ b/ingress/crash_reports.c
@@ -7,6 +7,8 @@
  * the others learn of it: each call to the store is billed.
  */
 #define CLEARED_DELAY_MAX_US (3 * PD_USEC_PER_SEC)
+/* Time that the writer of an object has for its deletion, and over which the others spread it. */
+#define ORPHAN_DELAY_US (10 * PD_USEC_PER_SEC)
 
 void pd_crash_reports_init(struct pd_crash_reports *reports)
 {
@@ -90,6 +92,9 @@
 		return PD_CRASH_EXPIRY_US;
 	case PD_CRASH_DELETION_CLEARED:
 		return own ? 0 : (int64_t)(pd_os_random_seed() % CLEARED_DELAY_MAX_US);
+	case PD_CRASH_DELETION_ORPHAN:
+		return PD_CRASH_EXPIRY_US + ORPHAN_DELAY_US +
+		       (int64_t)(pd_os_random_seed() % ORPHAN_DELAY_US);
 	}
 	return 0;
 }
@@ -104,11 +109,14 @@
 	found = find_deletion(reports, fingerprint, event);
 	if (!found && reports->deletion_count < PD_CRASH_DELETIONS_MAX) {
 		found = &reports->deletions[reports->deletion_count++];
-		*found = (struct pd_crash_deletion){
-			.fingerprint = fingerprint, .event = *event, .due_us = INT64_MAX};
+		*found = (struct pd_crash_deletion){.fingerprint = fingerprint,
+						    .event = *event,
+						    .due_us = INT64_MAX,
+						    .orphan = true};
 	}
 	if (found) {
 		found->own = found->own || reason == PD_CRASH_DELETION_WRITTEN;
+		found->orphan = found->orphan && reason == PD_CRASH_DELETION_ORPHAN;
 		due_us = pd_os_boot_us() + deletion_delay_us(reason, found->own);
 		if (due_us < found->due_us)
 			found->due_us = due_us;
--- a/ingress/crash_reports.h
+++ b/ingress/crash_reports.h
@@ -2,8 +2,8 @@
  * DOC: Crash reports: what this instance still has to tell the store about crashes
  *
  * A crash that was observed here waits for its confirmation, and then for a report to be written as
- * an object of the store. An object waits for its deletion: it was written here, or an answer has
- * shown that the request didn't cause the crash. The queue
+ * an object of the store. An object waits for its deletion: it was written here, an answer has
+ * shown that the request didn't cause the crash, or nobody else has deleted it in time. The queue
  * is bounded and thread-safe; the reporter works it off. Times are in microseconds of
  * pd_os_boot_us().
  */
@@ -46,12 +46,14 @@
  * @event: name of the crash
  * @due_us: time of the deletion
  * @own: this instance has written the object
+ * @orphan: the object is deleted only because its writer should have done so
  */
 struct pd_crash_deletion {
 	uint64_t fingerprint;
 	struct pd_name event;
 	int64_t due_us;
 	bool own;
+	bool orphan;
 };
 
 /**
@@ -88,6 +90,7 @@
 	PD_CRASH_DELETION_WRITTEN, /* written by this instance: when the crash has expired */
 	PD_CRASH_DELETION_CLEARED, /* an answer has cleared the request: at once by the writer, else
 				    * after a random delay, in which another instance may do it */
+	PD_CRASH_DELETION_ORPHAN, /* seen in the store: if it still exists after its expiry */
 };
 
 /* Schedules the deletion of an object, unless it is scheduled for an earlier time. It isn't if the
--- a/ingress/reporter.c
+++ b/ingress/reporter.c
@@ -120,7 +120,8 @@
 	struct pd_crash_contents contents = {.service = report->service,
 					     .upstream = report->upstream,
 					     .age_ms = (pd_os_boot_us() - report->event.broken_us) /
-						       PD_USEC_PER_MSEC};
+						       PD_USEC_PER_MSEC,
+					     .written_unix_ms = pd_os_unix_ms()};
 	struct pd_name name;
 	enum pd_code code;
 
@@ -167,7 +168,9 @@
 	struct pd_error err;
 	struct pd_name name;
 
-	if (pd_object_format_crash_name(deletion->fingerprint, &deletion->event, &name)) {
+	/* An instance that follows another one doesn't learn whether the object still exists. */
+	if ((!deletion->orphan || pd_sync_is_watching(reporter->sync)) &&
+	    pd_object_format_crash_name(deletion->fingerprint, &deletion->event, &name)) {
 		use_current_address(reporter);
 		if (pd_store_delete(&reporter->store, PD_OBJECT_CRASHES, pd_name_str(&name),
 				    &err) != PD_OK) {
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -304,6 +304,16 @@
 	return task->kind == PD_OBJECT_ROLLOUTS;
 }
 
+bool pd_sync_is_watching(struct pd_sync *sync)
+{
+	bool watching;
+
+	pthread_mutex_lock(&sync->lock);
+	watching = sync->mode == PD_SYNC_WATCHING;
+	pthread_mutex_unlock(&sync->lock);
+	return watching;
+}
+
 bool pd_sync_is_current(struct pd_sync *sync)
 {
 	bool current;
@@ -538,11 +548,29 @@
 					  "too many zones are evacuated");
 }
 
-static void apply_crash(struct pd_sync *sync, const struct pd_object *object)
+/* Returns the time since a crash. A report that is watched is recent, whatever the clocks of the
+ * instances say. One in a list may be left over from a process that has ended, and one that doesn't
+ * state when it was written counts as expired.
+ */
+static int64_t crash_age_us(const struct pd_crash_contents *contents, bool watched)
+{
+	int64_t since_ms = pd_os_unix_ms() - contents->written_unix_ms;
+
+	if (!watched && !contents->written_unix_ms)
+		return PD_CRASH_EXPIRY_US + 1;
+	if (watched || since_ms < 0)
+		since_ms = 0;
+	if (since_ms + contents->age_ms > PD_CRASH_EXPIRY_US / PD_USEC_PER_MSEC)
+		return PD_CRASH_EXPIRY_US + 1;
+	return (since_ms + contents->age_ms) * PD_USEC_PER_MSEC;
+}
+
+static void apply_crash(struct pd_sync *sync, const struct pd_object *object, bool watched)
 {
 	struct pd_crash_event event = {.told = true};
 	struct pd_crash_contents contents;
 	uint64_t fingerprint;
+	int64_t age_us;
 
 	if (!pd_object_read_crash(object, &fingerprint, &event.name, &contents)) {
 		pd_sync_report_unreadable(sync, PD_OBJECT_CRASHES, object->name,
@@ -553,10 +581,17 @@
 		pd_directory_remove_crash(sync->directory, fingerprint, &event.name, true);
 		return;
 	}
-	event.broken_us = pd_os_boot_us() - contents.age_ms * PD_USEC_PER_MSEC;
+	pd_crash_reports_schedule(&sync->directory->crash_reports, fingerprint, &event.name,
+				  PD_CRASH_DELETION_ORPHAN);
+	age_us = crash_age_us(&contents, watched);
+	event.broken_us = pd_os_boot_us() - age_us;
 	if (contents.service.len)
 		event.service = pd_crash_service(pd_name_str(&contents.service));
-	pd_directory_add_crash(sync->directory, fingerprint, &event);
+	if (age_us <= PD_CRASH_EXPIRY_US)
+		pd_directory_add_crash(sync->directory, fingerprint, &event);
+	else
+		pd_log(PD_LOG_INFO, "crash_outdated", "crash=%s written_unix_ms=%" PRId64,
+		       event.name.text, contents.written_unix_ms);
 }
 
 /* Removes the order that an object has held so far. */
@@ -623,7 +658,7 @@
 			apply_evacuation(task->sync, &object);
 			break;
 		case PD_OBJECT_CRASHES:
-			apply_crash(task->sync, &object);
+			apply_crash(task->sync, &object, page->events);
 			break;
 		case PD_OBJECT_ROLLOUTS:
 			apply_rollout(task->sync, &object);
--- a/ingress/sync.h
+++ b/ingress/sync.h
@@ -180,6 +180,8 @@
  * false while changes are received from another instance.
  */
 bool pd_sync_wait_for_loss(struct pd_sync *sync, int64_t wait_us, enum pd_object_kind *kind);
+/* Whether this instance watches the store, and follows no other one. */
+bool pd_sync_is_watching(struct pd_sync *sync);
 /* Whether all kinds were listed since the last failure or restart, and this instance follows none.
  */
 bool pd_sync_is_current(struct pd_sync *sync);
