Crashes: a request that was refused is on trial, and one instance tries it first

Cause: its entry was forgotten on all instances at once, and three new crashes, each with 0.6 s until it was told, were needed to refuse it again. A second attempt was sent without asking the table.

Change: it stays on trial for ten minutes after its last crash; one crash is enough to refuse it again, and is told at once. Each instance refuses it up to a minute longer, at random, so that one tries it first. Retries and hedges ask the table. Reports stay in the store while the request may be refused, so that an answer clears it everywhere.

Ruled out: a claim of the try in the store (calls, and claims without an end); refusals that prolong the block (a request refused by mistake would never come back).

--- a/ingress/crash_reports.c
+++ b/ingress/crash_reports.c
@@ -93,7 +93,7 @@
 	case PD_CRASH_DELETION_CLEARED:
 		return own ? 0 : (int64_t)(pd_os_random_seed() % CLEARED_DELAY_MAX_US);
 	case PD_CRASH_DELETION_ORPHAN:
-		return PD_CRASH_EXPIRY_US + ORPHAN_DELAY_US +
+		return PD_CRASH_EXPIRY_US + PD_CRASH_SPREAD_US + ORPHAN_DELAY_US +
 		       (int64_t)(pd_os_random_seed() % ORPHAN_DELAY_US);
 	}
 	return 0;
@@ -115,7 +115,11 @@
 						    .orphan = true};
 	}
 	if (found) {
-		found->own = found->own || reason == PD_CRASH_DELETION_WRITTEN;
+		if (reason == PD_CRASH_DELETION_WRITTEN) {
+			found->own = true;
+			found->written_us = pd_os_boot_us();
+		}
+		found->cleared = found->cleared || reason == PD_CRASH_DELETION_CLEARED;
 		found->orphan = found->orphan && reason == PD_CRASH_DELETION_ORPHAN;
 		due_us = pd_os_boot_us() + deletion_delay_us(reason, found->own);
 		if (due_us < found->due_us)
@@ -133,6 +137,7 @@
 	pthread_mutex_lock(&reports->lock);
 	found = find_deletion(reports, fingerprint, event);
 	if (found && found->own) {
+		found->cleared = true;
 		found->due_us = pd_os_boot_us();
 		pthread_cond_signal(&reports->changed);
 	}
@@ -151,15 +156,36 @@
 	pthread_mutex_unlock(&reports->lock);
 }
 
+void pd_crash_reports_postpone(struct pd_crash_reports *reports, uint64_t fingerprint,
+			       const struct pd_name *event, int64_t due_us)
+{
+	struct pd_crash_deletion *found;
+
+	pthread_mutex_lock(&reports->lock);
+	found = find_deletion(reports, fingerprint, event);
+	if (found && !found->cleared)
+		found->due_us = due_us;
+	pthread_mutex_unlock(&reports->lock);
+}
+
+/* Returns the time at which a report has to be handled. */
+static int64_t report_due_us(const struct pd_crash_report *report, int64_t confirm_us)
+{
+	if (report->confirmed || report->on_trial)
+		return report->event.broken_us;
+	return report->event.broken_us + confirm_us;
+}
+
 /* Returns the report that is due next; NULL if there is none. */
-static const struct pd_crash_report *next_report(const struct pd_crash_reports *reports)
+static const struct pd_crash_report *next_report(const struct pd_crash_reports *reports,
+						 int64_t confirm_us)
 {
 	const struct pd_crash_report *next = NULL;
 
 	for (size_t i = 0; i < reports->report_count; i++) {
 		const struct pd_crash_report *report = &reports->reports[i];
 
-		if (!next || report->event.broken_us < next->event.broken_us)
+		if (!next || report_due_us(report, confirm_us) < report_due_us(next, confirm_us))
 			next = report;
 	}
 	return next;
@@ -188,10 +214,10 @@
 	for (;;) {
 		int64_t now = pd_os_boot_us(), wait_us = WAIT_MAX_US;
 
-		next = next_report(reports);
+		next = next_report(reports, confirm_us);
 		next_to_delete = next_deletion(reports);
-		if (next && next->event.broken_us + confirm_us - now < wait_us)
-			wait_us = next->event.broken_us + confirm_us - now;
+		if (next && report_due_us(next, confirm_us) - now < wait_us)
+			wait_us = report_due_us(next, confirm_us) - now;
 		if (wait_us <= 0) {
 			*report = *next;
 			break;
--- a/ingress/crash_reports.h
+++ b/ingress/crash_reports.h
@@ -28,6 +28,7 @@
  * @upstream: id of the upstream
  * @address: address of the upstream
  * @started_unix_ms: Unix time of the upstream's start, in milliseconds
+ * @on_trial: the request was on trial, so that the crash needs no confirmation
  * @confirmed: the upstream has neither answered nor accepted a connection since
  */
 struct pd_crash_report {
@@ -37,6 +38,7 @@
 	struct pd_name upstream;
 	struct pd_address address;
 	int64_t started_unix_ms;
+	bool on_trial;
 	bool confirmed;
 };
 
@@ -45,14 +47,18 @@
  * @fingerprint: fingerprint of the request
  * @event: name of the crash
  * @due_us: time of the deletion
+ * @written_us: time at which this instance has written the object, if it has
  * @own: this instance has written the object
+ * @cleared: an answer has cleared the request
  * @orphan: the object is deleted only because its writer should have done so
  */
 struct pd_crash_deletion {
 	uint64_t fingerprint;
 	struct pd_name event;
 	int64_t due_us;
+	int64_t written_us;
 	bool own;
+	bool cleared;
 	bool orphan;
 };
 
@@ -104,8 +110,12 @@
 /* Cancels the deletion of an object, which doesn't exist any more. */
 void pd_crash_reports_cancel(struct pd_crash_reports *reports, uint64_t fingerprint,
 			     const struct pd_name *event);
+/* Lets an object be deleted later, at @due_us, unless an answer has cleared the request. */
+void pd_crash_reports_postpone(struct pd_crash_reports *reports, uint64_t fingerprint,
+			       const struct pd_name *event, int64_t due_us);
 /* Waits until a report or a deletion is due, and copies it to @report or @deletion. Returns true
- * for a report. Reports are due @confirm_us after their connection broke.
+ * for a report. Reports are due @confirm_us after their connection broke, or at once if they need
+ * no confirmation.
  */
 bool pd_crash_reports_wait(struct pd_crash_reports *reports, int64_t confirm_us,
 			   struct pd_crash_report *report, struct pd_crash_deletion *deletion);
--- a/ingress/crashes.c
+++ b/ingress/crashes.c
@@ -5,8 +5,11 @@
 #include <string.h>
 
 #include "objects.h"
+#include "os.h"
 
-#define SUFFIX_BYTES 9 /* dot and eight digits at the end of the name of a crash */
+/* Reports that are deleted this shortly before a crash expires are taken for expired ones. */
+#define DELETION_MARGIN_US (5 * PD_USEC_PER_SEC)
+#define SUFFIX_BYTES	   9 /* dot and eight digits at the end of the name of a crash */
 
 void pd_crashes_init(struct pd_crashes *crashes)
 {
@@ -37,9 +40,21 @@
 	return hash ? hash : 1;
 }
 
+static bool is_suspect(const struct pd_crash *crash)
+{
+	return crash->count == PD_CRASH_LIMIT;
+}
+
 static bool is_expired(const struct pd_crash *crash, int64_t now_us)
 {
-	return now_us - crash->last_us > PD_CRASH_EXPIRY_US;
+	return now_us - crash->last_us >
+	       (is_suspect(crash) ? PD_CRASH_TRIAL_US : PD_CRASH_EXPIRY_US);
+}
+
+static bool is_blocked(const struct pd_crash *crash, int64_t now_us)
+{
+	return is_suspect(crash) &&
+	       now_us - crash->last_us <= PD_CRASH_EXPIRY_US + crash->spread_us;
 }
 
 /* Returns the entry of a request, which may have expired. */
@@ -116,6 +131,11 @@
 	pd_name_set(name, pd_str_from(text));
 }
 
+int64_t pd_crash_report_end_us(int64_t broken_us, bool suspect)
+{
+	return broken_us + PD_CRASH_EXPIRY_US + (suspect ? PD_CRASH_SPREAD_US : 0);
+}
+
 void pd_crashes_name(struct pd_crashes *crashes, uint64_t fingerprint,
 		     const struct pd_crash_origin *origin, struct pd_name *name)
 {
@@ -150,10 +170,27 @@
 	       answer->answered_us > event->broken_us - PD_CRASH_ANSWERED_US;
 }
 
+/* Stores an event, in place of the oldest one if there are as many as count. */
+static void store_event(struct pd_crash *crash, const struct pd_crash_event *event)
+{
+	struct pd_crash_event *oldest = &crash->events[0];
+
+	if (!is_suspect(crash)) {
+		crash->events[crash->count++] = *event;
+		return;
+	}
+	for (uint32_t i = 1; i < crash->count; i++) {
+		if (crash->events[i].broken_us < oldest->broken_us)
+			oldest = &crash->events[i];
+	}
+	*oldest = *event;
+}
+
 static enum pd_crash_verdict add_locked(struct pd_crashes *crashes, uint64_t fingerprint,
 					const struct pd_crash_event *event, int64_t now_us)
 {
 	struct pd_crash *crash = find_crash(crashes, fingerprint, now_us);
+	bool blocked, on_trial;
 
 	if (find_event(crash, &event->name) || now_us - event->broken_us > PD_CRASH_EXPIRY_US)
 		return PD_CRASH_IGNORED;
@@ -161,12 +198,15 @@
 		return PD_CRASH_ANSWERED;
 	if (!crash)
 		crash = add_entry(crashes, fingerprint, now_us);
+	blocked = is_blocked(crash, now_us);
+	on_trial = is_suspect(crash) && !blocked;
 	if (event->broken_us > crash->last_us)
 		crash->last_us = event->broken_us;
-	if (crash->count == PD_CRASH_LIMIT)
+	if (blocked && !event->told)
 		return PD_CRASH_IGNORED;
-	crash->events[crash->count++] = *event;
-	return PD_CRASH_RECORDED;
+	store_event(crash, event);
+	crash->spread_us = (int64_t)(pd_os_random_seed() % PD_CRASH_SPREAD_US);
+	return on_trial ? PD_CRASH_REPEATED : PD_CRASH_RECORDED;
 }
 
 enum pd_crash_verdict pd_crashes_add(struct pd_crashes *crashes, uint64_t fingerprint,
@@ -188,21 +228,36 @@
 		*crash = crashes->table[--crashes->count];
 }
 
-bool pd_crashes_remove(struct pd_crashes *crashes, uint64_t fingerprint,
-		       const struct pd_name *event, int64_t since_us)
+void pd_crashes_remove(struct pd_crashes *crashes, uint64_t fingerprint,
+		       const struct pd_name *event)
 {
 	struct pd_crash_event *found;
 	struct pd_crash *crash;
-	bool removed;
 
 	pthread_mutex_lock(&crashes->lock);
 	crash = find_entry(crashes, fingerprint);
 	found = find_event(crash, event);
-	removed = found && found->broken_us > since_us;
-	if (removed)
+	if (found)
 		remove_event(crashes, crash, found);
 	pthread_mutex_unlock(&crashes->lock);
-	return removed;
+}
+
+bool pd_crashes_clear(struct pd_crashes *crashes, uint64_t fingerprint, const struct pd_name *event,
+		      int64_t now_us)
+{
+	struct pd_crash_event *found;
+	struct pd_crash *crash;
+	bool cleared;
+
+	pthread_mutex_lock(&crashes->lock);
+	crash = find_crash(crashes, fingerprint, now_us);
+	found = find_event(crash, event);
+	cleared = found && now_us < pd_crash_report_end_us(found->broken_us, is_suspect(crash)) -
+					    DELETION_MARGIN_US;
+	if (cleared)
+		remove_event(crashes, crash, found);
+	pthread_mutex_unlock(&crashes->lock);
+	return cleared;
 }
 
 bool pd_crashes_tell(struct pd_crashes *crashes, uint64_t fingerprint, const struct pd_name *event)
@@ -241,6 +296,18 @@
 	return count;
 }
 
+bool pd_crashes_is_suspect(struct pd_crashes *crashes, uint64_t fingerprint, int64_t now_us)
+{
+	const struct pd_crash *crash;
+	bool suspect;
+
+	pthread_mutex_lock(&crashes->lock);
+	crash = find_crash(crashes, fingerprint, now_us);
+	suspect = crash && is_suspect(crash);
+	pthread_mutex_unlock(&crashes->lock);
+	return suspect;
+}
+
 bool pd_crashes_is_blocked(struct pd_crashes *crashes, uint64_t fingerprint, int64_t now_us)
 {
 	const struct pd_crash *crash;
@@ -248,7 +315,7 @@
 
 	pthread_mutex_lock(&crashes->lock);
 	crash = find_crash(crashes, fingerprint, now_us);
-	blocked = crash && crash->count >= PD_CRASH_LIMIT;
+	blocked = crash && is_blocked(crash, now_us);
 	pthread_mutex_unlock(&crashes->lock);
 	return blocked;
 }
--- a/ingress/crashes.h
+++ b/ingress/crashes.h
@@ -27,8 +27,15 @@
  * the oldest. */
 #define PD_CRASHES_MAX 256
 #define PD_CRASH_LIMIT 3 /* number of crashes after which a request is blocked */
-/* The entry of a request expires this long after the request's last crash. */
+/* A request is blocked for this long after its last crash, and one with fewer crashes is forgotten
+ * then. */
 #define PD_CRASH_EXPIRY_US 60000000
+/* Each instance blocks a request for up to this much longer, at random: one of them tries it first.
+ */
+#define PD_CRASH_SPREAD_US 60000000
+/* A request that was blocked is forgotten this long after its last crash. Until then, it is on
+ * trial: one more crash blocks it again. */
+#define PD_CRASH_TRIAL_US 600000000
 /* A crash this shortly after an answer to the request doesn't count. All upstreams of a service
  * may end in the same moment, so that no answer follows. */
 #define PD_CRASH_ANSWERED_US 2000000
@@ -54,12 +61,14 @@
  * @events: crashes
  * @count: number of entries in @events
  * @last_us: time of the last crash
+ * @spread_us: time for which this instance blocks the request beyond PD_CRASH_EXPIRY_US
  */
 struct pd_crash {
 	uint64_t fingerprint;
 	struct pd_crash_event events[PD_CRASH_LIMIT];
 	uint32_t count;
 	int64_t last_us;
+	int64_t spread_us;
 };
 
 /**
@@ -94,6 +103,11 @@
 /* Returns the hash of a service's name, which is never 0. */
 uint64_t pd_crash_service(struct pd_str name);
 
+/* Returns the time until which the report of a crash is needed: while the request may be refused,
+ * an answer to it at one instance has to reach the others.
+ */
+int64_t pd_crash_report_end_us(int64_t broken_us, bool suspect);
+
 /**
  * struct pd_crash_origin - what distinguishes a crash from others
  * @upstream: id of the upstream
@@ -123,17 +137,23 @@
 /** enum pd_crash_verdict - result of pd_crashes_add(). */
 enum pd_crash_verdict {
 	PD_CRASH_RECORDED, /* it counts */
-	PD_CRASH_IGNORED, /* it is known or too old, or the request has reached the limit */
+	PD_CRASH_REPEATED, /* it counts, and the request was on trial */
+	PD_CRASH_IGNORED, /* it is known or too old, or was observed here while the request is
+			     blocked */
 	PD_CRASH_ANSWERED, /* the service has answered the request since, or shortly before */
 };
 
-/* Records a crash. One beyond the limit only restarts the time to the expiry. */
+/* Records a crash. One beyond the limit replaces the oldest one, and restarts the time for which
+ * the request is blocked. */
 enum pd_crash_verdict pd_crashes_add(struct pd_crashes *crashes, uint64_t fingerprint,
 				     const struct pd_crash_event *event, int64_t now_us);
-/* Removes a crash that turned out to be none, or that the request didn't cause, if its connection
- * broke after @since_us; false if no such crash is recorded. */
-bool pd_crashes_remove(struct pd_crashes *crashes, uint64_t fingerprint,
-		       const struct pd_name *event, int64_t since_us);
+/* Removes a crash that turned out to be none. */
+void pd_crashes_remove(struct pd_crashes *crashes, uint64_t fingerprint,
+		       const struct pd_name *event);
+/* Removes a crash that the request didn't cause, because its report was deleted; false if it isn't
+ * recorded, or so old that its report is deleted in any case, see pd_crash_report_end_us(). */
+bool pd_crashes_clear(struct pd_crashes *crashes, uint64_t fingerprint, const struct pd_name *event,
+		      int64_t now_us);
 /* Marks a crash as told to other instances; false if it isn't recorded any more. */
 bool pd_crashes_tell(struct pd_crashes *crashes, uint64_t fingerprint, const struct pd_name *event);
 /* Records that an upstream of the service has answered the request, removes the crashes that it is
@@ -141,7 +161,9 @@
  */
 size_t pd_crashes_answer(struct pd_crashes *crashes, uint64_t fingerprint, uint64_t service,
 			 int64_t now_us, struct pd_crash_event *cleared);
-/* Whether the request has crashed so many upstreams that it is no longer sent to any. */
+/* Whether the request is blocked or on trial. */
+bool pd_crashes_is_suspect(struct pd_crashes *crashes, uint64_t fingerprint, int64_t now_us);
+/* Whether the request has crashed so many upstreams that it isn't sent to any now. */
 bool pd_crashes_is_blocked(struct pd_crashes *crashes, uint64_t fingerprint, int64_t now_us);
 /* Copies the entries that haven't expired to @out, which has room for PD_CRASHES_MAX, and returns
  * their number. */
--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -19,10 +19,6 @@
 #define SNAPSHOT_REUSE_US (1000 * PD_USEC_PER_MSEC)
 /* Lists that may be open at a time: one of the store, and one of the source. */
 #define LISTS_MAX 2
-/* The report of a crash that is removed this shortly before the crash expires, or later, was
- * removed because it expires.
- */
-#define CRASH_REMOVAL_MARGIN_US (5 * PD_USEC_PER_SEC)
 
 void pd_directory_init(struct pd_directory *directory, struct pd_registry *registry)
 {
@@ -590,15 +586,16 @@
 	pthread_mutex_unlock(&directory->lock);
 }
 
-static enum pd_crash_verdict record_crash(struct pd_directory *directory, uint64_t fingerprint,
-					  const struct pd_crash_event *event)
+enum pd_crash_verdict pd_directory_note_crash(struct pd_directory *directory, uint64_t fingerprint,
+					      const struct pd_crash_event *event)
 {
 	enum pd_crash_verdict verdict =
 		pd_crashes_add(&directory->crashes, fingerprint, event, pd_os_boot_us());
 
-	if (verdict == PD_CRASH_RECORDED)
-		pd_log(PD_LOG_WARNING, "crash_noted", "fingerprint=%016" PRIx64 " crash=%s",
-		       fingerprint, event->name.text);
+	if (verdict == PD_CRASH_RECORDED || verdict == PD_CRASH_REPEATED)
+		pd_log(PD_LOG_WARNING, "crash_noted",
+		       "fingerprint=%016" PRIx64 " crash=%s on_trial=%d", fingerprint,
+		       event->name.text, verdict == PD_CRASH_REPEATED);
 	if (verdict == PD_CRASH_ANSWERED)
 		pd_log(PD_LOG_INFO, "crash_not_counted",
 		       "fingerprint=%016" PRIx64 " crash=%s reason=answered", fingerprint,
@@ -606,12 +603,6 @@
 	return verdict;
 }
 
-bool pd_directory_note_crash(struct pd_directory *directory, uint64_t fingerprint,
-			     const struct pd_crash_event *event)
-{
-	return record_crash(directory, fingerprint, event) == PD_CRASH_RECORDED;
-}
-
 static struct pd_feed_message make_crash_message(uint64_t fingerprint,
 						 const struct pd_crash_event *event)
 {
@@ -636,8 +627,9 @@
 void pd_directory_add_crash(struct pd_directory *directory, uint64_t fingerprint,
 			    const struct pd_crash_event *event)
 {
-	switch (record_crash(directory, fingerprint, event)) {
+	switch (pd_directory_note_crash(directory, fingerprint, event)) {
 	case PD_CRASH_RECORDED:
+	case PD_CRASH_REPEATED:
 		pd_directory_publish_crash(directory, fingerprint, event);
 		break;
 	case PD_CRASH_ANSWERED:
@@ -670,13 +662,11 @@
 void pd_directory_remove_crash(struct pd_directory *directory, uint64_t fingerprint,
 			       const struct pd_name *event, bool deleted)
 {
-	int64_t since_us = pd_os_boot_us() - PD_CRASH_EXPIRY_US + CRASH_REMOVAL_MARGIN_US;
-
 	if (deleted)
 		pd_crash_reports_cancel(&directory->crash_reports, fingerprint, event);
 	else
 		pd_crash_reports_hasten(&directory->crash_reports, fingerprint, event);
-	if (pd_crashes_remove(&directory->crashes, fingerprint, event, since_us))
+	if (pd_crashes_clear(&directory->crashes, fingerprint, event, pd_os_boot_us()))
 		log_cleared(fingerprint, event, deleted ? "report_deleted" : "told");
 	publish_crash_removal(directory, fingerprint, event, deleted);
 }
--- a/ingress/directory.h
+++ b/ingress/directory.h
@@ -217,10 +217,10 @@
 void pd_directory_age_rollout(struct pd_directory *directory, const struct pd_rollout_order *order,
 			      int64_t started_us);
 /* Records a crash of an upstream that was executing the request with that fingerprint, for this
- * instance only; false if it isn't recorded, see pd_crashes_add().
+ * instance only; see pd_crashes_add().
  */
-bool pd_directory_note_crash(struct pd_directory *directory, uint64_t fingerprint,
-			     const struct pd_crash_event *event);
+enum pd_crash_verdict pd_directory_note_crash(struct pd_directory *directory, uint64_t fingerprint,
+					      const struct pd_crash_event *event);
 /* Passes a crash on to the followers. */
 void pd_directory_publish_crash(struct pd_directory *directory, uint64_t fingerprint,
 				const struct pd_crash_event *event);
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -147,13 +147,21 @@
 	return true;
 }
 
+/* Whether the request may be what crashes its upstreams. */
+static bool is_suspect(const struct pd_fanout *fanout)
+{
+	return fanout->broken_connections >= BROKEN_CONNECTIONS_MAX ||
+	       (!fanout->relay && pd_crashes_is_blocked(&fanout->reporter->directory->crashes,
+							fanout->fingerprint, pd_os_boot_us()));
+}
+
 /* Whether another attempt is allowed, given that upstreams may have executed earlier ones. */
 static bool may_execute_again(const struct pd_fanout *fanout, const struct pd_leg *leg)
 {
 	if (!leg->executions)
 		return true;
 	return fanout->route->idempotent && leg->executions < fanout->route->max_attempts &&
-	       fanout->broken_connections < BROKEN_CONNECTIONS_MAX;
+	       !is_suspect(fanout);
 }
 
 /* Retries a leg after an attempt failed, or fails the leg. Does nothing while another attempt is in
@@ -398,8 +406,7 @@
 	}
 	leg->hedge_waits = false;
 	if (!late_upstream || !fanout->route->idempotent || !find_unused_exchange(leg) ||
-	    leg->attempts >= fanout->route->max_attempts ||
-	    fanout->broken_connections >= BROKEN_CONNECTIONS_MAX ||
+	    leg->attempts >= fanout->route->max_attempts || is_suspect(fanout) ||
 	    leg_permit(fanout, leg, now_us).block != PD_BLOCK_NONE)
 		return;
 	if (!pd_registry_hedge_helps(registry, leg->service, leg->tried, leg->tried_count,
--- a/ingress/reporter.c
+++ b/ingress/reporter.c
@@ -50,8 +50,16 @@
 		       report.event.name.text);
 		return;
 	}
-	if (!pd_directory_note_crash(reporter->directory, fingerprint, &report.event))
+	switch (pd_directory_note_crash(reporter->directory, fingerprint, &report.event)) {
+	case PD_CRASH_RECORDED:
+		break;
+	case PD_CRASH_REPEATED:
+		report.on_trial = true;
+		break;
+	case PD_CRASH_ANSWERED:
+	case PD_CRASH_IGNORED:
 		return;
+	}
 	if (!pd_crash_reports_add(&reporter->directory->crash_reports, &report))
 		pd_log(PD_LOG_WARNING, "crash_not_told", "crash=%s reason=limit limit=%d",
 		       report.event.name.text, PD_CRASH_REPORTS_MAX);
@@ -86,9 +94,8 @@
 {
 	struct pd_directory *directory = reporter->directory;
 
-	if (is_running(reporter, report)) {
-		pd_crashes_remove(&directory->crashes, report->fingerprint, &report->event.name,
-				  INT64_MIN);
+	if (!report->on_trial && is_running(reporter, report)) {
+		pd_crashes_remove(&directory->crashes, report->fingerprint, &report->event.name);
 		pd_count(PD_COUNT_crashes_withdrawn);
 		pd_log(PD_LOG_INFO, "crash_withdrawn", "crash=%s reason=upstream_runs",
 		       report->event.name.text);
@@ -162,12 +169,30 @@
 		pd_log_failure(PD_LOG_ERROR, "crash_not_told", &err);
 }
 
+/* Whether an object that was written here is needed for longer, because the request may still be
+ * refused: an answer to it at one instance reaches the others by the deletion.
+ */
+static bool is_needed(struct pd_reporter *reporter, const struct pd_crash_deletion *deletion)
+{
+	struct pd_directory *directory = reporter->directory;
+	int64_t now = pd_os_boot_us();
+
+	return deletion->own && !deletion->cleared &&
+	       now < pd_crash_report_end_us(deletion->written_us, true) &&
+	       pd_crashes_is_suspect(&directory->crashes, deletion->fingerprint, now);
+}
+
 static void handle_deletion(struct pd_reporter *reporter, const struct pd_crash_deletion *deletion)
 {
 	struct pd_crash_reports *reports = &reporter->directory->crash_reports;
 	struct pd_error err;
 	struct pd_name name;
 
+	if (is_needed(reporter, deletion)) {
+		pd_crash_reports_postpone(reports, deletion->fingerprint, &deletion->event,
+					  pd_crash_report_end_us(deletion->written_us, true));
+		return;
+	}
 	/* An instance that follows another one doesn't learn whether the object still exists. */
 	if ((!deletion->orphan || pd_sync_is_watching(reporter->sync)) &&
 	    pd_object_format_crash_name(deletion->fingerprint, &deletion->event, &name)) {
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -196,6 +196,71 @@
 }
 END_TEST
 
+START_TEST(blocked_request_is_tried_by_one_instance_after_another)
+{
+	/* Guards against a request that crashes upstreams, comes again and again, and is let
+	 * through by all instances at once a minute after its last crash, with three crashes until
+	 * it is blocked again.
+	 */
+	static const char *const upstreams[] = {"desk-1", "desk-2", "desk-3"};
+	int64_t released_us[2] = {0};
+	int64_t now, last = NOW + 2;
+
+	set_up();
+	for (int t = 0; t < 2; t++) {
+		for (int i = 0; i < 3; i++)
+			record(&table[t], upstreams[i], SERVICE, NOW + i);
+		for (now = last; pd_crashes_is_blocked(&table[t], QUERY, now); now += 1000)
+			;
+		released_us[t] = now - last;
+		ck_assert_int_ge(released_us[t], PD_CRASH_EXPIRY_US);
+		ck_assert_int_le(released_us[t], PD_CRASH_EXPIRY_US + PD_CRASH_SPREAD_US + 1000);
+	}
+	ck_assert_int_ne(released_us[0], released_us[1]);
+	/* One more crash is enough, and the other instance learns of it. */
+	now = last + PD_CRASH_EXPIRY_US + PD_CRASH_SPREAD_US;
+	ck_assert_int_eq(record(&table[0], "desk-4", SERVICE, now), PD_CRASH_REPEATED);
+	for (int t = 0; t < 2; t++) {
+		struct pd_crash_event event = observe(&table[0], "desk-5", BORN_MS, now, now);
+
+		event.told = true;
+		pd_crashes_add(&table[t], QUERY, &event, now);
+		ck_assert(pd_crashes_is_blocked(&table[t], QUERY, now + PD_CRASH_EXPIRY_US));
+	}
+	/* An answer ends the trial; without one, it ends after ten minutes. */
+	ck_assert_uint_eq(answer(&table[0], SERVICE, now + 1), 3);
+	ck_assert(!pd_crashes_is_suspect(&table[0], QUERY, now + 1));
+	ck_assert(pd_crashes_is_suspect(&table[1], QUERY, now + PD_CRASH_TRIAL_US));
+	ck_assert(!pd_crashes_is_suspect(&table[1], QUERY, now + PD_CRASH_TRIAL_US + 1));
+	tear_down();
+}
+END_TEST
+
+START_TEST(a_deleted_report_clears_unless_it_has_expired)
+{
+	/* Guards against a request that goes on crashing upstreams, because its reports are deleted
+	 * when they expire, and against one that stays refused by instances without an answer.
+	 */
+	struct pd_crash_event event;
+
+	set_up();
+	event = observe(&table[0], "desk-1", BORN_MS, NOW - 1, NOW);
+	pd_crashes_add(&table[0], QUERY, &event, NOW);
+	ck_assert(!pd_crashes_clear(&table[0], QUERY, &event.name,
+				    pd_crash_report_end_us(NOW, false)));
+	ck_assert(pd_crashes_clear(&table[0], QUERY, &event.name, NOW + PD_CRASH_EXPIRY_US / 2));
+	pd_crashes_add(&table[0], QUERY, &event, NOW);
+	record(&table[0], "desk-2", SERVICE, NOW);
+	record(&table[0], "desk-3", SERVICE, NOW);
+	ck_assert(!pd_crashes_clear(&table[0], QUERY, &event.name,
+				    pd_crash_report_end_us(NOW, true)));
+	ck_assert(pd_crashes_clear(&table[0], QUERY, &event.name,
+				   pd_crash_report_end_us(NOW, false)));
+	ck_assert(!pd_crashes_is_suspect(&table[0], QUERY, NOW));
+	tear_down();
+}
+END_TEST
+
 START_TEST(table_is_bounded)
 {
 	/* Guards against a table that overflows, or keeps old entries in place of new ones. */
@@ -209,8 +274,8 @@
 				 PD_CRASH_RECORDED);
 	}
 	ck_assert_uint_eq(table[0].count, PD_CRASHES_MAX);
-	ck_assert(pd_crashes_remove(&table[0], 2 * PD_CRASHES_MAX, &event.name, NOW));
-	ck_assert(!pd_crashes_remove(&table[0], 1, &event.name, NOW));
+	ck_assert(pd_crashes_clear(&table[0], 2 * PD_CRASHES_MAX, &event.name, event.broken_us));
+	ck_assert(!pd_crashes_clear(&table[0], 1, &event.name, event.broken_us));
 	tear_down();
 }
 END_TEST
@@ -225,6 +290,8 @@
 		answers_of_another_service_prove_nothing,
 		crashes_in_several_services_add_up,
 		an_old_crash_does_not_count,
+		blocked_request_is_tried_by_one_instance_after_another,
+		a_deleted_report_clears_unless_it_has_expired,
 		table_is_bounded,
 	};
 
