Crashes: a gathered query isn't refused because upstreams of several services ended together

Callers saw: a query over many shards that was running when upstreams of three of its shards ended at once, as when a zone ends, was refused by all instances for a minute and more, although it was sent once.

Cause: crashes of all services add up, and one request runs at an upstream of each. Its answers from the other services counted for nothing.

Change: while any service answers the request, only crashes of the same service add up. Reports and the feed state whether other services have answered, since the instances that learn of the crashes may have no answer of their own. Without any answer all crashes add up, so that a query that crashes the upstreams of all its services is still refused after its first run. A full table drops requests that are refused or on trial last.

Ruled out: counting each service alone (a query that crashes all of its services would be run three times, with an upstream of each service lost each time).

--- a/ingress/crashes.c
+++ b/ingress/crashes.c
@@ -9,6 +9,7 @@
 
 /* Reports that are deleted this shortly before a crash expires are taken for expired ones. */
 #define DELETION_MARGIN_US (5 * PD_USEC_PER_SEC)
+#define ANY_SERVICE	   0 /* no service has this hash */
 #define SUFFIX_BYTES	   9 /* dot and eight digits at the end of the name of a crash */
 
 void pd_crashes_init(struct pd_crashes *crashes)
@@ -40,21 +41,29 @@
 	return hash ? hash : 1;
 }
 
-static bool is_suspect(const struct pd_crash *crash)
+/* Whether the recorded crashes are enough to block the request. */
+static bool reaches_limit(const struct pd_crash *crash)
 {
-	return crash->count == PD_CRASH_LIMIT;
+	for (uint32_t i = 0; i < crash->count; i++) {
+		uint32_t same = 0;
+
+		for (uint32_t k = 0; k < crash->count; k++)
+			same += !crash->answered ||
+				crash->events[k].service == crash->events[i].service;
+		if (same >= PD_CRASH_LIMIT)
+			return true;
+	}
+	return false;
 }
 
 static bool is_expired(const struct pd_crash *crash, int64_t now_us)
 {
-	return now_us - crash->last_us >
-	       (is_suspect(crash) ? PD_CRASH_TRIAL_US : PD_CRASH_EXPIRY_US);
+	return now_us - crash->last_us > (crash->suspect ? PD_CRASH_TRIAL_US : PD_CRASH_EXPIRY_US);
 }
 
 static bool is_blocked(const struct pd_crash *crash, int64_t now_us)
 {
-	return is_suspect(crash) &&
-	       now_us - crash->last_us <= PD_CRASH_EXPIRY_US + crash->spread_us;
+	return crash->suspect && now_us - crash->last_us <= PD_CRASH_EXPIRY_US + crash->spread_us;
 }
 
 /* Returns the entry of a request, which may have expired. */
@@ -84,7 +93,15 @@
 	}
 }
 
-/* Adds an entry, in place of the one with the oldest last crash if the table is full. */
+/* Whether an entry matters less than another one. */
+static bool is_lesser(const struct pd_crash *a, const struct pd_crash *b)
+{
+	if (a->suspect != b->suspect)
+		return b->suspect;
+	return a->last_us < b->last_us;
+}
+
+/* Adds an entry, if the table is full in place of the one that matters least. */
 static struct pd_crash *add_entry(struct pd_crashes *crashes, uint64_t fingerprint, int64_t now_us)
 {
 	struct pd_crash *crash = &crashes->table[0];
@@ -94,7 +111,7 @@
 		crash = &crashes->table[crashes->count++];
 	} else {
 		for (size_t i = 1; i < PD_CRASHES_MAX; i++) {
-			if (crashes->table[i].last_us < crash->last_us)
+			if (is_lesser(&crashes->table[i], crash))
 				crash = &crashes->table[i];
 		}
 	}
@@ -159,23 +176,32 @@
 	return &crashes->answers[*key % PD_CRASH_ANSWERS_MAX];
 }
 
-static bool is_answered(struct pd_crashes *crashes, uint64_t fingerprint,
-			const struct pd_crash_event *event)
+/* Whether the service has answered the request after @since_us; any service if it is ANY_SERVICE.
+ */
+static bool is_answered(struct pd_crashes *crashes, uint64_t fingerprint, uint64_t service,
+			int64_t since_us)
 {
 	uint64_t key;
-	const struct pd_crash_answer *answer =
-		answer_of(crashes, fingerprint, event->service, &key);
+	const struct pd_crash_answer *answer = answer_of(crashes, fingerprint, service, &key);
 
-	return answer->answered_us && answer->key == key &&
-	       answer->answered_us > event->broken_us - PD_CRASH_ANSWERED_US;
+	return answer->answered_us && answer->key == key && answer->answered_us > since_us;
 }
 
-/* Stores an event, in place of the oldest one if there are as many as count. */
+static void record_answer(struct pd_crashes *crashes, uint64_t fingerprint, uint64_t service,
+			  int64_t now_us)
+{
+	uint64_t key;
+	struct pd_crash_answer *answer = answer_of(crashes, fingerprint, service, &key);
+
+	*answer = (struct pd_crash_answer){key, now_us};
+}
+
+/* Stores an event, in place of the oldest one if there is no room. */
 static void store_event(struct pd_crash *crash, const struct pd_crash_event *event)
 {
 	struct pd_crash_event *oldest = &crash->events[0];
 
-	if (!is_suspect(crash)) {
+	if (crash->count < PD_CRASH_EVENTS_MAX) {
 		crash->events[crash->count++] = *event;
 		return;
 	}
@@ -189,22 +215,27 @@
 static enum pd_crash_verdict add_locked(struct pd_crashes *crashes, uint64_t fingerprint,
 					const struct pd_crash_event *event, int64_t now_us)
 {
+	int64_t answered_us = event->broken_us - PD_CRASH_ANSWERED_US;
 	struct pd_crash *crash = find_crash(crashes, fingerprint, now_us);
 	bool blocked, on_trial;
 
 	if (find_event(crash, &event->name) || now_us - event->broken_us > PD_CRASH_EXPIRY_US)
 		return PD_CRASH_IGNORED;
-	if (is_answered(crashes, fingerprint, event))
+	if (is_answered(crashes, fingerprint, event->service, answered_us))
 		return PD_CRASH_ANSWERED;
-	if (!crash)
+	if (!crash) {
 		crash = add_entry(crashes, fingerprint, now_us);
+		crash->answered = is_answered(crashes, fingerprint, ANY_SERVICE, answered_us);
+	}
+	crash->answered = crash->answered || event->partial;
 	blocked = is_blocked(crash, now_us);
-	on_trial = is_suspect(crash) && !blocked;
+	on_trial = crash->suspect && !blocked;
 	if (event->broken_us > crash->last_us)
 		crash->last_us = event->broken_us;
 	if (blocked && !event->told)
 		return PD_CRASH_IGNORED;
 	store_event(crash, event);
+	crash->suspect = crash->suspect || reaches_limit(crash);
 	crash->spread_us = (int64_t)(pd_os_random_seed() % PD_CRASH_SPREAD_US);
 	return on_trial ? PD_CRASH_REPEATED : PD_CRASH_RECORDED;
 }
@@ -224,6 +255,7 @@
 			 struct pd_crash_event *event)
 {
 	*event = crash->events[--crash->count];
+	crash->suspect = crash->suspect && reaches_limit(crash);
 	if (!crash->count)
 		*crash = crashes->table[--crashes->count];
 }
@@ -252,7 +284,7 @@
 	pthread_mutex_lock(&crashes->lock);
 	crash = find_crash(crashes, fingerprint, now_us);
 	found = find_event(crash, event);
-	cleared = found && now_us < pd_crash_report_end_us(found->broken_us, is_suspect(crash)) -
+	cleared = found && now_us < pd_crash_report_end_us(found->broken_us, crash->suspect) -
 					    DELETION_MARGIN_US;
 	if (cleared)
 		remove_event(crashes, crash, found);
@@ -260,14 +292,18 @@
 	return cleared;
 }
 
-bool pd_crashes_tell(struct pd_crashes *crashes, uint64_t fingerprint, const struct pd_name *event)
+bool pd_crashes_tell(struct pd_crashes *crashes, uint64_t fingerprint, struct pd_crash_event *event)
 {
 	struct pd_crash_event *found;
+	struct pd_crash *crash;
 
 	pthread_mutex_lock(&crashes->lock);
-	found = find_event(find_entry(crashes, fingerprint), event);
-	if (found)
+	crash = find_entry(crashes, fingerprint);
+	found = find_event(crash, &event->name);
+	if (found) {
 		found->told = true;
+		event->partial = crash->answered;
+	}
 	pthread_mutex_unlock(&crashes->lock);
 	return found != NULL;
 }
@@ -275,15 +311,17 @@
 size_t pd_crashes_answer(struct pd_crashes *crashes, uint64_t fingerprint, uint64_t service,
 			 int64_t now_us, struct pd_crash_event *cleared)
 {
-	struct pd_crash_answer *answer;
 	struct pd_crash *crash;
 	size_t count = 0;
-	uint64_t key;
 
 	pthread_mutex_lock(&crashes->lock);
-	answer = answer_of(crashes, fingerprint, service, &key);
-	*answer = (struct pd_crash_answer){key, now_us};
+	record_answer(crashes, fingerprint, service, now_us);
+	record_answer(crashes, fingerprint, ANY_SERVICE, now_us);
 	crash = find_crash(crashes, fingerprint, now_us);
+	if (crash) {
+		crash->answered = true;
+		crash->suspect = crash->suspect && reaches_limit(crash);
+	}
 	for (uint32_t i = crash ? crash->count : 0; i > 0; i--) {
 		struct pd_crash_event *event = &crash->events[i - 1];
 
@@ -303,7 +341,7 @@
 
 	pthread_mutex_lock(&crashes->lock);
 	crash = find_crash(crashes, fingerprint, now_us);
-	suspect = crash && is_suspect(crash);
+	suspect = crash && crash->suspect;
 	pthread_mutex_unlock(&crashes->lock);
 	return suspect;
 }
--- a/ingress/crashes.h
+++ b/ingress/crashes.h
@@ -9,7 +9,8 @@
  * Being executed during a crash proves little: a query that runs everywhere is there whenever an
  * upstream ends. A request that crashes the upstreams of a service is never answered by them, so
  * that an answer clears the request of that service's crashes before it, and of those shortly
- * after it.
+ * after it. A request is blocked after PD_CRASH_LIMIT crashes of one service that no answer has
+ * cleared, or of several services if none of them has answered it.
  *
  * The table is bounded and thread-safe. Times are in microseconds of pd_os_boot_us().
  */
@@ -25,8 +26,9 @@
 
 /* Number of entries in the table. If it is full, a new entry replaces the one whose last crash is
  * the oldest. */
-#define PD_CRASHES_MAX 256
-#define PD_CRASH_LIMIT 3 /* number of crashes after which a request is blocked */
+#define PD_CRASHES_MAX	    256
+#define PD_CRASH_LIMIT	    3 /* number of crashes after which a request is blocked */
+#define PD_CRASH_EVENTS_MAX 6 /* number of crashes of one request that are recorded */
 /* A request is blocked for this long after its last crash, and one with fewer crashes is forgotten
  * then. */
 #define PD_CRASH_EXPIRY_US 60000000
@@ -47,12 +49,14 @@
  * @service: hash of the upstream's service, see pd_crash_service(); 0 if unknown
  * @broken_us: time at which the connection to the upstream broke
  * @told: other instances know the crash, or soon will
+ * @partial: other services have answered the request
  */
 struct pd_crash_event {
 	struct pd_name name;
 	uint64_t service;
 	int64_t broken_us;
 	bool told;
+	bool partial;
 };
 
 /**
@@ -62,13 +66,17 @@
  * @count: number of entries in @events
  * @last_us: time of the last crash
  * @spread_us: time for which this instance blocks the request beyond PD_CRASH_EXPIRY_US
+ * @answered: a service has answered the request: crashes of different services don't add up
+ * @suspect: the request has reached the limit, and is blocked or on trial
  */
 struct pd_crash {
 	uint64_t fingerprint;
-	struct pd_crash_event events[PD_CRASH_LIMIT];
+	struct pd_crash_event events[PD_CRASH_EVENTS_MAX];
 	uint32_t count;
 	int64_t last_us;
 	int64_t spread_us;
+	bool answered;
+	bool suspect;
 };
 
 /**
@@ -143,8 +151,8 @@
 	PD_CRASH_ANSWERED, /* the service has answered the request since, or shortly before */
 };
 
-/* Records a crash. One beyond the limit replaces the oldest one, and restarts the time for which
- * the request is blocked. */
+/* Records a crash, in place of the oldest one if there are PD_CRASH_EVENTS_MAX. One of a request
+ * that is blocked or on trial restarts the time for which it is blocked. */
 enum pd_crash_verdict pd_crashes_add(struct pd_crashes *crashes, uint64_t fingerprint,
 				     const struct pd_crash_event *event, int64_t now_us);
 /* Removes a crash that turned out to be none. */
@@ -154,10 +162,13 @@
  * recorded, or so old that its report is deleted in any case, see pd_crash_report_end_us(). */
 bool pd_crashes_clear(struct pd_crashes *crashes, uint64_t fingerprint, const struct pd_name *event,
 		      int64_t now_us);
-/* Marks a crash as told to other instances; false if it isn't recorded any more. */
-bool pd_crashes_tell(struct pd_crashes *crashes, uint64_t fingerprint, const struct pd_name *event);
+/* Marks a crash as told to other instances, and sets @partial of @event; false if it isn't recorded
+ * any more. */
+bool pd_crashes_tell(struct pd_crashes *crashes, uint64_t fingerprint,
+		     struct pd_crash_event *event);
 /* Records that an upstream of the service has answered the request, removes the crashes that it is
- * cleared of, copies them to @cleared, which has room for PD_CRASH_LIMIT, and returns their number.
+ * cleared of, copies them to @cleared, which has room for PD_CRASH_EVENTS_MAX, and returns their
+ * number.
  */
 size_t pd_crashes_answer(struct pd_crashes *crashes, uint64_t fingerprint, uint64_t service,
 			 int64_t now_us, struct pd_crash_event *cleared);
--- a/ingress/directory.c
+++ b/ingress/directory.c
@@ -612,6 +612,7 @@
 	msg.crash.fingerprint = fingerprint;
 	msg.crash.event = event->name;
 	msg.crash.service = event->service;
+	msg.crash.partial = event->partial;
 	msg.crash.age_ms = age_us > 0 ? (uint32_t)(age_us / PD_USEC_PER_MSEC) : 0;
 	return msg;
 }
@@ -674,7 +675,7 @@
 void pd_directory_record_answer(struct pd_directory *directory, uint64_t fingerprint,
 				const struct pd_name *service)
 {
-	struct pd_crash_event cleared[PD_CRASH_LIMIT];
+	struct pd_crash_event cleared[PD_CRASH_EVENTS_MAX];
 	size_t count =
 		pd_crashes_answer(&directory->crashes, fingerprint,
 				  pd_crash_service(pd_name_str(service)), pd_os_boot_us(), cleared);
@@ -778,6 +779,7 @@
 			struct pd_feed_message msg =
 				make_crash_message(table[i].fingerprint, &table[i].events[u]);
 
+			msg.crash.partial = table[i].answered;
 			pd_feed_message_encode(&msg, out);
 		}
 	}
--- a/ingress/feed_apply.c
+++ b/ingress/feed_apply.c
@@ -38,6 +38,7 @@
 		.service = msg->crash.service,
 		.broken_us = pd_os_boot_us() - (int64_t)msg->crash.age_ms * PD_USEC_PER_MSEC,
 		.told = true,
+		.partial = msg->crash.partial,
 	};
 
 	pd_directory_add_crash(directory, msg->crash.fingerprint, &event);
--- a/ingress/feed_message.c
+++ b/ingress/feed_message.c
@@ -75,7 +75,7 @@
 	case PD_FEED_CRASH_REMOVED:
 		return 3;
 	case PD_FEED_CRASH:
-		return 4;
+		return 5;
 	case PD_FEED_HELLO:
 		return 1;
 	case PD_FEED_REMOVED:
@@ -135,6 +135,7 @@
 		pack_str(&packer, pd_name_str(&msg->crash.event));
 		msgpack_pack_uint64(&packer, msg->crash.service);
 		msgpack_pack_uint32(&packer, msg->crash.age_ms);
+		msgpack_pack_uint32(&packer, msg->crash.partial);
 		break;
 	case PD_FEED_CRASH_REMOVED:
 		msgpack_pack_uint64(&packer, msg->crash_removed.fingerprint);
@@ -251,7 +252,7 @@
 
 static bool decode_fields(const msgpack_object *fields, size_t count, struct pd_feed_message *msg)
 {
-	uint64_t reachable, hold_ms, received, decoded, age_ms, deleted;
+	uint64_t reachable, hold_ms, received, decoded, age_ms, deleted, partial;
 
 	switch (msg->kind) {
 	case PD_FEED_HELLO:
@@ -289,11 +290,13 @@
 		msg->heartbeat.hold_ms = (uint32_t)hold_ms;
 		return true;
 	case PD_FEED_CRASH:
-		if (count != 4 || !to_number(&fields[0], UINT64_MAX, &msg->crash.fingerprint) ||
+		if (count != 5 || !to_number(&fields[0], UINT64_MAX, &msg->crash.fingerprint) ||
 		    !to_name(&fields[1], &msg->crash.event) ||
 		    !to_number(&fields[2], UINT64_MAX, &msg->crash.service) ||
-		    !to_number(&fields[3], UINT32_MAX, &age_ms))
+		    !to_number(&fields[3], UINT32_MAX, &age_ms) ||
+		    !to_number(&fields[4], 1, &partial))
 			return false;
+		msg->crash.partial = partial != 0;
 		msg->crash.age_ms = (uint32_t)age_ms;
 		return true;
 	case PD_FEED_CRASH_REMOVED:
--- a/ingress/feed_message.h
+++ b/ingress/feed_message.h
@@ -56,7 +56,8 @@
  *	source still holds removals because entries may have expired while the store was
  *	unreachable; 0 if it doesn't
  * @crash: fingerprint of the request that crashed an upstream, name of the crash, hash of the
- *	upstream's service, and time since the crash in milliseconds
+ *	upstream's service, time since the crash in milliseconds, and whether other services have
+ *	answered the request
  * @crash_removed: fingerprint and name of a crash, and whether its report was deleted from the
  *store
  * @batch: compressed frames, after decoding a view into the decoded frame, and their size in bytes
@@ -95,6 +96,7 @@
 			struct pd_name event;
 			uint64_t service;
 			uint32_t age_ms;
+			bool partial;
 		} crash;
 		struct {
 			uint64_t fingerprint;
--- a/ingress/reporter.c
+++ b/ingress/reporter.c
@@ -126,6 +126,7 @@
 {
 	struct pd_crash_contents contents = {.service = report->service,
 					     .upstream = report->upstream,
+					     .partial = report->event.partial,
 					     .age_ms = (pd_os_boot_us() - report->event.broken_us) /
 						       PD_USEC_PER_MSEC,
 					     .written_unix_ms = pd_os_unix_ms()};
@@ -142,15 +143,14 @@
 }
 
 /* Handles a report that is due. It stays in the queue until it is written. */
-static void handle_report(struct pd_reporter *reporter, const struct pd_crash_report *report)
+static void handle_report(struct pd_reporter *reporter, struct pd_crash_report *report)
 {
 	struct pd_crash_reports *reports = &reporter->directory->crash_reports;
 	struct pd_error err;
 	enum pd_code code;
 
 	/* An answer may have cleared the request meanwhile. */
-	if (!pd_crashes_tell(&reporter->directory->crashes, report->fingerprint,
-			     &report->event.name) ||
+	if (!pd_crashes_tell(&reporter->directory->crashes, report->fingerprint, &report->event) ||
 	    (!report->confirmed && !confirm(reporter, report))) {
 		pd_crash_reports_remove(reports, report);
 		return;
--- a/ingress/sync.c
+++ b/ingress/sync.c
@@ -585,6 +585,7 @@
 				  PD_CRASH_DELETION_ORPHAN);
 	age_us = crash_age_us(&contents, watched);
 	event.broken_us = pd_os_boot_us() - age_us;
+	event.partial = contents.partial;
 	if (contents.service.len)
 		event.service = pd_crash_service(pd_name_str(&contents.service));
 	if (age_us <= PD_CRASH_EXPIRY_US)
