Crashes: crashes of one service add up, however many services crash

A gathered query that crashes upstreams of more services than are recorded, while others answer it, was never refused, since each new crash replaced the oldest one and no service kept three.

Change: a new crash replaces the newest one of another service with the fewest. A deletion that has failed is tried again after 5 to 10 s, no longer each second: several instances may try it, and refused calls are billed, too.

Test: gathered_query_that_crashes_some_services_is_refused (test_crashes) fails without the change.

--- a/ingress/crash_reports.c
+++ b/ingress/crash_reports.c
@@ -7,6 +7,8 @@
  * the others learn of it: each call to the store is billed.
  */
 #define CLEARED_DELAY_MAX_US (3 * PD_USEC_PER_SEC)
+/* Delay after a deletion that has failed, and up to as much more: several instances may try it. */
+#define RETRY_DELAY_US (5 * PD_USEC_PER_SEC)
 /* Time that the writer of an object has for its deletion, and over which the others spread it. */
 #define ORPHAN_DELAY_US (10 * PD_USEC_PER_SEC)
 
@@ -156,6 +158,19 @@
 	pthread_mutex_unlock(&reports->lock);
 }
 
+void pd_crash_reports_retry(struct pd_crash_reports *reports, uint64_t fingerprint,
+			    const struct pd_name *event)
+{
+	struct pd_crash_deletion *found;
+
+	pthread_mutex_lock(&reports->lock);
+	found = find_deletion(reports, fingerprint, event);
+	if (found)
+		found->due_us = pd_os_boot_us() + RETRY_DELAY_US +
+				(int64_t)(pd_os_random_seed() % RETRY_DELAY_US);
+	pthread_mutex_unlock(&reports->lock);
+}
+
 void pd_crash_reports_postpone(struct pd_crash_reports *reports, uint64_t fingerprint,
 			       const struct pd_name *event, int64_t due_us)
 {
--- a/ingress/crash_reports.h
+++ b/ingress/crash_reports.h
@@ -110,6 +110,9 @@
 /* Cancels the deletion of an object, which doesn't exist any more. */
 void pd_crash_reports_cancel(struct pd_crash_reports *reports, uint64_t fingerprint,
 			     const struct pd_name *event);
+/* Lets an object be deleted later, because a deletion has failed. */
+void pd_crash_reports_retry(struct pd_crash_reports *reports, uint64_t fingerprint,
+			    const struct pd_name *event);
 /* Lets an object be deleted later, at @due_us, unless an answer has cleared the request. */
 void pd_crash_reports_postpone(struct pd_crash_reports *reports, uint64_t fingerprint,
 			       const struct pd_name *event, int64_t due_us);
--- a/ingress/crashes.c
+++ b/ingress/crashes.c
@@ -41,21 +41,6 @@
 	return hash ? hash : 1;
 }
 
-/* Whether the recorded crashes are enough to block the request. */
-static bool reaches_limit(const struct pd_crash *crash)
-{
-	for (uint32_t i = 0; i < crash->count; i++) {
-		uint32_t same = 0;
-
-		for (uint32_t k = 0; k < crash->count; k++)
-			same += !crash->answered ||
-				crash->events[k].service == crash->events[i].service;
-		if (same >= PD_CRASH_LIMIT)
-			return true;
-	}
-	return false;
-}
-
 static bool is_expired(const struct pd_crash *crash, int64_t now_us)
 {
 	return now_us - crash->last_us > (crash->suspect ? PD_CRASH_TRIAL_US : PD_CRASH_EXPIRY_US);
@@ -196,20 +181,65 @@
 	*answer = (struct pd_crash_answer){key, now_us};
 }
 
-/* Stores an event, in place of the oldest one if there is no room. */
-static void store_event(struct pd_crash *crash, const struct pd_crash_event *event)
+static uint32_t count_events(const struct pd_crash *crash, uint64_t service)
 {
-	struct pd_crash_event *oldest = &crash->events[0];
+	uint32_t count = 0;
 
-	if (crash->count < PD_CRASH_EVENTS_MAX) {
-		crash->events[crash->count++] = *event;
-		return;
+	for (uint32_t i = 0; i < crash->count; i++)
+		count += crash->events[i].service == service;
+	return count;
+}
+
+/* Whether the recorded crashes are enough to block the request. */
+static bool reaches_limit(const struct pd_crash *crash)
+{
+	if (!crash->answered)
+		return crash->count >= PD_CRASH_LIMIT;
+	for (uint32_t i = 0; i < crash->count; i++) {
+		if (count_events(crash, crash->events[i].service) >= PD_CRASH_LIMIT)
+			return true;
 	}
-	for (uint32_t i = 1; i < crash->count; i++) {
-		if (crash->events[i].broken_us < oldest->broken_us)
-			oldest = &crash->events[i];
+	return false;
+}
+
+/* Returns the event of a full entry that matters least for one of @service: the newest one of
+ * another service with the fewest events, so that those of one service can reach the limit however
+ * many services crash. Otherwise the oldest one.
+ */
+static struct pd_crash_event *least_event(struct pd_crash *crash, uint64_t service)
+{
+	struct pd_crash_event *least = NULL, *oldest = &crash->events[0];
+	uint32_t least_count = 0;
+
+	for (uint32_t i = 0; i < crash->count; i++) {
+		struct pd_crash_event *event = &crash->events[i];
+		uint32_t count = count_events(crash, event->service);
+
+		if (event->broken_us < oldest->broken_us)
+			oldest = event;
+		if (event->service == service || (least && count > least_count))
+			continue;
+		if (least && count == least_count && event->broken_us < least->broken_us)
+			continue;
+		least = event;
+		least_count = count;
 	}
-	*oldest = *event;
+	return least ? least : oldest;
+}
+
+static void store_event(struct pd_crash *crash, const struct pd_crash_event *event)
+{
+	if (crash->count < PD_CRASH_EVENTS_MAX)
+		crash->events[crash->count++] = *event;
+	else
+		*least_event(crash, event->service) = *event;
+}
+
+/* Records that a service has answered the request. */
+static void set_answered(struct pd_crash *crash)
+{
+	crash->answered = true;
+	crash->suspect = crash->suspect && reaches_limit(crash);
 }
 
 static enum pd_crash_verdict add_locked(struct pd_crashes *crashes, uint64_t fingerprint,
@@ -227,7 +257,8 @@
 		crash = add_entry(crashes, fingerprint, now_us);
 		crash->answered = is_answered(crashes, fingerprint, ANY_SERVICE, answered_us);
 	}
-	crash->answered = crash->answered || event->partial;
+	if (event->partial)
+		set_answered(crash);
 	blocked = is_blocked(crash, now_us);
 	on_trial = crash->suspect && !blocked;
 	if (event->broken_us > crash->last_us)
@@ -318,10 +349,8 @@
 	record_answer(crashes, fingerprint, service, now_us);
 	record_answer(crashes, fingerprint, ANY_SERVICE, now_us);
 	crash = find_crash(crashes, fingerprint, now_us);
-	if (crash) {
-		crash->answered = true;
-		crash->suspect = crash->suspect && reaches_limit(crash);
-	}
+	if (crash)
+		set_answered(crash);
 	for (uint32_t i = crash ? crash->count : 0; i > 0; i--) {
 		struct pd_crash_event *event = &crash->events[i - 1];
 
--- a/ingress/crashes.h
+++ b/ingress/crashes.h
@@ -151,7 +151,7 @@
 	PD_CRASH_ANSWERED, /* the service has answered the request since, or shortly before */
 };
 
-/* Records a crash, in place of the oldest one if there are PD_CRASH_EVENTS_MAX. One of a request
+/* Records a crash, in place of another one if there are PD_CRASH_EVENTS_MAX. One of a request
  * that is blocked or on trial restarts the time for which it is blocked. */
 enum pd_crash_verdict pd_crashes_add(struct pd_crashes *crashes, uint64_t fingerprint,
 				     const struct pd_crash_event *event, int64_t now_us);
--- a/ingress/reporter.c
+++ b/ingress/reporter.c
@@ -114,13 +114,6 @@
 	pd_store_set_address(&reporter->store, &address);
 }
 
-/* Waits after a call that failed, before the next one. */
-static void back_off(const struct pd_error *err)
-{
-	pd_log_failure(PD_LOG_WARNING, "crash_not_told", err);
-	pd_os_sleep_us(RETRY_DELAY_US);
-}
-
 static enum pd_code write_report(struct pd_reporter *reporter, const struct pd_crash_report *report,
 				 struct pd_error *err)
 {
@@ -158,7 +151,8 @@
 	pd_crash_reports_confirm(reports, report);
 	code = write_report(reporter, report, &err);
 	if (code != PD_OK && code != PD_INVALID) {
-		back_off(&err);
+		pd_log_failure(PD_LOG_WARNING, "crash_not_told", &err);
+		pd_os_sleep_us(RETRY_DELAY_US);
 		return;
 	}
 	pd_crash_reports_remove(reports, report);
@@ -199,7 +193,8 @@
 		use_current_address(reporter);
 		if (pd_store_delete(&reporter->store, PD_OBJECT_CRASHES, pd_name_str(&name),
 				    &err) != PD_OK) {
-			back_off(&err);
+			pd_log_failure(PD_LOG_WARNING, "crash_not_deleted", &err);
+			pd_crash_reports_retry(reports, deletion->fingerprint, &deletion->event);
 			return;
 		}
 	}
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -194,6 +194,27 @@
 }
 END_TEST
 
+START_TEST(gathered_query_that_crashes_some_services_is_refused)
+{
+	/* Guards against a gathered query that crashes upstreams of more services than are
+	 * recorded, while others answer it: none of them would reach the limit.
+	 */
+	set_up();
+	for (int run = 0; run < 3; run++) {
+		ck_assert(!pd_crashes_is_blocked(&table[0], QUERY, NOW + run * 100));
+		answer(&table[0], SERVICE, NOW + run * 100);
+		for (int i = 1; i <= 3 * PD_CRASH_EVENTS_MAX; i++) {
+			char upstream[32];
+
+			snprintf(upstream, sizeof(upstream), "desk-%d-%d", i, run);
+			record(&table[0], upstream, (uint64_t)i, NOW + run * 100 + i);
+		}
+	}
+	ck_assert(pd_crashes_is_blocked(&table[0], QUERY, NOW + 300));
+	tear_down();
+}
+END_TEST
+
 START_TEST(crashes_in_several_services_add_up_without_an_answer)
 {
 	/* Guards against a gathered query that crashes an upstream of each of its services, and
@@ -321,6 +342,7 @@
 		a_crash_shortly_after_an_answer_does_not_count,
 		answers_of_another_service_prove_nothing,
 		gathered_query_is_not_refused_because_a_zone_ends,
+		gathered_query_that_crashes_some_services_is_refused,
 		crashes_in_several_services_add_up_without_an_answer,
 		an_old_crash_does_not_count,
 		blocked_request_is_tried_by_one_instance_after_another,
