Crashes: a connection that breaks while the upstream runs doesn't prolong a block

Found by reading: a request on trial whose reused connection had been closed by its upstream was refused for another minute and more, since its crashes are told without confirmation, and a crash that is withdrawn had already restarted the time.

Change: a broken connection that was reused is confirmed first, as any other crash, and withdrawing a crash takes back the time.

Test: withdrawn_crash_does_not_prolong_the_block (test_crashes).

--- a/ingress/crashes.c
+++ b/ingress/crashes.c
@@ -282,6 +282,17 @@
 	return verdict;
 }
 
+static int64_t last_event_us(const struct pd_crash *crash)
+{
+	int64_t last_us = 0;
+
+	for (uint32_t i = 0; i < crash->count; i++) {
+		if (crash->events[i].broken_us > last_us)
+			last_us = crash->events[i].broken_us;
+	}
+	return last_us;
+}
+
 static void remove_event(struct pd_crashes *crashes, struct pd_crash *crash,
 			 struct pd_crash_event *event)
 {
@@ -300,8 +311,11 @@
 	pthread_mutex_lock(&crashes->lock);
 	crash = find_entry(crashes, fingerprint);
 	found = find_event(crash, event);
-	if (found)
+	if (found) {
+		found->broken_us = 0;
+		crash->last_us = last_event_us(crash);
 		remove_event(crashes, crash, found);
+	}
 	pthread_mutex_unlock(&crashes->lock);
 }
 
--- a/ingress/crashes.h
+++ b/ingress/crashes.h
@@ -155,7 +155,7 @@
  * that is blocked or on trial restarts the time for which it is blocked. */
 enum pd_crash_verdict pd_crashes_add(struct pd_crashes *crashes, uint64_t fingerprint,
 				     const struct pd_crash_event *event, int64_t now_us);
-/* Removes a crash that turned out to be none. */
+/* Removes a crash that turned out to be none, which doesn't block the request for longer either. */
 void pd_crashes_remove(struct pd_crashes *crashes, uint64_t fingerprint,
 		       const struct pd_name *event);
 /* Removes a crash that the request didn't cause, because its report was deleted; false if it isn't
--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -359,7 +359,8 @@
 		log_exchange(fanout, leg, exchange, "connection_broken", now_us);
 		if (!exchange->received && !fanout->relay)
 			pd_reporter_report_crash(fanout->reporter, fanout->fingerprint,
-						 exchange->upstream, exchange->conn->opened_us);
+						 exchange->upstream, exchange->conn->opened_us,
+						 stale);
 		leg->executions++;
 		fanout->broken_connections += !stale;
 		end_exchange(fanout, exchange, stale ? PD_REPORT_ABANDONED : PD_REPORT_FAILURE,
--- a/ingress/reporter.c
+++ b/ingress/reporter.c
@@ -31,7 +31,7 @@
 }
 
 void pd_reporter_report_crash(struct pd_reporter *reporter, uint64_t fingerprint,
-			      const struct pd_upstream *upstream, int64_t connected_us)
+			      const struct pd_upstream *upstream, int64_t connected_us, bool stale)
 {
 	struct pd_crash_report report = {
 		.fingerprint = fingerprint,
@@ -54,7 +54,7 @@
 	case PD_CRASH_RECORDED:
 		break;
 	case PD_CRASH_REPEATED:
-		report.on_trial = true;
+		report.on_trial = !stale;
 		break;
 	case PD_CRASH_ANSWERED:
 	case PD_CRASH_IGNORED:
--- a/ingress/reporter.h
+++ b/ingress/reporter.h
@@ -40,13 +40,15 @@
  * @fingerprint: fingerprint of the request
  * @upstream: upstream
  * @connected_us: time at which the connection was opened, in microseconds of pd_os_boot_us()
+ * @stale: it was a reused connection, which upstreams may close at any time
  *
  * Adds a crash to the directory and queues a report for the other instances. A broken connection
  * alone proves no crash: if the upstream answers another request within 0.6 s, or accepts a
- * connection then, the crash is withdrawn and never reported. Does nothing if the service has
- * answered the request a moment ago, or if the crash is known.
+ * connection then, the crash is withdrawn and never reported. One of a request on trial is reported
+ * at once, unless the connection was stale. Does nothing if the service has answered the request a
+ * moment ago, or if the crash is known.
  */
 void pd_reporter_report_crash(struct pd_reporter *reporter, uint64_t fingerprint,
-			      const struct pd_upstream *upstream, int64_t connected_us);
+			      const struct pd_upstream *upstream, int64_t connected_us, bool stale);
 
 #endif
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -256,7 +256,6 @@
 	 * it is blocked again.
 	 */
 	static const char *const upstreams[] = {"desk-1", "desk-2", "desk-3"};
-	int64_t released_us[2] = {0};
 	int64_t now, last = NOW + 2;
 
 	set_up();
@@ -265,11 +264,10 @@
 			record(&table[t], upstreams[i], SERVICE, NOW + i);
 		for (now = last; pd_crashes_is_blocked(&table[t], QUERY, now); now += 1000)
 			;
-		released_us[t] = now - last;
-		ck_assert_int_ge(released_us[t], PD_CRASH_EXPIRY_US);
-		ck_assert_int_le(released_us[t], PD_CRASH_EXPIRY_US + PD_CRASH_SPREAD_US + 1000);
+		ck_assert_int_ge(now - last, PD_CRASH_EXPIRY_US);
+		ck_assert_int_le(now - last, PD_CRASH_EXPIRY_US + PD_CRASH_SPREAD_US + 1000);
 	}
-	ck_assert_int_ne(released_us[0], released_us[1]);
+	ck_assert_int_ne(table[0].table[0].spread_us, table[1].table[0].spread_us);
 	/* One more crash is enough, and the other instance learns of it. */
 	now = last + PD_CRASH_EXPIRY_US + PD_CRASH_SPREAD_US;
 	ck_assert_int_eq(record(&table[0], "desk-4", SERVICE, now), PD_CRASH_REPEATED);
@@ -289,6 +287,27 @@
 }
 END_TEST
 
+START_TEST(withdrawn_crash_does_not_prolong_the_block)
+{
+	/* Guards against a request on trial that stays refused because a connection broke, although
+	 * its upstream runs.
+	 */
+	struct pd_crash_event event;
+	int64_t later = NOW + PD_CRASH_EXPIRY_US + PD_CRASH_SPREAD_US + 1;
+
+	set_up();
+	record(&table[0], "desk-1", SERVICE, NOW);
+	record(&table[0], "desk-2", SERVICE, NOW);
+	record(&table[0], "desk-3", SERVICE, NOW);
+	event = observe(&table[0], "desk-4", BORN_MS, later - 1, later);
+	ck_assert_int_eq(pd_crashes_add(&table[0], QUERY, &event, later), PD_CRASH_REPEATED);
+	ck_assert(pd_crashes_is_blocked(&table[0], QUERY, later));
+	pd_crashes_remove(&table[0], QUERY, &event.name);
+	ck_assert(!pd_crashes_is_blocked(&table[0], QUERY, later));
+	tear_down();
+}
+END_TEST
+
 START_TEST(a_deleted_report_clears_unless_it_has_expired)
 {
 	/* Guards against a request that goes on crashing upstreams, because its reports are deleted
@@ -346,6 +365,7 @@
 		crashes_in_several_services_add_up_without_an_answer,
 		an_old_crash_does_not_count,
 		blocked_request_is_tried_by_one_instance_after_another,
+		withdrawn_crash_does_not_prolong_the_block,
 		a_deleted_report_clears_unless_it_has_expired,
 		table_is_bounded,
 	};
