--- a/fuzz/platform.c
+++ b/fuzz/platform.c
@@ -47,6 +47,7 @@
 		struct pd_object object;
 
 		struct pd_instance_entry instance;
+		struct pd_crash_contents crash;
 		struct pd_name event;
 		uint64_t fingerprint;
 
@@ -54,7 +55,7 @@
 			continue;
 		pd_object_read_upstream(&object, &entry, &err);
 		pd_object_read_instance(&object, &instance);
-		pd_object_read_crash(object.name, &fingerprint, &event);
+		pd_object_read_crash(&object, &fingerprint, &event, &crash);
 	}
 	pd_object_page_finish(&page);
 }
