Fanout: only a request on trial isn't sent again because of crashes

Cause: let retries and hedges ask the table of crashes, in which a broken connection counts at once, until it is withdrawn 0.6 s later; reused connections count, too. Three resets among the 115 parts of a query ended all of its retries.

Change: a request on trial is sent once, without retries and hedges; any other one is limited by its own broken connections, as before.

Scripts crash, crash_gathered, hedge, retry and relay pass.

--- a/ingress/fanout.c
+++ b/ingress/fanout.c
@@ -150,9 +150,7 @@
 /* Whether the request may be what crashes its upstreams. */
 static bool is_suspect(const struct pd_fanout *fanout)
 {
-	return fanout->broken_connections >= BROKEN_CONNECTIONS_MAX ||
-	       (!fanout->relay && pd_crashes_is_blocked(&fanout->reporter->directory->crashes,
-							fanout->fingerprint, pd_os_boot_us()));
+	return fanout->broken_connections >= (fanout->on_trial ? 1 : BROKEN_CONNECTIONS_MAX);
 }
 
 /* Whether another attempt is allowed, given that upstreams may have executed earlier ones. */
@@ -407,8 +405,8 @@
 	}
 	leg->hedge_waits = false;
 	if (!late_upstream || !fanout->route->idempotent || !find_unused_exchange(leg) ||
-	    leg->attempts >= fanout->route->max_attempts || is_suspect(fanout) ||
-	    leg_permit(fanout, leg, now_us).block != PD_BLOCK_NONE)
+	    leg->attempts >= fanout->route->max_attempts || fanout->on_trial ||
+	    is_suspect(fanout) || leg_permit(fanout, leg, now_us).block != PD_BLOCK_NONE)
 		return;
 	if (!pd_registry_hedge_helps(registry, leg->service, leg->tried, leg->tried_count,
 				     now_us)) {
--- a/ingress/fanout.h
+++ b/ingress/fanout.h
@@ -83,6 +83,8 @@
  * @key_refused: an attempt wasn't sent because of @key_check
  * @reporter: reporter that records crashes of upstreams
  * @fingerprint: fingerprint of the request, for @reporter
+ * @on_trial: the request was refused because it may crash its upstreams, and is tried again: it
+ *isn't hedged, nor sent again after a connection broke
  * @quota: quotas that the request is counted for when its first attempt is sent, or NULL
  * @account: account of the request, if @quota isn't NULL
  * @counted: the request was counted
@@ -115,6 +117,7 @@
 	bool key_refused;
 	struct pd_reporter *reporter;
 	uint64_t fingerprint;
+	bool on_trial;
 	struct pd_quota *quota;
 	const struct pd_account *account;
 	bool counted;
--- a/ingress/serve.c
+++ b/ingress/serve.c
@@ -828,6 +828,8 @@
 		fanout.account = request->account;
 		fanout.counted = request->counted;
 		request->counted = false;
+		fanout.on_trial = pd_crashes_is_suspect(&request->ingress->directory.crashes,
+							fanout.fingerprint, pd_os_boot_us());
 		admitted_us = pd_os_boot_us();
 		pd_fanout_run(&fanout);
 		report_fairness(request, &fanout, admitted_us);
