Membership: a follower doesn't take over a hold for an outage that only its source had

Cause: an instance whose source lost the store watches the store itself. When the source is back, it holds removals for two seconds, since entries may have expired while it was away. The follower comes back to it in this time and took over its hold, although it had read all entries itself meanwhile: nothing can have expired unnoticed.

Change: an instance knows since when it has reached the store, by its own calls or through a source, without an outage of more than 2.4 s. It takes over a hold only if that is less than two seconds ago; so does one that has started since then. Otherwise it logs hold_of_source_ignored, which tells the two apart. A successful check of its own counts as contact, also when the instance then follows another source.

Ruled out: that it learns of the removals too late (upstream_removal_held is logged in time for each).

Why it works: removals are held because upstreams may have been unable to renew their entries; an instance that used the store throughout knows that they were able to. Who had the outage, too, holds as before.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -130,6 +130,19 @@
 	return true;
 }
 
+/* Records that the store is reachable from this instance or from its source. Returns true if it
+ * hadn't been for so long that entries may have expired.
+ */
+static bool record_contact(struct pd_membership *membership, int64_t now)
+{
+	bool was_long = now - membership->last_contact_us > OUTAGE_EXPIRY_THRESHOLD_US;
+
+	if (was_long || !membership->contact_since_us)
+		membership->contact_since_us = now;
+	membership->last_contact_us = now;
+	return was_long;
+}
+
 /*
  * Ends the hold of removals when its time is over: upstreams whose entries are still missing are
  * removed. All kinds are listed once more before that, because the store may have been unreachable
@@ -173,19 +186,19 @@
 	enum pd_object_kind kind;
 
 	if (membership->unreachable_since_us) {
-		if (now - membership->last_contact_us > OUTAGE_EXPIRY_THRESHOLD_US)
-			membership->may_have_expired = true;
 		pd_log(PD_LOG_INFO, "store_regained",
 		       "kind=instances lost_ms=%" PRId64 " silent_ms=%" PRId64,
 		       (now - membership->unreachable_since_us) / 1000,
 		       (now - membership->last_contact_us) / 1000);
+		if (record_contact(membership, now))
+			membership->may_have_expired = true;
 		membership->unreachable_since_us = 0;
 		pd_sync_restart_watches(membership->sync);
 	} else if (pd_sync_wait_for_loss(membership->sync, 0, &kind)) {
 		handle_loss(membership, kind);
 		return;
 	}
-	membership->last_contact_us = now;
+	record_contact(membership, now);
 	if (!pd_directory_is_store_reachable(membership->directory) && wait_for_relist(membership))
 		pd_directory_set_store_reachable(
 			membership->directory, true,
@@ -222,6 +235,7 @@
  * @checked: such an attempt was made since @store_lost_us
  * @leave_us: time at which this instance leaves the source, since it has reached the store
  *	directly after @store_lost_us, in microseconds of pd_os_boot_us(); 0 if it hasn't
+ * @hold_ignored: the source holds removals because of an outage that only the source had
  * @heard_us: time of the last message of the source, in microseconds of pd_os_boot_us()
  * @next_list_us: time of the next list of the instances, in microseconds of pd_os_boot_us()
  */
@@ -236,6 +250,7 @@
 	int64_t next_check_us;
 	bool checked;
 	int64_t leave_us;
+	bool hold_ignored;
 	int64_t heard_us;
 	int64_t next_list_us;
 };
@@ -283,22 +298,41 @@
 	return (int64_t)(pd_os_random_seed() % (uint64_t)limit_us);
 }
 
-/* Applies a heartbeat, which states whether the source reaches the store. A hold of removals has
- * the same end here as at the source, and is ended here by release_removals_when_due() if the
- * source is lost before.
+/*
+ * Takes over a hold of removals by the source, which lasts for another @hold_ms, or its end. An
+ * instance that reached the store while the source didn't knows that the store was available to the
+ * upstreams, so that a missing entry hasn't expired: it holds nothing. One that had the outage,
+ * too, or has started since then, holds removals until the source has read all entries after the
+ * hold; if the source is lost before, it ends the hold itself.
  */
+static void follow_hold(struct pd_membership *membership, struct session *session, uint32_t hold_ms,
+			int64_t now)
+{
+	int64_t own_until_us = membership->contact_since_us + REMOVAL_HOLD_US;
+	int64_t hold_until_us = now + hold_ms * PD_USEC_PER_MSEC;
+	bool held = hold_ms && (membership->may_have_expired || now < own_until_us);
+
+	membership->may_have_expired = held;
+	if (hold_until_us > own_until_us)
+		hold_until_us = own_until_us;
+	pd_directory_set_store_reachable(membership->directory, true, held ? hold_until_us : 0);
+	if (hold_ms && !held && !session->hold_ignored) {
+		session->hold_ignored = true;
+		pd_log(PD_LOG_INFO, "hold_of_source_ignored",
+		       "remaining_ms=%" PRIu32 " contact_ms=%" PRId64, hold_ms,
+		       (now - membership->contact_since_us) / PD_USEC_PER_MSEC);
+	}
+}
+
+/* Applies a heartbeat, which states whether the source reaches the store. */
 static void apply_heartbeat(struct pd_membership *membership, struct session *session,
 			    const struct pd_feed_message *msg)
 {
 	int64_t now = pd_os_boot_us();
 
 	if (msg->heartbeat.store_reachable) {
-		uint32_t hold_ms = msg->heartbeat.hold_ms;
-
-		membership->may_have_expired = hold_ms > 0;
-		pd_directory_set_store_reachable(membership->directory, true,
-						 hold_ms ? now + hold_ms * PD_USEC_PER_MSEC : 0);
-		membership->last_contact_us = now;
+		record_contact(membership, now);
+		follow_hold(membership, session, msg->heartbeat.hold_ms, now);
 		membership->unreachable_since_us = 0;
 		session->store_lost_us = 0;
 	} else if (!session->store_lost_us) {
@@ -358,6 +392,9 @@
 		handle_store_unreachable(membership, &err);
 		return;
 	}
+	/* No call of this instance has failed: only the source lost the store. */
+	if (!membership->unreachable_since_us)
+		record_contact(membership, now);
 	session->leave_us = now;
 	if (!first)
 		session->leave_us += pd_membership_takeover_delay_us(membership->source_count);
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -57,8 +57,11 @@
  * @sources_retried: the sources were tried again since the last check that failed
  * @last_contact_us: last time at which the store was reachable from this instance or from its
  *	source, in microseconds of pd_os_boot_us()
- * @may_have_expired: entries of running upstreams may have expired while the store was unreachable,
- *	and the time for them to be registered again isn't over yet
+ * @contact_since_us: time since which it has been reachable without an outage in which entries may
+ *	expire, in microseconds of pd_os_boot_us(); 0 before the first contact, and after an
+ *	outage until the next one
+ * @may_have_expired: entries of running upstreams may have expired in an outage that this instance
+ *	was part of, and the time for them to be registered again isn't over yet
  */
 struct pd_membership {
 	struct pd_directory *directory;
@@ -78,6 +81,7 @@
 	int64_t unreachable_since_us;
 	bool sources_retried;
 	int64_t last_contact_us;
+	int64_t contact_since_us;
 	bool may_have_expired;
 };
 
