Membership: only failed calls of its own begin a follower's hold anew

Cause: when the source loses the store during the hold, the follower takes over, and counted two seconds from then on. But its own way to the store was never disturbed, and the loss of one instance doesn't show that upstreams can't reach the store.

A failed call of the instance itself ends the contact, so that the two seconds begin with the next one, as before. For an outage that is over when the source reports it, a follower that holds removals lists the instances 1.2 s after it began to; the next list follows 12 s later, as always: not more calls.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -143,6 +143,29 @@
 	return was_long;
 }
 
+/* Records that a call of this instance has failed: upstreams whose entries have expired may not
+ * reach the store either, so that the time for them to be registered again begins anew with the
+ * next contact. The loss of the store by a source shows nothing of the kind.
+ */
+static void interrupt_contact(struct pd_membership *membership)
+{
+	if (membership->may_have_expired)
+		membership->contact_since_us = 0;
+}
+
+/* Records that all kinds were listed since the store was lost. A hold of removals lasts until
+ * entries that expired before the present contact have had time to be registered again.
+ */
+static void regain_store(struct pd_membership *membership, int64_t now)
+{
+	int64_t hold_until_us = membership->contact_since_us + REMOVAL_HOLD_US;
+
+	if (now >= hold_until_us)
+		membership->may_have_expired = false;
+	pd_directory_set_store_reachable(membership->directory, true,
+					 membership->may_have_expired ? hold_until_us : 0);
+}
+
 /*
  * Ends the hold of removals when its time is over: upstreams whose entries are still missing are
  * removed. All kinds are listed once more before that, because the store may have been unreachable
@@ -170,6 +193,7 @@
 
 	if (silent_us > OUTAGE_EXPIRY_THRESHOLD_US)
 		membership->may_have_expired = true;
+	interrupt_contact(membership);
 	if (!pd_directory_is_store_reachable(membership->directory))
 		return;
 	pd_log(PD_LOG_WARNING, "changes_lost", "kind=%s silent_ms=%" PRId64,
@@ -200,9 +224,7 @@
 	}
 	record_contact(membership, now);
 	if (!pd_directory_is_store_reachable(membership->directory) && wait_for_relist(membership))
-		pd_directory_set_store_reachable(
-			membership->directory, true,
-			membership->may_have_expired ? now + REMOVAL_HOLD_US : 0);
+		regain_store(membership, now);
 	release_removals_when_due(membership);
 	pd_sync_renew_watches(membership->sync);
 }
@@ -211,6 +233,7 @@
 static void handle_store_unreachable(struct pd_membership *membership, const struct pd_error *err)
 {
 	membership->sources_retried = false;
+	interrupt_contact(membership);
 	if (membership->unreachable_since_us)
 		return;
 	membership->unreachable_since_us = pd_os_boot_us();
@@ -310,12 +333,15 @@
 {
 	int64_t own_until_us = membership->contact_since_us + REMOVAL_HOLD_US;
 	int64_t hold_until_us = now + hold_ms * PD_USEC_PER_MSEC;
-	bool held = hold_ms && (membership->may_have_expired || now < own_until_us);
+	bool was_held = membership->may_have_expired;
+	bool held = hold_ms && (was_held || now < own_until_us);
 
 	membership->may_have_expired = held;
 	if (hold_until_us > own_until_us)
 		hold_until_us = own_until_us;
 	pd_directory_set_store_reachable(membership->directory, true, held ? hold_until_us : 0);
+	if (held && !was_held && session->next_list_us > now + STORE_CHECK_INTERVAL_US)
+		session->next_list_us = now + STORE_CHECK_INTERVAL_US;
 	if (hold_ms && !held && !session->hold_ignored) {
 		session->hold_ignored = true;
 		pd_log(PD_LOG_INFO, "hold_of_source_ignored",
@@ -360,7 +386,9 @@
 		pd_feed_apply(membership->directory, &session->lists, msg);
 }
 
-/* Lists the instances when that is due, because requests may be relayed to them. */
+/* Lists the instances when that is due, because requests may be relayed to them. While removals are
+ * held, this also shows whether the store is reachable from here, whatever the source says.
+ */
 static void refresh_instances(struct pd_membership *membership, struct session *session)
 {
 	int64_t now = pd_os_boot_us();
@@ -369,10 +397,12 @@
 	if (session->store_lost_us || now < session->next_list_us)
 		return;
 	session->next_list_us = now + LIST_INTERVAL_US;
-	if (pd_membership_list_instances(membership, &err) != PD_OK)
+	if (pd_membership_list_instances(membership, &err) != PD_OK) {
+		interrupt_contact(membership);
 		pd_log_failure(PD_LOG_INFO, "instances_not_listed", &err);
-	else if (!membership->registered)
+	} else if (!membership->registered) {
 		pd_membership_register(membership);
+	}
 }
 
 /* Tries to reach the store directly when that is due, while the source can't reach it. */
