Membership: comments on the contact with the store

Read as a newcomer would: when the field is 0, and why the list of instances is read earlier in a hold. No change of behaviour: removals_held_source, removals_held_twice and store_lapse_twice_follow pass.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -340,6 +340,7 @@
 	if (hold_until_us > own_until_us)
 		hold_until_us = own_until_us;
 	pd_directory_set_store_reachable(membership->directory, true, held ? hold_until_us : 0);
+	/* Shows in the hold whether the store is reachable from here, see refresh_instances(). */
 	if (held && !was_held && session->next_list_us > now + STORE_CHECK_INTERVAL_US)
 		session->next_list_us = now + STORE_CHECK_INTERVAL_US;
 	if (hold_ms && !held && !session->hold_ignored) {
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -58,8 +58,8 @@
  * @last_contact_us: last time at which the store was reachable from this instance or from its
  *	source, in microseconds of pd_os_boot_us()
  * @contact_since_us: time since which it has been reachable without an outage in which entries may
- *	expire, in microseconds of pd_os_boot_us(); 0 before the first contact, and after an
- *	outage until the next one
+ *	expire, in microseconds of pd_os_boot_us(); 0 before the first contact, and from a failed
+ *	call during a hold of removals until the next contact
  * @may_have_expired: entries of running upstreams may have expired in an outage that this instance
  *	was part of, and the time for them to be registered again isn't over yet
  */
