Membership: instances that were removed for good don't delay checks of the store, nor count in the rank

Cause: entries of instances are never deleted. An instance tries each that ranks above it every 4 s, 150 ms each if its address doesn't respond, in the thread that also checks the store: 2.3 s for fifteen. So a head noticed its cut late, and who took over released removals late. Besides, they counted as ranking above, so that no running instance was among the first three, which look for the store at once.

Change: sources are tried until the next check of the store is due, and the others after it; but for an instance of low rank whose checks fail, which leaves the store to the first in rank. A source that couldn't be reached by the last attempt doesn't count in the rank. The list keeps its members.

Ruled out: deleting entries of others (one that is only cut off would lose its own); longer pauses after failed attempts (a machine that was without power would be followed late).

Why it works: an attempt takes 150 ms, so that a check is late by that at most; a cut is noticed after 2.1 s in place of 1.9 s plus 150 ms for each instance that is gone, and the first follower looks for the store 0.1 s later.

Test: script sources_gone, with the new command silent of the stand-in (an address that doesn't respond): after 2.9 s, neither follower has removed the upstream in 3 of 3 runs before, both have in 3 of 3 since.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -106,6 +106,18 @@
 	return delay_us < max_us ? delay_us : max_us;
 }
 
+/* Returns the number of instances of the zone that rank above this one and may be running. The
+ * store also lists instances that were removed for good.
+ */
+static size_t own_rank(const struct pd_membership *membership)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < membership->source_count; i++)
+		count += !membership->sources[i].unreached;
+	return count;
+}
+
 int64_t pd_membership_first_check_delay_us(size_t rank)
 {
 	return delay_by_rank_us(rank, FIRST_CHECK_DELAY_US, FIRST_CHECK_STEP_US,
@@ -367,9 +379,9 @@
 		session->store_lost_us = now;
 		session->checked = false;
 		session->leave_us = 0;
-		session->next_check_us =
-			now + pd_membership_first_check_delay_us(membership->source_count) +
-			draw_delay_us(FIRST_CHECK_JITTER_US);
+		session->next_check_us = now +
+					 pd_membership_first_check_delay_us(own_rank(membership)) +
+					 draw_delay_us(FIRST_CHECK_JITTER_US);
 		/* The source may have lost the store this long before it detected that. */
 		membership->last_contact_us = now - DETECTION_DELAY_MAX_US;
 	}
@@ -428,7 +440,7 @@
 		record_contact(membership, now);
 	session->leave_us = now;
 	if (!first)
-		session->leave_us += pd_membership_takeover_delay_us(membership->source_count);
+		session->leave_us += pd_membership_takeover_delay_us(own_rank(membership));
 }
 
 /* Returns true if this instance leaves its source, because it reaches the store and the source
@@ -440,7 +452,7 @@
 	check_store_directly(membership, session);
 	if (!session->store_lost_us || !session->leave_us || pd_os_boot_us() < session->leave_us)
 		return false;
-	if (membership->source_count <= FIRST_SUCCESSORS) {
+	if (own_rank(membership) <= FIRST_SUCCESSORS) {
 		pd_sync_set_mode(membership->sync, PD_SYNC_WATCHING);
 		handle_store_reachable(membership);
 	}
@@ -543,7 +555,9 @@
 	const char *reason;
 
 	source->next_retry_us = pd_os_boot_us() + SOURCE_RETRY_US;
-	if (pd_os_connect(&source->entry.address, CONNECT_TIMEOUT_US, &fd, &err) != PD_OK) {
+	source->unreached =
+		pd_os_connect(&source->entry.address, CONNECT_TIMEOUT_US, &fd, &err) != PD_OK;
+	if (source->unreached) {
 		pd_log(PD_LOG_INFO, "source_unreached", "instance=%s code=%s", name.text,
 		       pd_strerror(err.code));
 		return false;
@@ -577,16 +591,40 @@
  */
 static bool waits_for_successor(const struct pd_membership *membership)
 {
-	return membership->unreachable_since_us && membership->source_count > FIRST_SUCCESSORS;
+	return membership->unreachable_since_us && own_rank(membership) > FIRST_SUCCESSORS;
+}
+
+/* Returns the time of the next check of the store, in microseconds of pd_os_boot_us(). It is
+ * earlier than usual so that a hold of removals ends in time.
+ */
+static int64_t next_check_us(struct pd_membership *membership)
+{
+	int64_t hold_until_us = pd_directory_hold_until_us(membership->directory);
+	int64_t earliest_us = membership->checked_us + UNREACHABLE_CHECK_INTERVAL_US;
+	int64_t latest_us = membership->checked_us + STORE_CHECK_INTERVAL_US;
+
+	if (!pd_directory_is_store_reachable(membership->directory))
+		return earliest_us;
+	if (!hold_until_us || hold_until_us > latest_us)
+		return latest_us;
+	return hold_until_us > earliest_us ? hold_until_us : earliest_us;
 }
 
-/* Follows one source after another until none can be tried now. */
+/* Whether the store has to be checked before further sources are tried. Attempts to reach instances
+ * that were removed for good must not delay the checks of an instance that watches the store.
+ */
+static bool is_check_due(struct pd_membership *membership)
+{
+	return !waits_for_successor(membership) && pd_os_boot_us() >= next_check_us(membership);
+}
+
+/* Follows one source after another until none can be tried now, or the store has to be checked. */
 static void follow_sources(struct pd_membership *membership)
 {
 	int64_t lost_us = pd_os_boot_us();
 	struct pd_source *source;
 
-	while ((source = next_source(membership))) {
+	while (!is_check_due(membership) && (source = next_source(membership))) {
 		struct pd_name name = source->entry.name;
 		int64_t began_us = pd_os_boot_us();
 		bool connected;
@@ -601,6 +639,9 @@
 			lost_us = pd_os_boot_us();
 		if (!connected)
 			continue;
+		/* The source has sent the changes until now. */
+		if (!pd_sync_is_watching(membership->sync))
+			membership->checked_us = pd_os_boot_us();
 		/* The list of sources may have been replaced during the session. */
 		for (size_t i = 0; i < membership->source_count; i++) {
 			if (pd_name_equal(&membership->sources[i].entry.name, &name))
@@ -617,7 +658,7 @@
 {
 	if (membership->sources_retried)
 		return false;
-	pd_os_sleep_us(pd_membership_takeover_delay_us(membership->source_count));
+	pd_os_sleep_us(pd_membership_takeover_delay_us(own_rank(membership)));
 	for (size_t i = 0; i < membership->source_count; i++)
 		membership->sources[i].next_retry_us = 0;
 	membership->sources_retried = true;
@@ -646,27 +687,14 @@
 		pd_membership_register(membership);
 }
 
-/* Returns the delay until the next check of the store, in microseconds. It is shortened so that a
- * hold of removals ends in time.
- */
-static int64_t check_delay_us(struct pd_membership *membership)
-{
-	int64_t hold_until_us = pd_directory_hold_until_us(membership->directory);
-	int64_t left = hold_until_us - pd_os_boot_us();
-
-	if (!pd_directory_is_store_reachable(membership->directory))
-		return UNREACHABLE_CHECK_INTERVAL_US;
-	if (!hold_until_us || left > STORE_CHECK_INTERVAL_US)
-		return STORE_CHECK_INTERVAL_US;
-	return left > UNREACHABLE_CHECK_INTERVAL_US ? left : UNREACHABLE_CHECK_INTERVAL_US;
-}
-
 /* Waits until the next check of the store, or until the changes of a kind are lost. */
 static void wait_for_check(struct pd_membership *membership)
 {
-	int64_t delay_us = check_delay_us(membership);
+	int64_t delay_us = next_check_us(membership) - pd_os_boot_us();
 	enum pd_object_kind kind;
 
+	if (delay_us <= 0)
+		return;
 	if (!pd_directory_is_store_reachable(membership->directory))
 		pd_os_sleep_us(delay_us);
 	else if (pd_sync_wait_for_loss(membership->sync, delay_us, &kind))
@@ -683,6 +711,7 @@
 		int64_t age;
 
 		check_store(membership);
+		membership->checked_us = pd_os_boot_us();
 		follow_sources(membership);
 		age = pd_os_boot_us() - membership->started_us;
 		/* An instance that is followed needs all changes from now on. */
--- a/ingress/membership.h
+++ b/ingress/membership.h
@@ -29,10 +29,12 @@
  * struct pd_source - an instance of the same zone that this one could follow
  * @entry: entry under which the instance is registered
  * @next_retry_us: earliest time of the next attempt to connect, in microseconds of pd_os_boot_us()
+ * @unreached: the last attempt to connect failed
  */
 struct pd_source {
 	struct pd_instance_entry entry;
 	int64_t next_retry_us;
+	bool unreached;
 };
 
 /**
@@ -54,6 +56,8 @@
  * @started_us: time at which @thread started, in microseconds of pd_os_boot_us()
  * @unreachable_since_us: time since which this instance's own calls to the store fail, in
  *	microseconds of pd_os_boot_us(); 0 while they succeed or the source reaches the store
+ * @checked_us: time of the last check of the store, or time until which a source was followed, in
+ *	microseconds of pd_os_boot_us()
  * @sources_retried: the sources were tried again since the last check that failed
  * @last_contact_us: last time at which the store was reachable from this instance or from its
  *	source, in microseconds of pd_os_boot_us()
@@ -79,6 +83,7 @@
 	bool entry_outdated;
 	int64_t started_us;
 	int64_t unreachable_since_us;
+	int64_t checked_us;
 	bool sources_retried;
 	int64_t last_contact_us;
 	int64_t contact_since_us;
@@ -90,10 +95,12 @@
 enum pd_code pd_membership_start(struct pd_membership *membership, struct pd_error *err);
 
 /* Adds an instance to the sources if it belongs to the same zone and ranks above this one; if the
- * list is full, the lowest-ranked instance is left out. @retry_us as &pd_source.next_retry_us.
+ * list is full, the lowest-ranked instance is left out. @previous is the same source in the list
+ * before, NULL if it wasn't there.
  */
 void pd_membership_add_source(struct pd_membership *membership,
-			      const struct pd_instance_entry *entry, int64_t retry_us);
+			      const struct pd_instance_entry *entry,
+			      const struct pd_source *previous);
 /* Adds an instance to the relays if it belongs to the same zone and is sufficiently larger. If
  * there are more than are used, each instance uses others, so that all of them get requests.
  */
@@ -101,7 +108,7 @@
 			     const struct pd_instance_entry *entry);
 /* Returns the time from the moment at which an instance learns that its source has lost the store
  * until it checks first whether it reaches the store itself, in microseconds. @rank is the number
- * of instances of the zone that rank above it.
+ * of instances of the zone that rank above it and may be running.
  */
 int64_t pd_membership_first_check_delay_us(size_t rank);
 /* Returns the time for which an instance waits that reaches the store by a later check, before it
--- a/ingress/membership_list.c
+++ b/ingress/membership_list.c
@@ -20,21 +20,20 @@
 	return pd_str_compare(pd_name_str(a), pd_name_str(b)) < 0;
 }
 
-/* Returns the time of the next attempt to connect to the source with that name, as kept in a
- * previous list of sources; 0 if it wasn't in that list.
- */
-static int64_t find_retry_us(const struct pd_source *sources, size_t count,
-			     const struct pd_name *name)
+/* Returns the source with that name; NULL if it isn't in the list. */
+static const struct pd_source *find_source(const struct pd_source *sources, size_t count,
+					   const struct pd_name *name)
 {
 	for (size_t i = 0; i < count; i++) {
 		if (pd_name_equal(&sources[i].entry.name, name))
-			return sources[i].next_retry_us;
+			return &sources[i];
 	}
-	return 0;
+	return NULL;
 }
 
 void pd_membership_add_source(struct pd_membership *membership,
-			      const struct pd_instance_entry *entry, int64_t retry_us)
+			      const struct pd_instance_entry *entry,
+			      const struct pd_source *previous)
 {
 	size_t at = membership->source_count;
 
@@ -52,7 +51,11 @@
 	       pd_membership_ranks_before(&entry->name, &membership->sources[at - 1].entry.name);
 	     at--)
 		membership->sources[at] = membership->sources[at - 1];
-	membership->sources[at] = (struct pd_source){.entry = *entry, .next_retry_us = retry_us};
+	membership->sources[at] = (struct pd_source){.entry = *entry};
+	if (previous) {
+		membership->sources[at].next_retry_us = previous->next_retry_us;
+		membership->sources[at].unreached = previous->unreached;
+	}
 	membership->source_count++;
 }
 
@@ -170,7 +173,7 @@
 		pd_membership_add_relay(membership, &entry);
 		pd_membership_add_source(
 			membership, &entry,
-			find_retry_us(listing->previous, listing->previous_count, &entry.name));
+			find_source(listing->previous, listing->previous_count, &entry.name));
 	}
 }
 
--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -33,6 +33,7 @@
 #define PORT_RANGES	 160
 #define PORTS_PER_RANGE	 96
 #define WORDS_MAX	 16
+#define SILENT_QUEUE_LEN 3 /* connections that fill the queue of a listening socket */
 #define OUTPUT_MAX_BYTES 4096
 #define HEAD_MAX_BYTES	 65536
 #define BODY_MAX_BYTES	 (1024 * 1024)
@@ -798,6 +799,32 @@
 				     "front", address, "cpu_share", 1.0));
 }
 
+/* silent NAME: registers an instance that no longer runs, and whose address doesn't respond to new
+ * connections: the queue of the listening socket is full, as if its machine were gone
+ */
+static void do_silent(char **words, int count)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct instance *before = deployment.selected;
+
+	do_instance(words, count);
+	address.sin_port = htons(deployment.selected->peer.port);
+	inet_pton(AF_INET, deployment.selected->peer.ip, &address.sin_addr);
+	deployment.selected = before;
+	if (bind(listener, (struct sockaddr *)&address, sizeof(address)) || listen(listener, 0)) {
+		fprintf(stderr, "silent %s: %s\n", words[1], strerror(errno));
+		exit(EXIT_FAILURE);
+	}
+	for (int i = 0; i < SILENT_QUEUE_LEN; i++) {
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+		if (connect(fd, (struct sockaddr *)&address, sizeof(address)) &&
+		    errno != EINPROGRESS)
+			exit(EXIT_FAILURE);
+	}
+}
+
 /* alias NAME: registers an instance that no longer runs, whose address the selected one has now */
 static void do_alias(char **words, int count)
 {
@@ -1625,6 +1652,7 @@
 	{"use", 2, do_use},
 	{"instance", 2, do_instance},
 	{"alias", 2, do_alias},
+	{"silent", 2, do_silent},
 	{"larger", 2, do_larger},
 	{"instances", 2, do_instances},
 	{"size", 3, do_size},
--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -304,9 +304,9 @@
 		struct pd_instance_entry entry = make_instance("n", i, 1);
 
 		if (!pd_name_equal(&entry.name, &best.name))
-			pd_membership_add_source(&membership, &entry, 0);
+			pd_membership_add_source(&membership, &entry, NULL);
 	}
-	pd_membership_add_source(&membership, &best, 0);
+	pd_membership_add_source(&membership, &best, NULL);
 	ck_assert_uint_eq(membership.source_count, PD_MEMBERSHIP_SOURCES_MAX);
 	ck_assert(pd_name_equal(&membership.sources[0].entry.name, &best.name));
 	for (size_t i = 1; i < membership.source_count; i++)
