Tests: the command silent binds its port as the other listeners do

Cause: a connection that an earlier script had closed still occupied the port; allocate_address() tries ports with SO_REUSEADDR, and do_silent() bound them without. Reproduced by closing a connection on every port of the range first: fails before, passes since.

--- a/standins/standin-deployment.c
+++ b/standins/standin-deployment.c
@@ -805,13 +805,15 @@
 static void do_silent(char **words, int count)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
-	int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
 	struct instance *before = deployment.selected;
 
 	do_instance(words, count);
 	address.sin_port = htons(deployment.selected->peer.port);
 	inet_pton(AF_INET, deployment.selected->peer.ip, &address.sin_addr);
 	deployment.selected = before;
+	/* Closed connections of an earlier process may still occupy the port. */
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (bind(listener, (struct sockaddr *)&address, sizeof(address)) || listen(listener, 0)) {
 		fprintf(stderr, "silent %s: %s\n", words[1], strerror(errno));
 		exit(EXIT_FAILURE);
