Membership: a source that has held no removals doesn't end a follower's own hold

Callers saw: 503, "too few services have an upstream", while the upstream was running, after an outage of the store in which its entry expired.

Cause: an instance that holds removals after the outage follows the first in rank. If that one has started late in the outage, or since, it holds none, and its first heartbeat ended the hold of the follower, too. Trace of the script: removals_held for 1,979 ms, following 1.2 s later, removals_released and upstream_removed within 2 ms of that.

Change: the source's hold ends the follower's only if the source has stated one in this session. Otherwise the follower's ends two seconds after its own contact with the store began, as without a source.

Ruled out: following no source during a hold (an instance that loses its source would watch the store, more calls); the age of the contact in the heartbeat (tells a new source from one that was in contact throughout, but a follower that was cut off alone holds two seconds without a source, too).

Why it works: a hold is ended by somebody who has listed all entries again after the time in which they come back, or by its own time.

--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -270,6 +270,7 @@
  * @checked: such an attempt was made since @store_lost_us
  * @leave_us: time at which this instance leaves the source, since it has reached the store
  *	directly after @store_lost_us, in microseconds of pd_os_boot_us(); 0 if it hasn't
+ * @source_held: the source has held removals in this session
  * @hold_ignored: the source holds removals because of an outage that only the source had
  * @heard_us: time of the last message of the source, in microseconds of pd_os_boot_us()
  * @next_list_us: time of the next list of the instances, in microseconds of pd_os_boot_us()
@@ -285,6 +286,7 @@
 	int64_t next_check_us;
 	bool checked;
 	int64_t leave_us;
+	bool source_held;
 	bool hold_ignored;
 	int64_t heard_us;
 	int64_t next_list_us;
@@ -338,7 +340,8 @@
  * instance that reached the store while the source didn't knows that the store was available to the
  * upstreams, so that a missing entry hasn't expired: it holds nothing. One that had the outage,
  * too, or has started since then, holds removals until the source has read all entries after the
- * hold; if the source is lost before, it ends the hold itself.
+ * hold; if the source is lost before, it ends the hold itself. A source that hasn't held any in
+ * this session may have started after the outage and doesn't end a hold of this instance.
  */
 static void follow_hold(struct pd_membership *membership, struct session *session, uint32_t hold_ms,
 			int64_t now)
@@ -346,10 +349,16 @@
 	int64_t own_until_us = membership->contact_since_us + REMOVAL_HOLD_US;
 	int64_t hold_until_us = now + hold_ms * PD_USEC_PER_MSEC;
 	bool was_held = membership->may_have_expired;
-	bool held = hold_ms && (was_held || now < own_until_us);
+	bool held;
 
+	if (hold_ms) {
+		session->source_held = true;
+		held = was_held || now < own_until_us;
+	} else {
+		held = was_held && !session->source_held && now < own_until_us;
+	}
 	membership->may_have_expired = held;
-	if (hold_until_us > own_until_us)
+	if (!hold_ms || hold_until_us > own_until_us)
 		hold_until_us = own_until_us;
 	pd_directory_set_store_reachable(membership->directory, true, held ? hold_until_us : 0);
 	/* Shows in the hold whether the store is reachable from here, see refresh_instances(). */
