--- a/ingress/membership.c
+++ b/ingress/membership.c
@@ -603,8 +603,8 @@
 	return membership->unreachable_since_us && own_rank(membership) > FIRST_SUCCESSORS;
 }
 
-/* Returns the time of the next check of the store, in microseconds of pd_os_boot_us(). It is
- * earlier than usual so that a hold of removals ends in time.
+/* Returns the time of the next check of the store, in microseconds of pd_os_boot_us(). It comes
+ * sooner while the store is unreachable, and so that a hold of removals ends in time.
  */
 static int64_t next_check_us(struct pd_membership *membership)
 {
